--- /dev/null
+++ b/idl/wire.thrift
@@ -0,0 +1,103 @@
+// Records on the platform's log and messages between gateways.
+// Fields are versioned by number: never reuse or renumber one.
+
+namespace py wire
+
+struct Accept {
+  1: string key, 2: string submission, 3: string owner, 4: string account,
+  5: string profile, 6: binary body, 7: double written_at
+}
+struct Dispatch {
+  1: string key, 2: string submission, 3: string owner, 4: i32 epoch,
+  5: double written_at
+}
+struct Takeover {
+  1: string key, 2: string submission, 3: string owner, 4: i32 epoch,
+  5: double written_at
+}
+struct Refuse {
+  1: string key, 2: string submission, 3: i32 code, 4: double written_at
+}
+struct Outcome {
+  1: string key, 2: string submission, 3: i32 epoch, 4: i32 code,
+  5: binary body, 6: double written_at
+}
+struct Restate {
+  1: string key, 2: string submission, 3: string owner, 4: i32 epoch,
+  5: bool dispatched, 6: string account, 7: string profile, 8: binary body,
+  9: i64 as_of, 10: double written_at
+}
+struct ProfileChange {
+  1: string change_id, 2: string name, 3: i64 base_version, 4: string spec,
+  5: string operator, 6: double written_at
+}
+struct ProfileEntry {
+  1: string name, 2: i64 version, 3: string spec, 4: string change_id
+}
+struct ProfileSnapshot {
+  1: list<ProfileEntry> entries, 2: i64 as_of, 3: double written_at
+}
+struct LeaseClaim {
+  1: string name, 2: string holder, 3: i64 replaces, 4: double written_at
+}
+struct LeaseRenew {
+  1: string name, 2: string holder, 3: i64 fence, 4: double written_at
+}
+struct Mark { 1: i64 as_of, 2: double horizon, 3: double written_at }
+struct Record {
+  1: string record_id,
+  2: optional Accept accept, 3: optional Dispatch dispatch,
+  4: optional Takeover takeover, 5: optional Refuse refuse,
+  6: optional Outcome outcome, 7: optional Restate restate,
+  8: optional ProfileChange profile_change,
+  9: optional ProfileSnapshot profile_snapshot,
+  10: optional LeaseClaim lease_claim, 11: optional LeaseRenew lease_renew,
+  12: optional Mark mark
+}
+
+struct HostNotice { 1: string host, 2: double seconds_left }
+struct Heartbeat {
+  1: string identity, 2: string host, 3: string zone, 4: i32 state,
+  5: string caller_address, 6: string peer_address,
+  7: map<string, i64> applied, 8: list<HostNotice> notices, 9: i32 in_flight
+}
+struct Parting { 1: i32 epoch, 2: string owner, 3: i32 offset }
+struct Hold {
+  1: string request_id, 2: i32 epoch, 3: string owner,
+  4: list<Parting> lineage, 5: string account, 6: string profile,
+  7: binary body, 8: list<i32> tokens, 9: double deadline_s,
+  10: string engine, 11: string attempt_id
+}
+struct HoldAck {
+  1: string request_id, 2: i32 epoch, 3: string owner, 4: i32 length,
+  5: bool finished
+}
+struct Extend {
+  1: string request_id, 2: i32 epoch, 3: string owner, 4: i32 offset,
+  5: list<i32> tokens, 6: string engine, 7: string attempt_id
+}
+struct Finish {
+  1: string request_id, 2: i32 epoch, 3: string owner, 4: i32 code,
+  5: i32 length
+}
+struct Handover { 1: string request_id, 2: i32 epoch, 3: string owner }
+struct Stop { 1: string request_id, 2: i32 epoch, 3: string owner }
+struct Drop { 1: string request_id, 2: i32 epoch, 3: string owner }
+struct ClaimHandover { 1: string key, 2: string submission, 3: i32 epoch }
+struct Find { 1: string request_id }
+struct Found { 1: string request_id, 2: string caller_address }
+struct NewsRequest { 1: string stream, 2: i64 first_offset }
+struct NewsRecord { 1: i64 offset, 2: binary data }
+struct News { 1: string stream, 2: list<NewsRecord> records }
+struct PeerMessage {
+  1: optional Heartbeat heartbeat, 2: optional Hold hold,
+  3: optional HoldAck hold_ack, 4: optional Extend extend,
+  5: optional Finish finish, 6: optional Handover handover,
+  7: optional Stop stop, 8: optional ClaimHandover claim_handover,
+  9: optional NewsRequest news_request, 10: optional News news,
+  11: optional Drop drop, 12: optional Find find, 13: optional Found found,
+  14: optional HostNotice host_notice
+}
+service Peer {
+  void deliver(1: string sender, 2: list<PeerMessage> messages)
+}
--- /dev/null
+++ b/src/magnoliaflow/admission.py
@@ -0,0 +1,108 @@
+"""Early refusal: deadline, account share, headroom."""
+
+from dataclasses import dataclass
+from math import inf
+
+from magnoliaflow.codes import Code
+from magnoliaflow.lifecycle import Phase
+from magnoliaflow.profiles import Profile
+from magnoliaflow.profiles import Target
+from magnoliaflow.requests import Role
+from magnoliaflow.routing import Need
+from magnoliaflow.routing import RoutingView
+from magnoliaflow.state import GatewayState
+from magnoliaflow.state import PROFILE_STREAM
+
+SHARE_SLACK = 2.0
+BUSY_FRACTION = 0.5
+QUEUE_PER_SLOT = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a request that is admitted now may expect, in seconds."""
+
+    wait_s: float
+    service_s: float
+
+    @property
+    def total_s(self) -> float:
+        """Return the expected time to the whole answer."""
+        return self.wait_s + self.service_s
+
+
+def profiles_fresh(state: GatewayState) -> bool:
+    """Return whether profile changes can still reach this process."""
+    if not state.profiles.complete:
+        return False
+    bound = state.cfg.timings.profile_bound_s
+    cursor = state.cursors[PROFILE_STREAM]
+    if state.now - cursor.behind_since > bound:
+        return False
+    heard = max((peer.heard_at for peer in state.peers), default=-inf)
+    return state.now - max(heard, cursor.read_at) < bound
+
+
+def refusal(
+    state: GatewayState, profile_name: str, account: str, need_size: int
+) -> Code | None:
+    """Return the code that refuses a new request, None to admit it."""
+    if state.phase is not Phase.SERVING:
+        return Code.DRAINING
+    if not profiles_fresh(state):
+        return Code.PROFILES_STALE
+    profile = state.profiles.in_force.get(profile_name)
+    if profile is None:
+        return Code.UNKNOWN_PROFILE
+    if need_size > state.cfg.limits.body_bytes:
+        return Code.BODY_TOO_LARGE
+    if over_share(state, account):
+        return Code.ACCOUNT_OVER_SHARE
+    return None
+
+
+def over_share(state: GatewayState, account: str) -> bool:
+    """Return whether an account has more open than its share allows.
+
+    While the gateway is not busy an account may use what others leave.
+    """
+    limit = state.cfg.limits.open_requests
+    total = state.requests.count("role", (Role.OWNER, False))
+    if total < limit * BUSY_FRACTION:
+        return False
+    weights = {item.name: item.weight for item in state.cfg.client_accounts}
+    share = weights.get(account, 1.0) / sum(weights.values())
+    own = state.requests.count("account", (account, Role.OWNER.value))
+    return total >= limit or own >= share * limit * SHARE_SLACK
+
+
+def outlook(
+    view: RoutingView, need: Need, queued_tokens: float, now: float
+) -> Outlook | None:
+    """Return what to expect of a backend, None if no engine is usable."""
+    engines = view.candidates(need, now)
+    if not engines:
+        return None
+    best = min(
+        view.wait_s(engine, view.uncached(engine, need)) for engine in engines
+    )
+    rate = sum(
+        engine.cfg.token_rate * min(engine.limit, engine.cfg.slots)
+        for engine in engines
+    )
+    scale = len(view.groups[need.backend]) / len(engines)
+    backlog = queued_tokens * view.gateways / (rate * scale)
+    token_rate = max(engine.cfg.token_rate for engine in engines)
+    return Outlook(best + backlog, need.answer_tokens / token_rate)
+
+
+def deadline_refusal(profile: Profile, seen: Outlook | None) -> Code | None:
+    """Return the code for a deadline that cannot be met, else None."""
+    if seen is None:
+        return Code.NO_BACKEND
+    if profile.target is Target.SERVICE:
+        late = seen.wait_s > profile.deadline_s
+        return Code.DEADLINE_UNREACHABLE if late else None
+    if seen.total_s > profile.deadline_s:
+        return Code.DEADLINE_UNREACHABLE
+    return None
--- /dev/null
+++ b/src/magnoliaflow/attempts.py
@@ -0,0 +1,265 @@
+"""Attempts: sending requests to backend servers, and what comes back."""
+
+from math import inf
+
+from magnoliaflow.blocks import prompt_tokens
+from magnoliaflow.commands import CancelAttempt
+from magnoliaflow.commands import ResumeAttempt
+from magnoliaflow.commands import StartAttempt
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.inputs import CacheEventsArrived
+from magnoliaflow.inputs import EngineSilent
+from magnoliaflow.inputs import ReportArrived
+from magnoliaflow.ports import GenerateCall
+from magnoliaflow.profiles import Target
+from magnoliaflow.requests import Attempt
+from magnoliaflow.requests import Request
+from magnoliaflow.requests import Role
+from magnoliaflow.routing import choose
+from magnoliaflow.routing import Need
+from magnoliaflow.routing import Pick
+from magnoliaflow.state import GatewayState
+from magnoliaflow.systems import handles
+from magnoliaflow.systems import system
+
+SHUN_S = 2.0
+MOVED_PRIORITY = 10
+
+
+def need_of(req: Request) -> Need:
+    """Return what a request asks of an engine, from its prefix on."""
+    done = len(req.tokens)
+    return Need(
+        request_id=req.request_id,
+        backend=req.profile.backend,
+        blocks=req.blocks,
+        prompt_tokens=prompt_tokens(req.prompt) + done,
+        answer_tokens=max(1, req.max_tokens - done),
+        first_token_s=req.profile.first_token_s,
+        token_gap_s=req.profile.token_gap_s,
+    )
+
+
+def enqueue(state: GatewayState, req: Request) -> None:
+    """Let a request wait for an engine."""
+    if req.settled or req.attempt_id:
+        return
+    priority = MOVED_PRIORITY if req.moving else req.profile.priority
+    need = need_of(req)
+    state.queue(req.profile.backend).push(
+        req.request_id,
+        account=req.account,
+        size=need.prompt_tokens + need.answer_tokens,
+        priority=priority,
+    )
+
+
+@system(60)
+def dispatch(state: GatewayState) -> None:
+    """Send waiting requests to engines that have room."""
+    for queue in state.queues.values():
+        while len(queue):
+            ticket = queue.take()
+            if ticket is None:
+                break
+            req = state.requests.get(ticket.request_id)
+            if req is None or req.settled or req.role is not Role.OWNER:
+                continue
+            if resume(state, req):
+                continue
+            pick = choose(state.view, need_of(req), state.policy, state.now)
+            if pick is None or not _has_room(state, pick):
+                queue.push_back(ticket)
+                break
+            start(state, req, pick)
+
+
+def _has_room(state: GatewayState, pick: Pick) -> bool:
+    engine = state.view.engines[pick.engine]
+    return engine.occupied() < max(1.0, engine.limit)
+
+
+def resume(state: GatewayState, req: Request) -> bool:
+    """Read on a running attempt of a former owner, if one is known."""
+    name, attempt_id = req.resume_engine, req.resume_attempt
+    req.resume_engine = ""
+    req.resume_attempt = ""
+    engine = state.view.engines.get(name)
+    if engine is None or not attempt_id or not engine.usable(state.now):
+        return False
+    if req.profile.target is not Target.MODEL or attempt_id in state.attempts:
+        return False
+    attempt = _add_attempt(state, req, attempt_id, name, 0, resumed=True)
+    read_on(state, req, attempt)
+    return True
+
+
+def read_on(state: GatewayState, req: Request, attempt: Attempt) -> None:
+    """Read a running attempt on over a new connection."""
+    call = _call(req, attempt.attempt_id)
+    state.emit(ResumeAttempt(attempt.engine, call))
+
+
+def start(state: GatewayState, req: Request, pick: Pick) -> None:
+    """Send a request to the engine that was chosen."""
+    attempt_id = state.next_id("a")
+    source = req.export_from
+    req.export_from = ""
+    _add_attempt(state, req, attempt_id, pick.engine, pick.uncached_tokens)
+    if req.attempts_made:
+        state.metrics.tokens_recomputed.labels(
+            "moved" if req.moving else "retry"
+        ).inc(pick.uncached_tokens)
+    req.attempts_made += 1
+    req.maybe_run = True
+    req.moving = False
+    state.view.prefixes.add(pick.engine, req.blocks)
+    state.metrics.cost.labels(req.profile.name).inc(pick.cost)
+    state.log(
+        LogEvent.ATTEMPT_STARTED,
+        request=req.request_id,
+        attempt=attempt_id,
+        engine=pick.engine,
+    )
+    state.trail(
+        req.request_id,
+        "sent",
+        engine=pick.engine,
+        attempt=attempt_id,
+        expected_wait_s=round(pick.wait_s, 4),
+        uncached_tokens=pick.uncached_tokens,
+        prefix=len(req.tokens),
+    )
+    call = _call(req, attempt_id, import_from=source)
+    state.emit(StartAttempt(pick.engine, call, req.body))
+
+
+def _call(
+    req: Request, attempt_id: str, *, import_from: str = ""
+) -> GenerateCall:
+    return GenerateCall(
+        request_id=req.request_id,
+        attempt_id=attempt_id,
+        prompt=req.prompt,
+        prefix=tuple(req.tokens),
+        max_tokens=req.max_tokens,
+        priority=req.profile.priority,
+        import_from=import_from,
+    )
+
+
+def _add_attempt(
+    state: GatewayState,
+    req: Request,
+    attempt_id: str,
+    engine: str,
+    uncached: int,
+    *,
+    resumed: bool = False,
+) -> Attempt:
+    """Add the row of an attempt and watch it for silence."""
+    attempt = Attempt(
+        attempt_id=attempt_id,
+        request_id=req.request_id,
+        engine=engine,
+        start=len(req.tokens),
+        started_at=state.now,
+        heard_at=state.now,
+        uncached_tokens=uncached,
+        resumed=resumed,
+    )
+    state.attempts.put(attempt_id, attempt)
+    req.attempt_id = attempt_id
+    state.view.engines[engine].note_sent(uncached)
+    state.set_timer(
+        state.cfg.timings.stream_silence_s, "check attempt", attempt_id
+    )
+    return attempt
+
+
+def drop_attempt(state: GatewayState, attempt: Attempt) -> None:
+    """Forget an attempt; what still arrives for it is ignored."""
+    state.attempts.drop(attempt.attempt_id)
+    engine = state.view.engines.get(attempt.engine)
+    if engine is not None:
+        engine.note_ended()
+    req = state.requests.get(attempt.request_id)
+    if req is not None and req.attempt_id == attempt.attempt_id:
+        req.attempt_id = ""
+
+
+def stop_attempt(state: GatewayState, req: Request) -> None:
+    """Cancel the running attempt of a request, if there is one."""
+    attempt = state.attempts.get(req.attempt_id)
+    if attempt is None:
+        return
+    state.emit(CancelAttempt(attempt.engine, attempt.attempt_id))
+    drop_attempt(state, attempt)
+
+
+def shun(state: GatewayState, name: str) -> None:
+    """Give an engine no work for a while."""
+    engine = state.view.engines.get(name)
+    if engine is not None:
+        engine.shunned_until = state.now + SHUN_S
+
+
+@handles(ReportArrived)
+def take_report(state: GatewayState, item: ReportArrived) -> None:
+    """Replace an engine's last load report."""
+    engine = state.view.engines.get(item.report.engine)
+    if engine is None:
+        return
+    engine.take_report(item.report, state.now)
+
+
+@handles(CacheEventsArrived)
+def take_cache_events(state: GatewayState, item: CacheEventsArrived) -> None:
+    """Apply cache events, which may have gaps."""
+    for event in item.events:
+        state.view.prefixes.event(
+            item.engine, event.number, event.block, event.present
+        )
+    state.view.prefixes.confirm(item.engine)
+
+
+@handles(EngineSilent)
+def take_engine_silence(state: GatewayState, item: EngineSilent) -> None:
+    """Give a silent engine no work and move what it runs."""
+    engine = state.view.engines.get(item.engine)
+    if engine is None:
+        return
+    engine.shunned_until = state.now + SHUN_S
+    if engine.leaving_at < inf:
+        return
+    state.view.prefixes.forget(item.engine)
+    move_all(state, item.engine, "silent")
+
+
+def move_all(state: GatewayState, name: str, reason: str) -> None:
+    """Move an engine's requests, those with most to recompute first."""
+    attempts = [
+        state.attempts.rows[key] for key in state.attempts.find("engine", name)
+    ]
+    rows = [
+        (attempt, state.requests.rows[attempt.request_id])
+        for attempt in attempts
+        if attempt.request_id in state.requests
+    ]
+    rows.sort(key=lambda row: -need_of(row[1]).prompt_tokens)
+    for attempt, req in rows:
+        move(state, attempt, req, reason)
+
+
+def move(
+    state: GatewayState, attempt: Attempt, req: Request, reason: str
+) -> None:
+    """Stop an attempt and continue its answer on another engine."""
+    state.emit(CancelAttempt(attempt.engine, attempt.attempt_id))
+    drop_attempt(state, attempt)
+    state.metrics.retries.labels(reason).inc()
+    state.trail(req.request_id, "moving", engine=attempt.engine, reason=reason)
+    req.moving = True
+    if reason != "silent":
+        req.export_from = attempt.engine
+    enqueue(state, req)
--- /dev/null
+++ b/src/magnoliaflow/auth.py
@@ -0,0 +1,39 @@
+"""Bearer tokens of client accounts and operators."""
+
+from hmac import compare_digest
+
+from magnoliaflow.settings import Settings
+
+SCHEME = "Bearer "
+
+
+class Tokens:
+    """Tokens read from files; compared in constant time, never logged."""
+
+    __slots__ = ("_accounts", "_operator")
+
+    def __init__(self, cfg: Settings) -> None:
+        self._operator = cfg.read_token(cfg.operator_token_file)
+        self._accounts = [
+            (account.name, cfg.read_token(account.token_file))
+            for account in cfg.client_accounts
+        ]
+
+    def account(self, header: str | None) -> str:
+        """Return the client account of a header, '' if it has none."""
+        given = _token(header)
+        found = ""
+        for name, token in self._accounts:
+            if compare_digest(given, token):
+                found = name
+        return found
+
+    def is_operator(self, header: str | None) -> bool:
+        """Return whether the header carries the operators' token."""
+        return compare_digest(_token(header), self._operator)
+
+
+def _token(header: str | None) -> bytes:
+    if header is None or not header.startswith(SCHEME):
+        return b""
+    return header[len(SCHEME) :].strip().encode()
--- /dev/null
+++ b/src/magnoliaflow/callerapi.py
@@ -0,0 +1,372 @@
+"""HTTP interface for callers and operators of one gateway."""
+
+from json import dumps
+from json import loads
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import TimeoutError as DeferredTimeout
+
+from magnoliaflow.auth import Tokens
+from magnoliaflow.claimwork import claim_code
+from magnoliaflow.claimwork import CLAIM_PREFIX
+from magnoliaflow.codes import Code
+from magnoliaflow.codes import SETTLED
+from magnoliaflow.custody import serving_address
+from magnoliaflow.inputs import CancelAsked
+from magnoliaflow.inputs import Submitted
+from magnoliaflow.loop import reactor
+from magnoliaflow.membership import caller_addresses
+from magnoliaflow.messages import Find
+from magnoliaflow.messages import Found
+from magnoliaflow.requests import Request
+from magnoliaflow.requests import Role
+from magnoliaflow.shell import Shell
+from magnoliaflow.views import claim_view
+from magnoliaflow.views import code_view
+from magnoliaflow.views import explain_view
+from magnoliaflow.views import request_code
+from magnoliaflow.views import request_view
+from magnoliaflow.views import status_view
+
+KEEPALIVE_S = 0.5
+FIND_WAIT_S = 0.5
+WAIT_MOST_S = 60.0
+TEXT_LIMIT = 200
+
+
+class Waiters:
+    """Deferreds that fire when a request has news."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, list[Deferred[None]]] = {}
+
+    def wait(self, request_id: str, timeout_s: float) -> "Deferred[None]":
+        """Return a Deferred that fires at news, or after a time."""
+        fut: Deferred[None] = Deferred()
+        self._waiting.setdefault(request_id, []).append(fut)
+
+        def late(failure: Any) -> None:
+            failure.trap(DeferredTimeout)
+            rows = self._waiting.get(request_id, [])
+            if fut in rows:
+                rows.remove(fut)
+            if not rows:
+                self._waiting.pop(request_id, None)
+
+        fut.addTimeout(timeout_s, reactor)
+        fut.addErrback(late)
+        return fut
+
+    def fire(self, request_id: str) -> None:
+        """Wake everyone who waits for a request."""
+        for fut in self._waiting.pop(request_id, []):
+            fut.callback(None)
+
+
+class CallerApi:
+    """Routes of the caller port."""
+
+    app = Klein()
+
+    def __init__(self, shell: Shell, tokens: Tokens) -> None:
+        self.shell = shell
+        self.state = shell.core.state
+        self.tokens = tokens
+        self.waiters = Waiters()
+        self.found: dict[str, str] = {}
+        shell.on_changed = self.waiters.fire
+
+    def take_found(self, message: Found) -> None:
+        """Note where a request is served, as a peer said."""
+        self.found[message.request_id] = message.caller_address
+        self.waiters.fire("found " + message.request_id)
+
+    def _account(self, request: Any) -> str:
+        return self.tokens.account(request.getHeader("authorization"))
+
+    def _reply(self, request: Any, view: dict[str, Any]) -> bytes:
+        code = Code(view["code"])
+        request.setResponseCode(code.http_status)
+        request.setHeader("Content-Type", "application/json")
+        if "retry_after_s" in view:
+            seconds = -(-view["retry_after_s"] // 1)
+            request.setHeader("Retry-After", str(int(seconds)))
+        return dumps(view).encode()
+
+    def _refuse(self, request: Any, code: Code) -> bytes:
+        """Refuse before the core is asked, and count it."""
+        self.state.metrics.refusals.labels(code.name).inc()
+        return self._reply(request, code_view(self.state, code))
+
+    @app.route("/v1/addresses", methods=["GET"])
+    def addresses(self, request: Any) -> bytes:
+        """Return the addresses to use, the best first."""
+        request.setHeader("Content-Type", "application/json")
+        ttl_s = self.state.cfg.timings.address_ttl_s
+        rows = caller_addresses(self.state)
+        return dumps({"addresses": rows, "ttl_s": ttl_s}).encode()
+
+    @app.route("/v1/requests", methods=["POST"])
+    @inlineCallbacks
+    def submit(self, request: Any) -> Any:
+        """Take a request; wait for it, stream it, or only accept it."""
+        account = self._account(request)
+        if not account:
+            return self._refuse(request, Code.UNAUTHENTICATED)
+        raw = request.content.read()
+        if len(raw) > self.state.cfg.limits.body_bytes:
+            return self._refuse(request, Code.BODY_TOO_LARGE)
+        content = parse_submission(raw)
+        if content is None:
+            return self._refuse(request, Code.BAD_REQUEST)
+        key = request.getHeader("idempotency-key") or ""
+        request_id = f"{self.state.next_id('q')}"
+        self.shell.feed(
+            Submitted(
+                request_id=request_id,
+                account=account,
+                profile=content["profile"],
+                body=raw,
+                prompt=content.get("prompt", ""),
+                max_tokens=content.get("max_tokens", 0),
+                key=key,
+            )
+        )
+        code = self.state.refusals.pop(request_id, None)
+        if code is not None:
+            return self._reply(request, code_view(self.state, code))
+        wait_s = min(WAIT_MOST_S, float(content.get("wait_s", 0.0)))
+        if request_id not in self.state.requests:
+            view = yield self._wait_claim(f"{account}/{key}", wait_s)
+            return self._reply(request, view)
+        if "text/event-stream" in (request.getHeader("accept") or ""):
+            return (yield self._stream(request, request_id, ""))
+        return (yield self._wait_request(request, request_id, wait_s))
+
+    @app.route("/v1/requests/<request_id>", methods=["GET"])
+    @inlineCallbacks
+    def poll(self, request: Any, request_id: str) -> Any:
+        """Return what became of a request."""
+        account = self._account(request)
+        if not account:
+            return self._refuse(request, Code.UNAUTHENTICATED)
+        wait_s = _wait_argument(request)
+        if request_id.startswith(CLAIM_PREFIX):
+            key = f"{account}/{request_id[len(CLAIM_PREFIX):]}"
+            view = yield self._wait_claim(key, wait_s)
+            return self._reply(request, view)
+        place = yield self._locate(request_id, account)
+        if place != "here":
+            return self._elsewhere(request, request_id, place)
+        return (yield self._wait_request(request, request_id, wait_s))
+
+    @app.route("/v1/requests/<request_id>/stream", methods=["GET"])
+    @inlineCallbacks
+    def stream(self, request: Any, request_id: str) -> Any:
+        """Stream an answer on from the Last-Event-ID."""
+        account = self._account(request)
+        if not account:
+            return self._refuse(request, Code.UNAUTHENTICATED)
+        place = yield self._locate(request_id, account)
+        if place != "here":
+            return self._elsewhere(request, f"{request_id}/stream", place)
+        last = request.getHeader("last-event-id") or ""
+        return (yield self._stream(request, request_id, last))
+
+    @app.route("/v1/requests/<request_id>", methods=["DELETE"])
+    @inlineCallbacks
+    def cancel(self, request: Any, request_id: str) -> Any:
+        """Cancel a request."""
+        account = self._account(request)
+        if not account:
+            return self._refuse(request, Code.UNAUTHENTICATED)
+        if request_id.startswith(CLAIM_PREFIX):
+            key = f"{account}/{request_id[len(CLAIM_PREFIX):]}"
+            self.shell.feed(CancelAsked(key))
+            view = yield self._wait_claim(key, 1.0)
+            return self._reply(request, view)
+        place = yield self._locate(request_id, account)
+        if place != "here":
+            return self._elsewhere(request, request_id, place)
+        self.shell.feed(CancelAsked(request_id))
+        req = self.state.requests.rows[request_id]
+        return self._reply(request, request_view(self.state, req))
+
+    @app.route("/v1/status", methods=["GET"])
+    def status(self, request: Any) -> bytes:
+        """Show this gateway to an operator."""
+        if not self.tokens.is_operator(request.getHeader("authorization")):
+            return self._refuse(request, Code.UNAUTHENTICATED)
+        request.setHeader("Content-Type", "application/json")
+        return dumps(status_view(self.state)).encode()
+
+    @app.route("/v1/explain/<path:request_id>", methods=["GET"])
+    def explain(self, request: Any, request_id: str) -> bytes:
+        """Show an operator what this gateway did with a request."""
+        if not self.tokens.is_operator(request.getHeader("authorization")):
+            return self._refuse(request, Code.UNAUTHENTICATED)
+        request.setHeader("Content-Type", "application/json")
+        return dumps(explain_view(self.state, request_id)).encode()
+
+    @inlineCallbacks
+    def _locate(self, request_id: str, account: str) -> Any:
+        """Return 'here', a caller address, or '' if nobody knows."""
+        req = self.state.requests.get(request_id)
+        if req is not None and req.account != account:
+            return ""
+        if req is not None and req.role is Role.OWNER:
+            return "here"
+        address = serving_address(self.state, request_id)
+        if address:
+            return address
+        self.found.pop(request_id, None)
+        for peer in list(self.state.peers):
+            self.shell.links.send(peer.peer_address, Find(request_id))
+        yield self.waiters.wait("found " + request_id, FIND_WAIT_S)
+        return self.found.pop(request_id, "")
+
+    def _elsewhere(self, request: Any, path: str, address: str) -> bytes:
+        """Send a caller to the gateway that serves a request."""
+        if not address:
+            return self._reply(request, code_view(self.state, Code.NOT_FOUND))
+        view = code_view(self.state, Code.MOVED)
+        view["addresses"] = [address]
+        request.setHeader("Location", f"http://{address}/v1/requests/{path}")
+        return self._reply(request, view)
+
+    @inlineCallbacks
+    def _wait_request(
+        self, request: Any, request_id: str, wait_s: float
+    ) -> Any:
+        """Answer once the request is settled or the wait is over."""
+        until = reactor.seconds() + wait_s
+        accept_until = until + 1.0
+        while True:
+            req = self.state.requests.get(request_id)
+            if req is None or req.role is not Role.OWNER:
+                address = serving_address(self.state, request_id)
+                return self._elsewhere(request, request_id, address)
+            code = request_code(req)
+            now = reactor.seconds()
+            limit = until if code is Code.ACCEPTED else accept_until
+            if code in SETTLED or now >= limit:
+                return self._reply(request, request_view(self.state, req))
+            yield self.waiters.wait(request_id, limit - now + 0.001)
+
+    @inlineCallbacks
+    def _wait_claim(self, key: str, wait_s: float) -> Any:
+        """Return the claim's view once settled or the wait is over."""
+        until = reactor.seconds() + wait_s
+        accept_until = until + 1.0
+        while True:
+            code = claim_code(self.state, key)
+            now = reactor.seconds()
+            limit = until if code is Code.ACCEPTED else accept_until
+            done = code is None or code in SETTLED
+            if done or now >= limit:
+                return claim_view(self.state, key)
+            yield self.waiters.wait(key, limit - now + 0.001)
+
+    @inlineCallbacks
+    def _stream(self, request: Any, request_id: str, last: str) -> Any:
+        """Write server-sent events until the answer is whole."""
+        gone = []
+        request.notifyFinish().addBoth(lambda result: gone.append(result))
+        req = self.state.requests.rows[request_id]
+        start = resume_offset(req, last)
+        request.setHeader("Content-Type", "text/event-stream")
+        request.setHeader("X-Request-Id", request_id)
+        request.write(sse("accepted", "", {"request_id": request_id}))
+        if start < 0:
+            request.write(sse("reset", f"{_branch(req)}.0", {}))
+            start = 0
+        while not gone:
+            known = self.state.requests.get(request_id)
+            if known is None or known.role is not Role.OWNER:
+                address = serving_address(self.state, request_id)
+                request.write(sse("moved", "", {"addresses": [address]}))
+                break
+            req = known
+            if req.released > start:
+                tokens = req.tokens[start : req.released]
+                start = req.released
+                request.write(
+                    sse("", f"{_branch(req)}.{start}", {"tokens": tokens})
+                )
+            if req.settled:
+                request.write(sse("done", "", request_view(self.state, req)))
+                break
+            before = reactor.seconds()
+            yield self.waiters.wait(request_id, KEEPALIVE_S)
+            now = reactor.seconds()
+            if now - before >= KEEPALIVE_S and not gone:
+                request.write(b": alive\n\n")
+        return b""
+
+
+def parse_submission(raw: bytes) -> dict[str, Any] | None:
+    """Return the content of a submission, None if it is malformed.
+
+    >>> parse_submission(b'{"profile": 3}') is None
+    True
+    """
+    try:
+        content = loads(raw)
+    except ValueError:
+        return None
+    if not isinstance(content, dict):
+        return None
+    kinds: dict[str, Any] = {
+        "profile": str,
+        "prompt": str,
+        "max_tokens": int,
+        "wait_s": (int, float),
+    }
+    for name, kind in kinds.items():
+        if name in content and not isinstance(content[name], kind):
+            return None
+    if not 0 < len(content.get("profile", "")) <= TEXT_LIMIT:
+        return None
+    if content.get("max_tokens", 0) < 0 or content.get("wait_s", 0) < 0:
+        return None
+    return content
+
+
+def resume_offset(req: Request, last: str) -> int:
+    """Return the offset to stream on from, -1 if a reset is due."""
+    if not last:
+        return 0
+    branch, _, offset = last.rpartition(".")
+    epoch, _, owner = branch.partition(".")
+    if not (epoch.isdigit() and offset.isdigit()):
+        return -1
+    if not req.knows(int(epoch), owner, int(offset)):
+        return -1
+    return int(offset)
+
+
+def sse(event: str, event_id: str, data: dict[str, Any]) -> bytes:
+    """Return one server-sent event."""
+    lines = [
+        f"event: {event}\n" if event else "",
+        f"id: {event_id}\n" if event_id else "",
+        f"data: {dumps(data)}\n\n",
+    ]
+    return "".join(lines).encode()
+
+
+def _branch(req: Request) -> str:
+    return f"{req.epoch}.{req.owner}"
+
+
+def _wait_argument(request: Any) -> float:
+    values = request.args.get(b"wait_s", [b"0"])
+    try:
+        return max(0.0, min(WAIT_MOST_S, float(values[0])))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/src/magnoliaflow/claims.py
@@ -0,0 +1,318 @@
+"""Rules by which every reader of the log settles non-idempotent work.
+
+The book is a pure function of the records applied in offset order: two
+readers of the same records always agree.  No clock takes part; the age of
+a key is judged against the latest time that any record carries (the
+horizon).
+
+A reader whose first record is not the log's first lacks history.  It
+judges nothing before a Mark tells it the horizon, and it learns an open
+claim from a Restate plus the records of that key that follow the offset
+up to which the Restate speaks.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from functools import singledispatchmethod
+from typing import Any
+
+from magnoliaflow.codes import Code
+from magnoliaflow.errors import KeyFormatError
+from magnoliaflow.records import Accept
+from magnoliaflow.records import Dispatch
+from magnoliaflow.records import Mark
+from magnoliaflow.records import Outcome
+from magnoliaflow.records import Refuse
+from magnoliaflow.records import Restate
+from magnoliaflow.records import Takeover
+
+DEFAULT_WINDOW_S = 3600.0
+
+
+class ClaimState(Enum):
+    """Where a claim stands in the log's order."""
+
+    OPEN = "open"
+    DISPATCHED = "dispatched"
+    CLOSED = "closed"
+    REFUSED = "refused"
+
+
+class Verdict(Enum):
+    """What one record did to the book."""
+
+    APPLIED = "applied"
+    DUPLICATE = "duplicate"
+    VOID = "void"
+
+
+@dataclass(slots=True)
+class Claim:
+    """The submission of a key that is in force, and how far it came."""
+
+    key: str
+    submission: str
+    owner: str
+    account: str
+    profile: str
+    body: bytes
+    epoch: int = 0
+    state: ClaimState = ClaimState.OPEN
+    code: int = int(Code.ACCEPTED)
+    result: bytes = b""
+    stated_offset: int = 0
+    stated_at: float = 0.0
+    changed_offset: int = 0
+
+
+def key_made_at(key: str) -> float:
+    """Return the time in seconds that an idempotency key carries.
+
+    Raises KeyFormatError for a key without one.
+
+    >>> key_made_at("counter/1700000000-voucher-7")
+    1700000000.0
+    """
+    stamp = key.rpartition("/")[2].partition("-")[0]
+    if not (stamp.isascii() and stamp.isdigit() and len(stamp) <= 12):
+        raise KeyFormatError(
+            f"key {key!r} must start with its time in seconds, "
+            "as in 1700000000-name"
+        )
+    return float(stamp)
+
+
+@dataclass(frozen=True, slots=True)
+class Stray:
+    """A record of a claim that this reader does not know."""
+
+    offset: int
+    record: Any
+
+
+@dataclass(slots=True)
+class ClaimBook:
+    """Every claim within the window, derived from the log alone."""
+
+    window_s: float = DEFAULT_WINDOW_S
+    claims: dict[str, Claim] = field(default_factory=dict)
+    voided: dict[str, str] = field(default_factory=dict)
+    horizon: float = 0.0
+    first_offset: int = 0
+    complete: bool = True
+    applied: int = -1
+    marked_at: float = 0.0
+    strays: dict[str, list[Stray]] = field(default_factory=dict)
+    held_back: list[Stray] = field(default_factory=list)
+
+    def restart(self, first_offset: int) -> None:
+        """Begin anew at an offset because records before it are gone.
+
+        Every claim is forgotten: a record that was missed may have
+        dispatched it.
+        """
+        self.claims.clear()
+        self.voided.clear()
+        self.strays.clear()
+        self.held_back.clear()
+        self.first_offset = first_offset
+        self.applied = first_offset - 1
+        self.complete = first_offset == 0
+
+    def apply(self, offset: int, record: Any) -> Verdict:
+        """Apply the record at an offset and say what it did.
+
+        A record at an offset already applied changes nothing.
+        """
+        if offset <= self.applied:
+            return Verdict.DUPLICATE
+        self.applied = offset
+        if isinstance(record, Mark):
+            return self._mark(record)
+        if not self.complete:
+            self.held_back.append(Stray(offset, record))
+            return Verdict.VOID
+        return self._settle(offset, record)
+
+    def _mark(self, record: Mark) -> Verdict:
+        self.marked_at = max(self.marked_at, record.written_at)
+        self.horizon = max(self.horizon, record.written_at)
+        if self.complete or record.as_of < self.first_offset - 1:
+            return Verdict.DUPLICATE
+        self.horizon = max(self.horizon, record.horizon)
+        self.complete = True
+        waiting = self.held_back
+        self.held_back = []
+        for stray in waiting:
+            self._settle(stray.offset, stray.record)
+        return Verdict.APPLIED
+
+    def _settle(self, offset: int, record: Any) -> Verdict:
+        """Judge one record and keep it if its claim is not known."""
+        self.horizon = max(self.horizon, record.written_at)
+        verdict = self._judge(record, offset)
+        claim = self.claims.get(record.key)
+        if claim is not None and verdict is Verdict.APPLIED:
+            claim.changed_offset = offset
+        if claim is None and self.first_offset > 0:
+            self.strays.setdefault(record.key, []).append(
+                Stray(offset, record)
+            )
+        return verdict
+
+    def expired(self, key: str) -> bool:
+        """Return whether the key is older than the window."""
+        return key_made_at(key) < self.horizon - self.window_s
+
+    def forget(self) -> int:
+        """Drop settled claims of expired keys and return their number."""
+        settled = (ClaimState.CLOSED, ClaimState.REFUSED)
+        gone = [
+            key
+            for key, claim in self.claims.items()
+            if claim.state in settled and self.expired(key)
+        ]
+        for key in gone:
+            del self.claims[key]
+        voids = [
+            submission
+            for submission, key in self.voided.items()
+            if self.expired(key)
+        ]
+        for submission in voids:
+            del self.voided[submission]
+        for key in [key for key in self.strays if self.expired(key)]:
+            self._forget_strays(key)
+        return len(gone)
+
+    def _forget_strays(self, key: str) -> None:
+        """Drop strays that no Restate within retention can still need."""
+        oldest = self.horizon - 2 * self.window_s
+        kept = [
+            stray
+            for stray in self.strays[key]
+            if stray.record.written_at >= oldest
+        ]
+        if kept:
+            self.strays[key] = kept
+            return
+        del self.strays[key]
+
+    def current(self, key: str, submission: str) -> Claim | None:
+        """Return the claim of a key if this submission is in force."""
+        claim = self.claims.get(key)
+        if claim is None or claim.submission != submission:
+            return None
+        return claim
+
+    def unsettled(self) -> Iterator[Claim]:
+        """Yield the claims that are open or dispatched."""
+        live = (ClaimState.OPEN, ClaimState.DISPATCHED)
+        return (claim for claim in self.claims.values() if claim.state in live)
+
+    @singledispatchmethod
+    def _judge(self, record: Any, offset: int) -> Verdict:
+        """Return the verdict on a record of a type without a rule."""
+        return Verdict.VOID
+
+    @_judge.register
+    def _accept(self, record: Accept, offset: int) -> Verdict:
+        if record.submission in self.voided or self.expired(record.key):
+            return Verdict.VOID
+        known = self.claims.get(record.key)
+        if known is not None and known.state is not ClaimState.REFUSED:
+            return Verdict.DUPLICATE
+        self.claims[record.key] = Claim(
+            record.key,
+            record.submission,
+            record.owner,
+            record.account,
+            record.profile,
+            record.body,
+            stated_offset=offset,
+            stated_at=record.written_at,
+        )
+        return Verdict.APPLIED
+
+    @_judge.register
+    def _dispatch(self, record: Dispatch, offset: int) -> Verdict:
+        claim = self.current(record.key, record.submission)
+        if claim is None or claim.state is not ClaimState.OPEN:
+            return Verdict.VOID
+        if (claim.epoch, claim.owner) != (record.epoch, record.owner):
+            return Verdict.VOID
+        claim.state = ClaimState.DISPATCHED
+        return Verdict.APPLIED
+
+    @_judge.register
+    def _takeover(self, record: Takeover, offset: int) -> Verdict:
+        claim = self.current(record.key, record.submission)
+        if claim is None or claim.state is not ClaimState.OPEN:
+            return Verdict.VOID
+        if record.epoch != claim.epoch + 1:
+            return Verdict.VOID
+        claim.epoch = record.epoch
+        claim.owner = record.owner
+        return Verdict.APPLIED
+
+    @_judge.register
+    def _refuse(self, record: Refuse, offset: int) -> Verdict:
+        claim = self.current(record.key, record.submission)
+        if claim is None:
+            self.voided[record.submission] = record.key
+            return Verdict.APPLIED
+        if claim.state is not ClaimState.OPEN:
+            return Verdict.VOID
+        self.voided[record.submission] = record.key
+        claim.state = ClaimState.REFUSED
+        claim.code = record.code
+        return Verdict.APPLIED
+
+    @_judge.register
+    def _outcome(self, record: Outcome, offset: int) -> Verdict:
+        claim = self.current(record.key, record.submission)
+        if claim is None or record.epoch != claim.epoch:
+            return Verdict.VOID
+        guessed = claim.code == Code.OUTCOME_UNKNOWN
+        late = claim.state is ClaimState.CLOSED and guessed
+        if claim.state is not ClaimState.DISPATCHED and not late:
+            return Verdict.VOID
+        if late and record.code == Code.OUTCOME_UNKNOWN:
+            return Verdict.DUPLICATE
+        claim.state = ClaimState.CLOSED
+        claim.code = record.code
+        claim.result = record.body
+        return Verdict.APPLIED
+
+    @_judge.register
+    def _restate(self, record: Restate, offset: int) -> Verdict:
+        claim = self.claims.get(record.key)
+        if claim is not None:
+            if claim.submission == record.submission:
+                claim.stated_offset = offset
+                claim.stated_at = record.written_at
+            return Verdict.DUPLICATE
+        if record.submission in self.voided:
+            return Verdict.VOID
+        if record.as_of < self.first_offset - 1:
+            return Verdict.VOID
+        self.claims[record.key] = Claim(
+            record.key,
+            record.submission,
+            record.owner,
+            record.account,
+            record.profile,
+            record.body,
+            epoch=record.epoch,
+            state=(
+                ClaimState.DISPATCHED if record.dispatched else ClaimState.OPEN
+            ),
+            stated_offset=offset,
+            stated_at=record.written_at,
+        )
+        for stray in self.strays.pop(record.key, []):
+            if stray.offset > record.as_of:
+                self._judge(stray.record, stray.offset)
+        return Verdict.APPLIED
--- /dev/null
+++ b/src/magnoliaflow/cli.py
@@ -0,0 +1,179 @@
+"""Command line of magnoliaflow."""
+
+from argparse import ArgumentParser
+from argparse import Namespace
+from collections.abc import Callable
+from pathlib import Path
+import sys
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+
+from magnoliaflow.controller import run_controller
+from magnoliaflow.errors import MagnoliaflowError
+from magnoliaflow.errors import SettingsError
+from magnoliaflow.gateway import run_gateway
+from magnoliaflow.loop import reactor
+from magnoliaflow.operate import diff_profiles
+from magnoliaflow.operate import ExitCode
+from magnoliaflow.operate import explain_request
+from magnoliaflow.operate import get_profile
+from magnoliaflow.operate import list_profiles
+from magnoliaflow.operate import profile_history
+from magnoliaflow.operate import publish_file
+from magnoliaflow.operate import show_status
+from magnoliaflow.settings import load_settings
+from magnoliaflow.settings import Settings
+
+Action = Callable[[Settings, Namespace], Any]
+
+
+def make_parser() -> ArgumentParser:
+    """Return the parser of the whole command line."""
+    parser = ArgumentParser(
+        prog="magnoliaflow",
+        description="Serving system for reclaimable machines.",
+        epilog="Exit codes: 0 done, 1 failed, 2 bad input or settings, "
+        "3 conflict with another change, 4 pending.",
+    )
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=Path("magnoliaflow.yaml"),
+        help="settings file of the deployment (default: %(default)s)",
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    _add_daemons(commands)
+    _add_profile(commands)
+    _add(commands, "status", "show every gateway as JSON", _status)
+    explain = _add(
+        commands, "explain", "show why a request went where it did", _explain
+    )
+    explain.add_argument("request_id", help="id, or ACCOUNT/KEY of a claim")
+    config = commands.add_parser("config", help="work on the settings")
+    checks = config.add_subparsers(dest="action", required=True)
+    _add(checks, "check", "check the settings file", _check)
+    return parser
+
+
+def _add(
+    commands: Any, name: str, text: str, action: Action
+) -> ArgumentParser:
+    parser: ArgumentParser = commands.add_parser(
+        name, help=text, description=text
+    )
+    parser.set_defaults(run=action)
+    return parser
+
+
+def _add_daemons(commands: Any) -> None:
+    daemons = (
+        ("gateway", "serve callers on an entry host", _gateway),
+        ("controller", "watch the platform on an entry host", _controller),
+    )
+    for name, text, action in daemons:
+        parser = _add(commands, name, text, action)
+        parser.add_argument(
+            "--host", required=True, help="name of the entry host"
+        )
+
+
+def _add_profile(commands: Any) -> None:
+    profile = commands.add_parser("profile", help="publish and read profiles")
+    actions = profile.add_subparsers(dest="action", required=True)
+    publish = _add(
+        actions, "publish", "publish the profiles in a YAML file", _publish
+    )
+    publish.add_argument("file", type=Path)
+    publish.add_argument(
+        "--base",
+        type=int,
+        help="version the change is based on (default: the current one)",
+    )
+    publish.add_argument(
+        "--wait",
+        action="store_true",
+        help="show when each entry host has applied the change",
+    )
+    get = _add(actions, "get", "print one profile", _get)
+    get.add_argument("name")
+    _add(actions, "list", "print every profile", _list)
+    diff = _add(actions, "diff", "compare a file with the log", _diff)
+    diff.add_argument("file", type=Path)
+    history = _add(actions, "history", "print the changes kept", _history)
+    history.add_argument("name", nargs="?", default="")
+
+
+def _gateway(cfg: Settings, args: Namespace) -> None:
+    run_gateway(cfg, args.host)
+
+
+def _controller(cfg: Settings, args: Namespace) -> None:
+    run_controller(cfg, args.host)
+
+
+def _publish(cfg: Settings, args: Namespace) -> Any:
+    return publish_file(cfg, args.file, base_version=args.base, wait=args.wait)
+
+
+def _get(cfg: Settings, args: Namespace) -> Any:
+    return get_profile(cfg, args.name)
+
+
+def _list(cfg: Settings, args: Namespace) -> Any:
+    return list_profiles(cfg)
+
+
+def _diff(cfg: Settings, args: Namespace) -> Any:
+    return diff_profiles(cfg, args.file)
+
+
+def _history(cfg: Settings, args: Namespace) -> Any:
+    return profile_history(cfg, args.name)
+
+
+def _status(cfg: Settings, args: Namespace) -> Any:
+    return show_status(cfg)
+
+
+def _explain(cfg: Settings, args: Namespace) -> Any:
+    return explain_request(cfg, args.request_id)
+
+
+def _check(cfg: Settings, args: Namespace) -> None:
+    print(f"{args.settings}: settings of {cfg.deployment} are valid")
+
+
+def run_to_end(fut: Any) -> int:
+    """Run the reactor until a Deferred fires; return the exit code."""
+    codes: list[int] = []
+
+    def done(result: Any) -> None:
+        codes.append(int(result))
+
+    def failed(failure: Any) -> None:
+        print(failure.getErrorMessage(), file=sys.stderr)
+        bad = failure.check(SettingsError) is not None
+        codes.append(ExitCode.BAD_INPUT if bad else ExitCode.FAILED)
+
+    def finish(result: Any) -> None:
+        reactor.callLater(0, reactor.stop)
+
+    ensureDeferred(fut).addCallbacks(done, failed).addBoth(finish)
+    reactor.run()
+    return codes[0] if codes else int(ExitCode.FAILED)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    args = make_parser().parse_args(argv)
+    try:
+        cfg = load_settings(args.settings)
+        result = args.run(cfg, args)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return int(ExitCode.BAD_INPUT)
+    except MagnoliaflowError as exc:
+        print(exc, file=sys.stderr)
+        return int(ExitCode.FAILED)
+    return int(ExitCode.OK) if result is None else run_to_end(result)
--- /dev/null
+++ b/src/magnoliaflow/client.py
@@ -0,0 +1,357 @@
+"""Caller library: addresses, submission, polling and streams.
+
+It keeps addresses only for their time to live, resumes a silent stream
+over a new connection, and never repeats what may have run.
+"""
+
+from collections.abc import Callable
+from collections.abc import Generator
+from itertools import count
+from json import dumps
+from json import loads
+from time import time
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+
+from magnoliaflow.codes import Code
+from magnoliaflow.codes import SETTLED
+from magnoliaflow.errors import CallError
+from magnoliaflow.errors import MagnoliaflowError
+from magnoliaflow.errors import NotStartedError
+from magnoliaflow.httpports import make_agent
+from magnoliaflow.httpports import NEVER_SENT
+from magnoliaflow.loop import reactor
+from magnoliaflow.loop import treq
+
+CALL_TIMEOUT_S = 5.0
+STREAM_SILENCE_S = 2.0
+PAUSE_S = 0.2
+GIVE_UP_S = 60.0
+
+Steps = Generator[Deferred[Any], Any, Any]
+
+
+def make_key(name: str) -> str:
+    """Return an idempotency key that carries the time it was made.
+
+    >>> make_key("voucher-7").endswith("-voucher-7")
+    True
+    """
+    return f"{int(time())}-{name}"
+
+
+class Answer:
+    """What became of a request: code, tokens or result."""
+
+    __slots__ = ("code", "request_id", "resets", "result", "tokens")
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+        self.code = Code.PENDING
+        self.tokens: list[int] = []
+        self.result: Any = None
+        self.resets = 0
+
+    def take(self, view: dict[str, Any]) -> None:
+        """Take over what an entry host says."""
+        self.code = Code(view["code"])
+        self.request_id = view.get("request_id", self.request_id)
+        if "tokens" in view:
+            self.tokens = view["tokens"]
+        if "result" in view:
+            self.result = view["result"]
+
+
+class Client:
+    """Calls entry hosts on behalf of one client account."""
+
+    def __init__(self, token: str, seeds: tuple[str, ...]) -> None:
+        self.headers = {"Authorization": f"Bearer {token}"}
+        self.seeds = seeds
+        self.addresses: list[str] = []
+        self.expires_at = 0.0
+        self.turn = count()
+        self.agent = make_agent()
+
+    @inlineCallbacks
+    def find_addresses(self) -> Steps:
+        """Return the addresses to use, asking anew when they expire."""
+        if self.addresses and _now() < self.expires_at:
+            return self.addresses
+        known = dict.fromkeys([*self.addresses, *self.seeds])
+        for address in known:
+            try:
+                _, view = yield self._call("GET", address, "/v1/addresses")
+            except MagnoliaflowError:
+                continue
+            if view and view["addresses"]:
+                self.addresses = view["addresses"]
+                self.expires_at = _now() + view["ttl_s"]
+                return self.addresses
+        return list(known)
+
+    @inlineCallbacks
+    def submit(
+        self,
+        profile: str,
+        *,
+        prompt: str = "",
+        payload: Any = None,
+        max_tokens: int = 0,
+        key: str = "",
+        wait_s: float = 0.0,
+    ) -> Steps:
+        """Submit a request once and return its Answer so far.
+
+        Another entry host is tried only after "not run".  Raises
+        CallError when the last entry host refused too.
+        """
+        content: dict[str, Any] = {"profile": profile, "wait_s": wait_s}
+        if prompt:
+            content["prompt"] = prompt
+        if payload is not None:
+            content["payload"] = payload
+        if max_tokens:
+            content["max_tokens"] = max_tokens
+        addresses = yield self.find_addresses()
+        start = next(self.turn)
+        refusal: MagnoliaflowError = NotStartedError("no address answered")
+        for number in range(len(addresses)):
+            address = addresses[(start + number) % len(addresses)]
+            answer = Answer(f"claim.{key}" if key else "")
+            try:
+                _, view = yield self._call(
+                    "POST",
+                    address,
+                    "/v1/requests",
+                    body=content,
+                    key=key,
+                    timeout_s=wait_s + CALL_TIMEOUT_S,
+                )
+            except NotStartedError as exc:
+                refusal = exc
+                continue
+            except MagnoliaflowError:
+                if not key:
+                    raise
+                return answer
+            answer.take(view)
+            if answer.code.run.value != "no":
+                return answer
+            refusal = CallError(int(answer.code), view["meaning"])
+            if answer.code not in (Code.DRAINING, Code.PROFILES_STALE):
+                break
+        raise refusal
+
+    @inlineCallbacks
+    def wait(self, answer: Answer, *, give_up_s: float = GIVE_UP_S) -> Steps:
+        """Ask for a request until it is settled; return its Answer."""
+        until = _now() + give_up_s
+        path = f"/v1/requests/{answer.request_id}?wait_s=2"
+        address = ""
+        while answer.code not in SETTLED and _now() < until:
+            if not address:
+                address = yield self._any_address()
+            try:
+                _, view = yield self._call("GET", address, path)
+            except MagnoliaflowError:
+                address = ""
+                yield pause()
+                continue
+            code = Code(view["code"])
+            if code is Code.MOVED:
+                address = view["addresses"][0]
+                continue
+            if code is Code.NOT_FOUND:
+                address = ""
+                yield pause()
+                continue
+            answer.take(view)
+        return answer
+
+    @inlineCallbacks
+    def stream(
+        self,
+        answer: Answer,
+        *,
+        on_tokens: Callable[[list[int]], None] = lambda tokens: None,
+        give_up_s: float = GIVE_UP_S,
+    ) -> Steps:
+        """Read an answer as a stream, resuming wherever it goes on.
+
+        A reset empties what was read; the answer is then that of one
+        branch as a whole.
+        """
+        reader = StreamReader(answer, on_tokens)
+        until = _now() + give_up_s
+        address = ""
+        while answer.code not in SETTLED and _now() < until:
+            if not address:
+                address = yield self._any_address()
+            try:
+                address = yield self._read_stream(address, reader)
+            except MagnoliaflowError:
+                address = ""
+            if not address and answer.code not in SETTLED:
+                yield pause()
+        return answer
+
+    @inlineCallbacks
+    def cancel(self, answer: Answer) -> Steps:
+        """Cancel a request and return its Answer."""
+        address = yield self._any_address()
+        path = f"/v1/requests/{answer.request_id}"
+        for _ in range(3):
+            _, view = yield self._call("DELETE", address, path)
+            if view["code"] != Code.MOVED:
+                break
+            address = view["addresses"][0]
+        answer.take(view)
+        return answer
+
+    @inlineCallbacks
+    def _any_address(self) -> Steps:
+        addresses = yield self.find_addresses()
+        return addresses[next(self.turn) % len(addresses)]
+
+    @inlineCallbacks
+    def _read_stream(self, address: str, reader: "StreamReader") -> Steps:
+        """Read one connection to its end; return where to go on."""
+        path = f"/v1/requests/{reader.answer.request_id}/stream"
+        headers = dict(self.headers)
+        if reader.last_id:
+            headers["Last-Event-ID"] = reader.last_id
+        try:
+            reply = yield treq.get(
+                f"http://{address}{path}",
+                headers=headers,
+                agent=self.agent,
+                allow_redirects=False,
+                timeout=CALL_TIMEOUT_S,
+            )
+            if reply.code != 200:
+                text = yield treq.content(reply)
+                view = loads(text)
+                if view["code"] == Code.MOVED:
+                    return view["addresses"][0]
+                return ""
+            yield _collect(reply, reader)
+        except Exception as exc:
+            raise MagnoliaflowError(str(exc)) from exc
+        return reader.moved_to
+
+    @inlineCallbacks
+    def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        *,
+        body: Any = None,
+        key: str = "",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Steps:
+        headers = {**self.headers, "Content-Type": "application/json"}
+        if key:
+            headers["Idempotency-Key"] = key
+        try:
+            reply = yield treq.request(
+                method,
+                f"http://{address}{path}",
+                headers=headers,
+                data=b"" if body is None else dumps(body).encode(),
+                agent=self.agent,
+                allow_redirects=False,
+                timeout=timeout_s,
+            )
+            text = yield treq.content(reply).addTimeout(timeout_s, reactor)
+            return reply.code, loads(text)
+        except NEVER_SENT as exc:
+            raise NotStartedError(f"{address}: {exc}") from exc
+        except Exception as exc:
+            raise MagnoliaflowError(f"{address}: {exc}") from exc
+
+
+class StreamReader:
+    """Position in an answer across connections."""
+
+    def __init__(
+        self, answer: Answer, on_tokens: Callable[[list[int]], None]
+    ) -> None:
+        self.answer = answer
+        self.on_tokens = on_tokens
+        self.last_id = ""
+        self.moved_to = ""
+        self.rest = b""
+        self.heard_at = _now()
+
+    def begin(self) -> None:
+        """Start on a new connection."""
+        self.rest = b""
+        self.moved_to = ""
+        self.heard_at = _now()
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes of the stream."""
+        self.heard_at = _now()
+        *events, self.rest = (self.rest + data).split(b"\n\n")
+        for event in events:
+            self._take(event.decode())
+
+    def _take(self, text: str) -> None:
+        parts = dict(
+            line.split(": ", 1)
+            for line in text.splitlines()
+            if ": " in line and not line.startswith(":")
+        )
+        if "data" not in parts:
+            return
+        data = loads(parts["data"])
+        self.last_id = parts.get("id", self.last_id)
+        kind = parts.get("event", "")
+        if kind == "reset":
+            self.answer.tokens = []
+            self.answer.resets += 1
+        elif kind == "moved":
+            self.moved_to = data["addresses"][0]
+        elif kind == "done":
+            tokens = self.answer.tokens
+            self.answer.take(data)
+            if "tokens" in data:
+                self.answer.tokens = tokens
+        elif not kind:
+            self.answer.tokens = self.answer.tokens + data["tokens"]
+            self.on_tokens(data["tokens"])
+
+
+def _collect(reply: Any, reader: StreamReader) -> "Deferred[Any]":
+    """Read a reply until it ends or goes silent."""
+    reader.begin()
+    fut = treq.collect(reply, reader.feed)
+
+    def watch() -> None:
+        if fut.called:
+            return
+        if _now() - reader.heard_at > STREAM_SILENCE_S:
+            fut.cancel()
+            return
+        _later(STREAM_SILENCE_S / 4, watch)
+
+    _later(STREAM_SILENCE_S / 4, watch)
+    return fut
+
+
+def _later(delay_s: float, function: Callable[[], None]) -> None:
+    reactor.callLater(delay_s, function)
+
+
+def _now() -> float:
+    return float(reactor.seconds())
+
+
+def pause() -> "Deferred[None]":
+    """Return a Deferred that fires after a short pause."""
+    return deferLater(reactor, PAUSE_S)
--- /dev/null
+++ b/src/magnoliaflow/codec.py
@@ -0,0 +1,129 @@
+"""Conversion between typed values and thrift compact bytes."""
+
+from dataclasses import fields
+import re
+from typing import Any
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
+from thrift.transport.TTransport import TMemoryBuffer
+
+from magnoliaflow.errors import RecordError
+from magnoliaflow import messages
+from magnoliaflow import records
+from magnoliaflow.wire import ttypes
+
+FACTORY = TCompactProtocolFactory()
+
+
+def snake_case(name: str) -> str:
+    """Return the field name that carries a type of this name.
+
+    >>> snake_case("ProfileChange")
+    'profile_change'
+    """
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", name).lower()
+
+
+def _types(module: Any) -> dict[str, Any]:
+    """Return the data classes of a module by name."""
+    return {
+        name: item
+        for name, item in vars(module).items()
+        if hasattr(item, "__dataclass_fields__")
+    }
+
+
+TYPES = {**_types(records), **_types(messages)}
+WIRE_TYPES = {
+    name: getattr(ttypes, name) for name in TYPES if hasattr(ttypes, name)
+}
+FIELD_NAMES = {
+    name: tuple(field.name for field in fields(item))
+    for name, item in TYPES.items()
+}
+RECORD_FIELDS = tuple(
+    name for name in ttypes.Record.__slots__ if name != "record_id"
+)
+MESSAGE_FIELDS = tuple(ttypes.PeerMessage.__slots__)
+
+
+def to_wire(value: Any) -> Any:
+    """Return the thrift form of a typed value."""
+    if isinstance(value, tuple):
+        return [to_wire(item) for item in value]
+    name = type(value).__name__
+    wire_type = WIRE_TYPES.get(name)
+    if wire_type is None:
+        return value
+    return wire_type(
+        **{part: to_wire(getattr(value, part)) for part in FIELD_NAMES[name]}
+    )
+
+
+def from_wire(value: Any) -> Any:
+    """Return the typed form of a thrift value.
+
+    Raises RecordError when a field is absent.
+    """
+    if isinstance(value, list):
+        return tuple(from_wire(item) for item in value)
+    name = type(value).__name__
+    if name not in WIRE_TYPES:
+        return value
+    parts = {
+        part: from_wire(getattr(value, part)) for part in FIELD_NAMES[name]
+    }
+    missing = [part for part, item in parts.items() if item is None]
+    if missing:
+        raise RecordError(f"{name} lacks {missing[0]}; its writer is broken")
+    return TYPES[name](**parts)
+
+
+def encode_record(record: records.Record) -> bytes:
+    """Return the bytes of a record as kept on the log."""
+    part = snake_case(type(record.body).__name__)
+    wire = ttypes.Record(
+        record_id=record.record_id, **{part: to_wire(record.body)}
+    )
+    buffer = TMemoryBuffer()
+    wire.write(TCompactProtocolAccelerated(buffer, fallback=True))
+    return bytes(buffer.getvalue())
+
+
+def decode_record(data: bytes) -> records.Record:
+    """Return the record in the bytes.
+
+    Raises RecordError when they hold no record this version knows.
+    """
+    wire = ttypes.Record()
+    try:
+        wire.read(
+            TCompactProtocolAccelerated(TMemoryBuffer(data), fallback=True)
+        )
+    except Exception as exc:
+        raise RecordError(f"{len(data)} bytes are no record: {exc}") from exc
+    body = next(
+        (
+            getattr(wire, name)
+            for name in RECORD_FIELDS
+            if getattr(wire, name) is not None
+        ),
+        None,
+    )
+    if body is None or wire.record_id is None:
+        raise RecordError(f"{len(data)} bytes hold no known record")
+    return records.Record(wire.record_id, from_wire(body))
+
+
+def message_to_wire(message: messages.Message) -> Any:
+    """Return the thrift envelope of one peer message."""
+    part = snake_case(type(message).__name__)
+    return ttypes.PeerMessage(**{part: to_wire(message)})
+
+
+def message_from_wire(envelope: Any) -> messages.Message | None:
+    """Return the message in an envelope, None if its type is not known."""
+    bodies = (getattr(envelope, name) for name in MESSAGE_FIELDS)
+    body = next((item for item in bodies if item is not None), None)
+    return None if body is None else from_wire(body)
--- /dev/null
+++ b/src/magnoliaflow/draining.py
@@ -0,0 +1,264 @@
+"""Hosts that leave: backend hosts, peers' hosts and this one."""
+
+from math import inf
+
+from magnoliaflow.attempts import move
+from magnoliaflow.attempts import need_of
+from magnoliaflow.claims import ClaimState
+from magnoliaflow.claimwork import hand_over_claim
+from magnoliaflow.commands import Exit
+from magnoliaflow.custody import caught_up
+from magnoliaflow.custody import place_copy
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.inputs import DrainAsked
+from magnoliaflow.inputs import HostNoticed
+from magnoliaflow.inputs import HostReturned
+from magnoliaflow.lifecycle import Phase
+from magnoliaflow.membership import make_heartbeat
+from magnoliaflow.membership import notice_host
+from magnoliaflow.membership import on_notice
+from magnoliaflow.membership import serving_peers
+from magnoliaflow.messages import Handover
+from magnoliaflow.messages import HostNotice
+from magnoliaflow.requests import Request
+from magnoliaflow.requests import Role
+from magnoliaflow.state import GatewayState
+from magnoliaflow.state import Peer
+from magnoliaflow.systems import handles
+from magnoliaflow.systems import on_timer
+from magnoliaflow.systems import receives
+from magnoliaflow.systems import system
+
+SAFETY = 0.6
+NOTICE_KEPT_S = 30.0
+HANDOVER_RETRY_S = 0.3
+LINGER_S = 1.0
+
+
+@handles(HostNoticed)
+def take_notice(state: GatewayState, item: HostNoticed) -> None:
+    """Note that a host leaves and tell the peers with a heartbeat."""
+    if item.host in state.noticed:
+        return
+    notice_host(state, item.host, item.seconds_left)
+    state.heartbeat_at = -inf
+
+
+@receives(HostNotice)
+def take_notice_message(
+    state: GatewayState, sender: str, msg: HostNotice
+) -> None:
+    """Note what a controller has learnt from the platform."""
+    if msg.host not in state.noticed:
+        notice_host(state, msg.host, msg.seconds_left)
+        state.heartbeat_at = -inf
+
+
+@handles(HostReturned)
+def take_return(state: GatewayState, item: HostReturned) -> None:
+    """Give a host new work again after a reclaim that is over."""
+    until = state.noticed.get(item.host)
+    if until is not None and state.now < until + NOTICE_KEPT_S:
+        return
+    state.noticed.pop(item.host, None)
+    for engine in state.view.engines.values():
+        if engine.cfg.host == item.host:
+            engine.leaving_at = inf
+
+
+@on_notice
+def leave_engines(state: GatewayState, host: str, seconds_left: float) -> None:
+    """Exclude a leaving host's engines and move what cannot end there."""
+    leaving = [
+        engine
+        for engine in state.view.engines.values()
+        if engine.cfg.host == host
+    ]
+    for engine in leaving:
+        engine.leaving_at = state.now + seconds_left
+    rows = [
+        (state.attempts.rows[key], engine)
+        for engine in leaving
+        for key in state.attempts.find("engine", engine.name)
+    ]
+    moves = [
+        (attempt, state.requests.rows[attempt.request_id])
+        for attempt, engine in rows
+        if attempt.request_id in state.requests
+        and not _can_finish(
+            state.requests.rows[attempt.request_id],
+            engine.gap_s or 1 / engine.cfg.token_rate,
+            seconds_left,
+        )
+    ]
+    moves.sort(key=lambda row: -need_of(row[1]).prompt_tokens)
+    for attempt, req in moves:
+        move(state, attempt, req, "reclaim")
+    for attempt, engine in rows:
+        if attempt.attempt_id in state.attempts:
+            state.set_timer(
+                seconds_left * SAFETY, "leave engine", attempt.attempt_id
+            )
+
+
+def _can_finish(req: Request, gap_s: float, seconds_left: float) -> bool:
+    """Return whether an answer will be whole before its host leaves."""
+    rest = req.max_tokens - len(req.tokens)
+    started = bool(req.tokens)
+    return started and rest * gap_s < seconds_left * SAFETY
+
+
+@on_timer("leave engine")
+def leave_engine(state: GatewayState, attempt_id: str) -> None:
+    """Move an attempt that did not end as soon as was expected."""
+    attempt = state.attempts.get(attempt_id)
+    if attempt is None:
+        return
+    req = state.requests.get(attempt.request_id)
+    if req is not None:
+        move(state, attempt, req, "reclaim")
+
+
+@on_notice
+def leave_peers(state: GatewayState, host: str, seconds_left: float) -> None:
+    """Replace standbys on a leaving host; drain if it is this one."""
+    if host == state.host.name:
+        drain(state, reclaimed=True, seconds_left=seconds_left)
+        return
+    for identity in state.peers.find("host", host):
+        replace_standby(state, identity)
+
+
+def replace_standby(state: GatewayState, identity: str) -> None:
+    """Give another standby to the requests that a peer holds."""
+    for request_id in state.requests.find("standby", identity):
+        req = state.requests.rows[request_id]
+        if req.role is Role.OWNER:
+            place_copy(state, req)
+
+
+@handles(DrainAsked)
+def take_drain(state: GatewayState, item: DrainAsked) -> None:
+    """Begin to leave."""
+    drain(state, reclaimed=item.reclaimed, seconds_left=item.seconds_left)
+
+
+def drain(
+    state: GatewayState, *, reclaimed: bool, seconds_left: float
+) -> None:
+    """Take no new work; hand over, or finish what is in progress.
+
+    A reclaimed host hands everything over at once.  A planned stop lets
+    running answers end and hands over what is left late in its time.
+    """
+    state.reclaimed = state.reclaimed or reclaimed
+    state.drain_deadline = min(state.drain_deadline, state.now + seconds_left)
+    if state.phase is Phase.DRAINING and not reclaimed:
+        return
+    state.life.drain()
+    state.log(
+        LogEvent.PROCESS_DRAINING,
+        reclaimed=reclaimed,
+        seconds_left=seconds_left,
+    )
+    heartbeat = make_heartbeat(state)
+    for peer in list(state.peers):
+        state.send(peer.identity, heartbeat)
+    for claim in list(state.claims.unsettled()):
+        open_here = claim.state is ClaimState.OPEN
+        if claim.owner == state.identity and open_here:
+            hand_over_claim(state, claim)
+    state.set_timer(0.0, "hand over", "")
+
+
+@on_timer("hand over")
+def hand_over(state: GatewayState, subject: str) -> None:
+    """Ask standbys to take over what this process may not keep."""
+    if state.phase is not Phase.DRAINING:
+        return
+    late = state.drain_deadline - state.now < _handover_lead(state)
+    for req in list(state.requests):
+        if req.role is not Role.OWNER:
+            continue
+        if not (state.reclaimed or late or req.settled):
+            continue
+        _hand_over_request(state, req)
+    state.set_timer(HANDOVER_RETRY_S, "hand over", "")
+
+
+def _handover_lead(state: GatewayState) -> float:
+    """Return how long before its end a planned stop hands over."""
+    return max(2.0, state.cfg.timings.drain_s * 0.25)
+
+
+def _hand_over_request(state: GatewayState, req: Request) -> None:
+    if not req.standby:
+        place_copy(state, req)
+        return
+    held = req.acked >= len(req.tokens) and req.confirmed
+    if held and (not req.settled or caught_up(req)):
+        state.send(req.standby, Handover(req.request_id, req.epoch, req.owner))
+
+
+def left_in_progress(state: GatewayState) -> int:
+    """Return how much still keeps this process from ending."""
+    owned = state.requests.count("role", (Role.OWNER, False))
+    settled = state.requests.count("role", (Role.OWNER, True))
+    if not serving_peers(state):
+        settled = 0
+    claims = sum(
+        1
+        for claim in state.claims.unsettled()
+        if claim.owner == state.identity
+    )
+    jobs = sum(1 for job in state.claim_jobs if not job.code)
+    return owned + settled + claims + jobs + len(state.pending)
+
+
+@system(90)
+def exit_when_done(state: GatewayState) -> None:
+    """End the process when nothing is left, or when time is up."""
+    if state.phase is not Phase.DRAINING or state.exited:
+        return
+    over = state.now >= state.drain_deadline
+    if not over and left_in_progress(state):
+        return
+    state.exited = True
+    state.life.finish()
+    heartbeat = make_heartbeat(state)
+    for peer in list(state.peers):
+        state.send(peer.identity, heartbeat)
+    state.log(LogEvent.PROCESS_STOPPED, in_progress=left_in_progress(state))
+    state.emit(Exit())
+
+
+@system(85)
+def leave_draining_peers(state: GatewayState) -> None:
+    """Move copies away from peers that are draining."""
+    for peer in state.peers:
+        if peer.phase is not Phase.DRAINING:
+            continue
+        if _others_serve(state, peer):
+            replace_standby(state, peer.identity)
+
+
+def _others_serve(state: GatewayState, leaving: Peer) -> bool:
+    return any(
+        peer.identity != leaving.identity for peer in serving_peers(state)
+    )
+
+
+@system(35)
+def forget_notices(state: GatewayState) -> None:
+    """Forget a notice when the host has come back after its reclaim."""
+    over = [
+        host
+        for host, until in state.noticed.items()
+        if state.now > until + NOTICE_KEPT_S
+    ]
+    for host in over:
+        del state.noticed[host]
+        for engine in state.view.engines.values():
+            until = engine.leaving_at
+            if engine.cfg.host == host and engine.reported_at > until + 1:
+                engine.leaving_at = inf
--- /dev/null
+++ b/src/magnoliaflow/engines.py
@@ -0,0 +1,102 @@
+"""Backend servers as one gateway sees them."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from math import inf
+
+from magnoliaflow.ports import LoadReport
+from magnoliaflow.settings import BackendServer
+
+LIMIT_FLOOR = 1.0
+LIMIT_CUT = 0.9
+LIMIT_STEP = 0.5
+GAP_SMOOTHING = 0.2
+
+
+@dataclass(slots=True)
+class Engine:
+    """A backend server, its last report, and what was sent since.
+
+    ``limit`` is the learnt number of requests at once; ``gap_s`` the
+    smoothed time between tokens.
+    """
+
+    cfg: BackendServer
+    limit: float
+    running: int = 0
+    waiting: int = 0
+    queued_tokens: int = 0
+    reported_at: float = -inf
+    own_running: int = 0
+    own_tokens_since: int = 0
+    own_sent_since: int = 0
+    gap_s: float = 0.0
+    leaving_at: float = inf
+    shunned_until: float = -inf
+    adjusted_at: float = -inf
+
+    @property
+    def name(self) -> str:
+        """Return the name of the backend server."""
+        return self.cfg.name
+
+    def usable(self, now: float) -> bool:
+        """Return whether new work may go there."""
+        return self.leaving_at == inf and now >= self.shunned_until
+
+    def occupied(self) -> float:
+        """Return the estimated number of requests at the engine."""
+        return max(
+            self.own_running,
+            self.running + self.waiting + self.own_sent_since,
+        )
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Replace the last report; own sends count anew."""
+        self.running = report.running
+        self.waiting = report.waiting
+        self.queued_tokens = report.queued_tokens
+        self.reported_at = now
+        self.own_tokens_since = 0
+        self.own_sent_since = 0
+
+    def note_sent(self, uncached_tokens: int) -> None:
+        """Count an own send since the last report."""
+        self.own_running += 1
+        self.own_sent_since += 1
+        self.own_tokens_since += uncached_tokens
+
+    def note_ended(self) -> None:
+        """Count the end of an own attempt."""
+        self.own_running = max(0, self.own_running - 1)
+
+    def note_gap(self, gap_s: float, target_s: float, now: float) -> None:
+        """Learn the limit from the time between two tokens.
+
+        Additive increase while the target is met at the limit,
+        multiplicative decrease, at most once a second, when it is not.
+        """
+        if self.gap_s == 0.0:
+            self.gap_s = gap_s
+        self.gap_s += GAP_SMOOTHING * (gap_s - self.gap_s)
+        if now - self.adjusted_at < 1.0:
+            return
+        self.adjusted_at = now
+        if self.gap_s > target_s:
+            self.limit = max(LIMIT_FLOOR, self.limit * LIMIT_CUT)
+            return
+        if self.occupied() >= self.limit - 1:
+            self.limit = min(self.limit + LIMIT_STEP, 4.0 * self.cfg.slots)
+
+
+@dataclass(slots=True)
+class EngineGroup:
+    """Engines that serve one backend name, and their cheapest price."""
+
+    backend: str
+    names: list[str] = field(default_factory=list)
+
+
+def new_engine(cfg: BackendServer) -> Engine:
+    """Return the row of a backend server that was not heard of yet."""
+    return Engine(cfg=cfg, limit=float(cfg.slots))
--- /dev/null
+++ b/src/magnoliaflow/eventlog.py
@@ -0,0 +1,99 @@
+"""Numbered log events, written as JSON lines."""
+
+from enum import IntEnum
+from logging import getLogger
+from logging import INFO
+from logging import Logger
+from logging import StreamHandler
+from sys import stderr
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+class LogEvent(IntEnum):
+    """Log events; the number never changes its meaning."""
+
+    PROCESS_STARTED = 100
+    PROCESS_DRAINING = 101
+    PROCESS_STOPPED = 102
+    SYSTEM_FAILED = 103
+    PEER_ALIVE = 200
+    PEER_DEAD = 201
+    HOST_NOTICED = 202
+    LINK_SILENT = 203
+    LOG_DOWN = 300
+    LOG_UP = 301
+    LOG_TRIMMED = 302
+    RECORD_UNREADABLE = 303
+    PROFILE_IN_FORCE = 400
+    REQUEST_ACCEPTED = 500
+    REQUEST_REFUSED = 501
+    REQUEST_FINISHED = 502
+    REQUEST_TAKEN_OVER = 503
+    ATTEMPT_STARTED = 510
+    ATTEMPT_FAILED = 511
+    CLAIM_TAKEN_OVER = 520
+    CLAIM_DISPATCHED = 521
+    LEASE_ACQUIRED = 600
+    LEASE_LOST = 601
+    HOST_START_ASKED = 610
+    HOST_START_REFUSED = 611
+    ORDER_SENT = 612
+    ORDER_FENCED = 613
+
+
+EXPLANATIONS = {
+    LogEvent.PROCESS_STARTED: "A daemon listens and takes work.",
+    LogEvent.PROCESS_DRAINING: "A daemon takes no new work and finishes.",
+    LogEvent.PROCESS_STOPPED: "A daemon has ended; nothing was in progress.",
+    LogEvent.SYSTEM_FAILED: "A fault in the daemon; report it as a defect.",
+    LogEvent.PEER_ALIVE: "A peer process was heard for the first time.",
+    LogEvent.PEER_DEAD: "A peer was silent beyond the limit or replaced.",
+    LogEvent.HOST_NOTICED: "A host is to be taken back.",
+    LogEvent.LINK_SILENT: "A connection went silent and was abandoned.",
+    LogEvent.LOG_DOWN: "The platform's log cannot be reached.",
+    LogEvent.LOG_UP: "The platform's log can be reached again.",
+    LogEvent.LOG_TRIMMED: "Records were gone before they were read.",
+    LogEvent.RECORD_UNREADABLE: "A record on the log was skipped.",
+    LogEvent.PROFILE_IN_FORCE: "A profile change took hold here.",
+    LogEvent.REQUEST_ACCEPTED: "A request was accepted.",
+    LogEvent.REQUEST_REFUSED: "A request was refused, with its code.",
+    LogEvent.REQUEST_FINISHED: "A request ended, with its code.",
+    LogEvent.REQUEST_TAKEN_OVER: "This process took a request over.",
+    LogEvent.ATTEMPT_STARTED: "An attempt was sent to a model engine.",
+    LogEvent.ATTEMPT_FAILED: "An attempt failed; the reason is named.",
+    LogEvent.CLAIM_TAKEN_OVER: "This process took a claim over.",
+    LogEvent.CLAIM_DISPATCHED: "Non-idempotent work is sent, once.",
+    LogEvent.LEASE_ACQUIRED: "This controller holds the lease.",
+    LogEvent.LEASE_LOST: "This controller lost the lease.",
+    LogEvent.HOST_START_ASKED: "A replacement host was asked for.",
+    LogEvent.HOST_START_REFUSED: "The cloud refused to start a host.",
+    LogEvent.ORDER_SENT: "An order was sent to a model engine.",
+    LogEvent.ORDER_FENCED: "An engine refused an old fencing number.",
+}
+
+
+def open_log(process: str) -> Logger:
+    """Return the process's logger, which writes JSON to stderr."""
+    logger = getLogger(f"magnoliaflow.{process}")
+    logger.setLevel(INFO)
+    logger.propagate = False
+    if not logger.handlers:
+        handler = StreamHandler(stderr)
+        handler.setFormatter(
+            JsonFormatter(
+                "%(asctime)s %(levelname)s %(name)s %(message)s",
+                rename_fields={"asctime": "time", "levelname": "level"},
+            )
+        )
+        logger.addHandler(handler)
+    return logger
+
+
+def log_event(logger: Logger, event: LogEvent, **details: Any) -> None:
+    """Write one numbered event with its details."""
+    logger.info(
+        EXPLANATIONS[event],
+        extra={"event": int(event), "event_name": event.name, **details},
+    )
--- /dev/null
+++ b/src/magnoliaflow/gateway.py
@@ -0,0 +1,122 @@
+"""The gateway daemon: listens, and runs the decision core."""
+
+from os import urandom
+from random import Random
+from signal import SIGINT
+from signal import signal
+from signal import SIGTERM
+from time import monotonic
+from time import time
+from typing import Any
+
+from prometheus_client.twisted import MetricsResource
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from magnoliaflow.auth import Tokens
+from magnoliaflow.callerapi import CallerApi
+from magnoliaflow.eventlog import log_event
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.eventlog import open_log
+from magnoliaflow.gatewaycore import open_core
+from magnoliaflow import httpports
+from magnoliaflow.inputs import DrainAsked
+from magnoliaflow.inputs import MessageArrived
+from magnoliaflow.loop import reactor
+from magnoliaflow.messages import Found
+from magnoliaflow.messages import Message
+from magnoliaflow.peers import peer_factory
+from magnoliaflow.settings import EntryHost
+from magnoliaflow.settings import Settings
+from magnoliaflow.shell import Shell
+from magnoliaflow.state import GatewayState
+
+EXIT_LINGER_S = 0.5
+ADAPTER_MODULES = (httpports,)
+IDENTITY_BYTES = 4
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, cfg: Settings, host: EntryHost) -> None:
+        identity = f"{host.name}-{urandom(IDENTITY_BYTES).hex()}"
+        self.cfg = cfg
+        self.host = host
+        self.logger = open_log(f"gateway.{host.name}")
+        state = GatewayState(
+            cfg=cfg,
+            host=host,
+            identity=identity,
+            rng=Random(identity),
+            now=monotonic(),
+            wall=time(),
+        )
+        self.shell = Shell(open_core(state), cfg, self.logger)
+        self.shell.on_exit = self.exit
+        self.api = CallerApi(self.shell, Tokens(cfg))
+        self.ports: list[Any] = []
+
+    def start(self) -> None:
+        """Listen where settings say and begin to serve."""
+        host = self.host
+        self.ports = [
+            _listen(host, host.peer_port, peer_factory(self.on_message)),
+            _listen(host, host.caller_port, Site(self.api.app.resource())),
+            _listen(host, host.metrics_port, self._metrics_site()),
+        ]
+        self.shell.start()
+        log_event(
+            self.logger,
+            LogEvent.PROCESS_STARTED,
+            identity=self.shell.core.state.identity,
+            caller_address=host.caller_address,
+        )
+
+    def on_message(self, sender: str, message: Message) -> None:
+        """Take a peer's message in."""
+        if isinstance(message, Found):
+            self.api.take_found(message)
+            return
+        self.shell.feed(MessageArrived(sender, message))
+
+    def stop(self, *signal_args: Any) -> None:
+        """Leave gracefully."""
+        drain_s = self.cfg.timings.drain_s
+        self.shell.feed(DrainAsked(reclaimed=False, seconds_left=drain_s))
+
+    def exit(self) -> None:
+        """End the reactor once queued messages had time to leave."""
+        _call_later(EXIT_LINGER_S, self._end)
+
+    def _end(self) -> None:
+        self.shell.stop()
+        reactor.stop()
+
+    def _metrics_site(self) -> Site:
+        root = Resource()
+        registry = self.shell.core.state.metrics.registry
+        resource: Any = MetricsResource(registry=registry)
+        root.putChild(b"metrics", resource)
+        return Site(root)
+
+
+def _listen(host: EntryHost, port: int, factory: Any) -> Any:
+    return reactor.listenTCP(port, factory, interface=host.address)
+
+
+def _call_later(delay_s: float, function: Any) -> None:
+    reactor.callLater(delay_s, function)
+
+
+def run_gateway(cfg: Settings, host_name: str) -> None:
+    """Run a gateway until it is told to leave."""
+    gateway = Gateway(cfg, cfg.entry_host(host_name))
+    gateway.start()
+
+    def on_signal(*args: Any) -> None:
+        reactor.callFromThread(gateway.stop)
+
+    _call_later(0, lambda: signal(SIGTERM, on_signal))
+    _call_later(0, lambda: signal(SIGINT, on_signal))
+    reactor.run()
--- /dev/null
+++ b/src/magnoliaflow/httpports.py
@@ -0,0 +1,366 @@
+"""Adapters that speak HTTP with the platform and backend servers.
+
+No call is repeated here: the connection pool's own retry is off, because
+whether a call may be repeated is for the decision core to say.
+"""
+
+from base64 import b64decode
+from base64 import b64encode
+from collections.abc import Callable
+from collections.abc import Generator
+from json import dumps
+from json import loads
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectionRefusedError
+from twisted.web.client import Agent
+from twisted.web.client import HTTPConnectionPool
+
+from magnoliaflow.errors import NotStartedError
+from magnoliaflow.errors import PortError
+from magnoliaflow.errors import StaleFenceError
+from magnoliaflow.errors import StartRefusedError
+from magnoliaflow.errors import TrimmedError
+from magnoliaflow.errors import UnknownOutcomeError
+from magnoliaflow.loop import reactor
+from magnoliaflow.loop import treq
+from magnoliaflow.messages import NewsRecord
+from magnoliaflow.ports import adapter
+from magnoliaflow.ports import CacheEvent
+from magnoliaflow.ports import EngineOrder
+from magnoliaflow.ports import GenerateCall
+from magnoliaflow.ports import ListedHost
+from magnoliaflow.ports import LoadReport
+from magnoliaflow.ports import LogPage
+from magnoliaflow.ports import Offer
+from magnoliaflow.ports import ReclaimNotice
+from magnoliaflow.ports import ServiceReply
+from magnoliaflow.ports import StartedHost
+from magnoliaflow.ports import TokenPiece
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 2.0
+SERVICE_TIMEOUT_S = 5.0
+LONG_POLL_S = 0.5
+READ_TIMEOUT_S = LONG_POLL_S + 1.0
+CONNECTIONS_PER_SERVER = 64
+
+Steps = Generator[Deferred[Any], Any, Any]
+NEVER_SENT = (ConnectError, ConnectionRefusedError)
+
+
+def make_agent(*, persistent: bool = True) -> Agent:
+    """Return an agent whose pool repeats nothing by itself."""
+    pool = HTTPConnectionPool(reactor, persistent=persistent)
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = CONNECTIONS_PER_SERVER
+    return Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+
+
+class HttpPeer:
+    """One HTTP server at an address."""
+
+    persistent = True
+
+    def __init__(self, address: str) -> None:
+        self.base = f"http://{address}"
+        self.agent = make_agent(persistent=self.persistent)
+
+    @inlineCallbacks
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Steps:
+        """Return status and JSON of a call; PortError if it failed."""
+        data = b"" if body is None else dumps(body).encode()
+        try:
+            reply = yield treq.request(
+                method,
+                self.base + path,
+                data=data,
+                headers={"Content-Type": "application/json"},
+                agent=self.agent,
+                timeout=timeout_s,
+            )
+            text = yield treq.content(reply).addTimeout(timeout_s, reactor)
+        except NEVER_SENT as exc:
+            raise NotStartedError(f"{self.base}{path}: {exc}") from exc
+        except Exception as exc:
+            raise UnknownOutcomeError(
+                f"{self.base}{path}: {type(exc).__name__}: {exc}"
+            ) from exc
+        try:
+            return reply.code, loads(text or b"null")
+        except ValueError as exc:
+            raise PortError(f"{self.base}{path}: not JSON") from exc
+
+    @inlineCallbacks
+    def fetch(self, path: str, *, timeout_s: float = CALL_TIMEOUT_S) -> Steps:
+        """Return the JSON of a GET that must succeed."""
+        code, value = yield self.call("GET", path, timeout_s=timeout_s)
+        if code != 200:
+            raise PortError(f"{self.base}{path}: status {code}")
+        return value
+
+
+@adapter("http", "log")
+class HttpLog(HttpPeer):
+    """The log service over HTTP."""
+
+    @inlineCallbacks
+    def append(self, stream: str, datas: tuple[bytes, ...]) -> Steps:
+        """Append in one call; it may take effect although it fails."""
+        texts = [b64encode(data).decode() for data in datas]
+        code, _ = yield self.call(
+            "POST", f"/streams/{stream}", body={"records": texts}
+        )
+        if code != 200:
+            raise PortError(f"append to {stream}: status {code}")
+
+    @inlineCallbacks
+    def read(self, stream: str, first_offset: int) -> Steps:
+        """Read on, waiting a while for news."""
+        path = f"/streams/{stream}?from={first_offset}&wait={LONG_POLL_S}"
+        code, value = yield self.call("GET", path, timeout_s=READ_TIMEOUT_S)
+        if code == 410:
+            raise TrimmedError(int(value["first"]))
+        if code != 200:
+            raise PortError(f"read of {stream}: status {code}")
+        records = tuple(
+            NewsRecord(offset, b64decode(text))
+            for offset, text in value["records"]
+        )
+        return LogPage(records, int(value["end"]))
+
+
+@adapter("http", "host_list")
+class HttpHostList(HttpPeer):
+    """The host list over HTTP."""
+
+    @inlineCallbacks
+    def hosts(self) -> Steps:
+        """Return the hosts that are live or leaving."""
+        value = yield self.fetch("/hosts")
+        return tuple(
+            ListedHost(item["name"], item["zone"], item["leaving"])
+            for item in value["hosts"]
+        )
+
+
+@adapter("http", "cloud")
+class HttpCloud(HttpPeer):
+    """The cloud API over HTTP."""
+
+    @inlineCallbacks
+    def notices(self) -> Steps:
+        """Return the reclaims announced and not yet over."""
+        value = yield self.fetch("/notices")
+        return tuple(
+            ReclaimNotice(item["host"], item["seconds_left"])
+            for item in value["notices"]
+        )
+
+    @inlineCallbacks
+    def offers(self) -> Steps:
+        """Return current prices."""
+        value = yield self.fetch("/offers")
+        return tuple(Offer(**item) for item in value["offers"])
+
+    @inlineCallbacks
+    def start(self, tag: str, offer: Offer) -> Steps:
+        """Start one host; raises StartRefusedError."""
+        body = {
+            "tag": tag,
+            "zone": offer.zone,
+            "machine_class": offer.machine_class,
+            "reclaimable": offer.reclaimable,
+        }
+        code, value = yield self.call("POST", "/hosts", body=body)
+        if code == 409:
+            raise StartRefusedError(f"{offer.zone} {offer.machine_class}")
+        if code != 200:
+            raise UnknownOutcomeError(f"start: status {code}")
+        return StartedHost(**value)
+
+    @inlineCallbacks
+    def started(self) -> Steps:
+        """Return the hosts that carry one of our tags."""
+        value = yield self.fetch("/hosts")
+        return tuple(StartedHost(**item) for item in value["hosts"])
+
+
+@adapter("http", "weight_store")
+class HttpWeightStore(HttpPeer):
+    """The weight store over HTTP."""
+
+    @inlineCallbacks
+    def reserve(self, model: str) -> Steps:
+        """Return the seconds to wait before a load may start."""
+        code, value = yield self.call("POST", f"/loads/{model}")
+        if code != 200:
+            raise PortError(f"reserve {model}: status {code}")
+        return float(value["wait_s"])
+
+
+class EventLines:
+    """Incremental reader of server-sent events with JSON data."""
+
+    def __init__(self, on_data: Callable[[Any], None]) -> None:
+        self.on_data = on_data
+        self.rest = b""
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes; call back for each whole line that counts."""
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            if line.startswith(b"data:"):
+                self.on_data(loads(line[5:]))
+            elif line.startswith(b":"):
+                self.on_data(None)
+
+
+@adapter("http", "model_engine")
+class HttpEngine(HttpPeer):
+    """A model engine over HTTP; pieces come as server-sent events."""
+
+    @inlineCallbacks
+    def _stream(
+        self, path: str, body: Any, on_piece: Callable[[TokenPiece], None]
+    ) -> Steps:
+        """Read a token stream to its end."""
+
+        def on_data(value: Any) -> None:
+            if value is None:
+                on_piece(TokenPiece(0, (), False))
+                return
+            on_piece(
+                TokenPiece(
+                    value["offset"], tuple(value["tokens"]), value["done"]
+                )
+            )
+
+        lines = EventLines(on_data)
+        try:
+            reply = yield treq.post(
+                self.base + path,
+                data=dumps(body).encode(),
+                agent=self.agent,
+                timeout=CALL_TIMEOUT_S,
+            )
+            if reply.code == 503:
+                raise NotStartedError(f"{self.base}{path}: engine is full")
+            if reply.code == 404:
+                raise NotStartedError(f"{self.base}{path}: no such attempt")
+            if reply.code != 200:
+                raise PortError(f"{self.base}{path}: status {reply.code}")
+            yield treq.collect(reply, lines.feed)
+        except PortError:
+            raise
+        except NEVER_SENT as exc:
+            raise NotStartedError(f"{self.base}{path}: {exc}") from exc
+        except Exception as exc:
+            raise UnknownOutcomeError(
+                f"{self.base}{path}: {type(exc).__name__}: {exc}"
+            ) from exc
+
+    def generate(
+        self, call: GenerateCall, on_piece: Callable[[TokenPiece], None]
+    ) -> Any:
+        """Run an attempt; fires when its stream ends."""
+        body = {
+            "request": call.request_id,
+            "attempt": call.attempt_id,
+            "prompt": call.prompt,
+            "prefix": list(call.prefix),
+            "max_tokens": call.max_tokens,
+            "priority": call.priority,
+            "import_from": call.import_from,
+        }
+        return self._stream("/generate", body, on_piece)
+
+    def resume(
+        self, call: GenerateCall, on_piece: Callable[[TokenPiece], None]
+    ) -> Any:
+        """Read a running attempt on; raises NotStartedError."""
+        body = {"attempt": call.attempt_id, "offset": len(call.prefix)}
+        return self._stream("/resume", body, on_piece)
+
+    @inlineCallbacks
+    def cancel(self, attempt_id: str) -> Steps:
+        """Stop an attempt."""
+        yield self.call("POST", "/cancel", body={"attempt": attempt_id})
+
+    @inlineCallbacks
+    def report(self) -> Steps:
+        """Return the latest load report."""
+        value = yield self.fetch("/load", timeout_s=1.0)
+        return LoadReport(**value)
+
+    @inlineCallbacks
+    def cache_events(self, after: int) -> Steps:
+        """Return cache events numbered above ``after``."""
+        value = yield self.fetch(f"/events?after={after}", timeout_s=1.0)
+        return tuple(CacheEvent(*item) for item in value["events"])
+
+    @inlineCallbacks
+    def order(self, order: EngineOrder) -> Steps:
+        """Order a desired end; may raise StaleFenceError."""
+        body = {
+            "fence": order.fence,
+            "models": list(order.models),
+            "role": order.role,
+        }
+        code, value = yield self.call("POST", "/orders", body=body)
+        if code == 412:
+            raise StaleFenceError(f"{self.base}: fence {order.fence} is old")
+        if code != 200:
+            raise UnknownOutcomeError(f"{self.base}/orders: status {code}")
+
+    @inlineCallbacks
+    def state(self) -> Steps:
+        """Return what the engine does now."""
+        value = yield self.fetch("/state")
+        return EngineOrder(
+            value["fence"], tuple(value["models"]), value["role"]
+        )
+
+
+@adapter("http", "service")
+class HttpService(HttpPeer):
+    """A plain service over HTTP.
+
+    Each call has a connection of its own: an idle one that the far end
+    has closed would leave the outcome of a call unknown.
+    """
+
+    persistent = False
+
+    @inlineCallbacks
+    def call_once(self, operation: str, key: str, body: bytes) -> Steps:
+        """Send a call once; it is never repeated here."""
+        code, value = yield self.call(
+            "POST",
+            f"/call/{operation}",
+            body={"key": key, "body": body.decode()},
+            timeout_s=SERVICE_TIMEOUT_S,
+        )
+        if code == 503:
+            raise NotStartedError(f"{self.base}: {operation} not started")
+        result = dumps(value.get("result")).encode()
+        return ServiceReply(code == 200, result)
+
+    @inlineCallbacks
+    def status(self, key: str) -> Steps:
+        """Return what became of a key, None if it never arrived."""
+        code, value = yield self.call("POST", "/status", body={"key": key})
+        if code != 200:
+            return None
+        result = dumps(value.get("result")).encode()
+        return ServiceReply(True, result)
--- /dev/null
+++ b/src/magnoliaflow/inputs.py
@@ -0,0 +1,205 @@
+"""Typed events that the decision core takes in."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from magnoliaflow.messages import Message
+from magnoliaflow.ports import CacheEvent
+from magnoliaflow.ports import LoadReport
+from magnoliaflow.records import Record
+
+
+class Ending(Enum):
+    """How a call to a backend server ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    NOT_STARTED = "not started"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """A caller asks for work under a profile."""
+
+    request_id: str
+    account: str
+    profile: str
+    body: bytes
+    prompt: str
+    max_tokens: int
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAsked:
+    """A caller no longer wants a request."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class PieceArrived:
+    """Tokens, or a sign of life without any, from an attempt."""
+
+    attempt_id: str
+    offset: int
+    tokens: tuple[int, ...]
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """The stream of an attempt ended."""
+
+    attempt_id: str
+    ending: Ending
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswered:
+    """The one call for a claim ended."""
+
+    key: str
+    submission: str
+    epoch: int
+    ending: Ending
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StatusAnswered:
+    """A service said, or could not say, what became of a key."""
+
+    key: str
+    submission: str
+    epoch: int
+    known: bool
+    succeeded: bool
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """A record at its offset; ``record`` is None if unreadable."""
+
+    offset: int
+    record: Record | None
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsRead:
+    """A read of a stream succeeded, possibly without news."""
+
+    stream: str
+    records: tuple[ReadRecord, ...]
+    end: int
+    from_log: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class StreamTrimmed:
+    """Records before ``first_offset`` are gone and were not read."""
+
+    stream: str
+    first_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """A read of a stream failed."""
+
+    stream: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendEnded:
+    """An append returned; without success it may still take effect."""
+
+    stream: str
+    record_ids: tuple[str, ...]
+    succeeded: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MessageArrived:
+    """A peer sent a message."""
+
+    sender: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class PeerProbed:
+    """A probe on a new connection ended."""
+
+    identity: str
+    alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReportArrived:
+    """An engine reported its load."""
+
+    report: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEventsArrived:
+    """An engine published cache events."""
+
+    engine: str
+    events: tuple[CacheEvent, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSilent:
+    """An engine did not answer on a new connection."""
+
+    engine: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostNoticed:
+    """A host will be taken back, or the host list shows it leaving."""
+
+    host: str
+    seconds_left: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostReturned:
+    """A host of this name is live again after a reclaim."""
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class DrainAsked:
+    """This process must end; at once if its host is reclaimed."""
+
+    reclaimed: bool
+    seconds_left: float
+
+
+Input = (
+    Submitted
+    | CancelAsked
+    | PieceArrived
+    | AttemptEnded
+    | ServiceAnswered
+    | StatusAnswered
+    | RecordsRead
+    | StreamTrimmed
+    | ReadFailed
+    | AppendEnded
+    | MessageArrived
+    | PeerProbed
+    | ReportArrived
+    | CacheEventsArrived
+    | EngineSilent
+    | HostNoticed
+    | HostReturned
+    | DrainAsked
+)
--- /dev/null
+++ b/src/magnoliaflow/leases.py
@@ -0,0 +1,94 @@
+"""Leases kept on the log; the claiming record's offset is the fence."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from magnoliaflow.records import LeaseClaim
+from magnoliaflow.records import LeaseRenew
+
+NO_FENCE = -1
+
+
+@dataclass(slots=True)
+class Lease:
+    """A lease as the log's order left it.
+
+    ``seen_at`` is this reader's monotonic time of the last record.
+    """
+
+    name: str
+    holder: str
+    fence: int
+    seen_at: float
+
+
+@dataclass(slots=True)
+class LeaseBook:
+    """Leases in force, derived from the log.
+
+    Offsets decide who holds a lease.  Time only decides when its holder
+    must stop (counted from before its append) and when others may claim
+    (counted from after they read it), so the former comes first.
+    """
+
+    ttl_s: float
+    margin_s: float
+    leases: dict[str, Lease] = field(default_factory=dict)
+    started: dict[str, float] = field(default_factory=dict)
+    valid_from: dict[str, float] = field(default_factory=dict)
+    applied: int = -1
+
+    def apply(self, offset: int, record: Any, now: float) -> bool:
+        """Apply the record at an offset, read at monotonic ``now``."""
+        if offset <= self.applied:
+            return False
+        self.applied = offset
+        lease = self.leases.get(record.name)
+        fence = NO_FENCE if lease is None else lease.fence
+        if isinstance(record, LeaseClaim):
+            if record.replaces != fence:
+                return False
+            self.leases[record.name] = Lease(
+                record.name, record.holder, offset, now
+            )
+            return True
+        if isinstance(record, LeaseRenew):
+            if lease is None or record.fence != fence:
+                return False
+            lease.seen_at = now
+            return True
+        return False
+
+    def append_started(self, record_id: str, now: float) -> None:
+        """Note when this process began to append its own record."""
+        self.started[record_id] = now
+
+    def append_read(self, record_id: str, name: str) -> None:
+        """Note that this process read its own valid record back."""
+        started = self.started.pop(record_id, None)
+        if started is None:
+            return
+        self.valid_from[name] = max(self.valid_from.get(name, 0.0), started)
+
+    def held_by(self, name: str, holder: str, now: float) -> bool:
+        """Return whether the holder may still act at ``now``."""
+        lease = self.leases.get(name)
+        if lease is None or lease.holder != holder:
+            return False
+        start = self.valid_from.get(name)
+        if start is None:
+            return False
+        return now < start + self.ttl_s - self.margin_s
+
+    def may_claim(self, name: str, now: float) -> bool:
+        """Return whether the last holder must have stopped by ``now``."""
+        lease = self.leases.get(name)
+        if lease is None:
+            return True
+        return now >= lease.seen_at + self.ttl_s + self.margin_s
+
+    def fence(self, name: str) -> int:
+        """Return the fencing number in force, NO_FENCE if none."""
+        lease = self.leases.get(name)
+        return NO_FENCE if lease is None else lease.fence
--- /dev/null
+++ b/src/magnoliaflow/lifecycle.py
@@ -0,0 +1,77 @@
+"""Life cycle of a daemon as a state machine."""
+
+from enum import IntEnum
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+
+class Phase(IntEnum):
+    """Phases of a daemon's life, as heartbeats carry them."""
+
+    STARTING = 0
+    SERVING = 1
+    DRAINING = 2
+    STOPPED = 3
+
+
+class LifeCycle(Protocol):
+    """Inputs of the life cycle."""
+
+    def ready(self) -> None:
+        """Take work from now on."""
+
+    def drain(self) -> None:
+        """Take no new work and finish what is in progress."""
+
+    def finish(self) -> None:
+        """End: nothing is in progress."""
+
+    def phase(self) -> Phase:
+        """Return the current phase."""
+
+
+class LifeCycleData:
+    """Data shared by the states; there is none."""
+
+    __slots__ = ()
+
+
+def _build() -> TypeMachineBuilder[LifeCycle, LifeCycleData]:
+    builder = TypeMachineBuilder(LifeCycle, LifeCycleData)
+    states = {phase: builder.state(phase.name.lower()) for phase in Phase}
+    starting = states[Phase.STARTING]
+    serving = states[Phase.SERVING]
+    draining = states[Phase.DRAINING]
+    stopped = states[Phase.STOPPED]
+    edges = (
+        (starting, LifeCycle.ready, serving),
+        (starting, LifeCycle.drain, draining),
+        (starting, LifeCycle.finish, stopped),
+        (serving, LifeCycle.ready, serving),
+        (serving, LifeCycle.drain, draining),
+        (draining, LifeCycle.ready, draining),
+        (draining, LifeCycle.drain, draining),
+        (draining, LifeCycle.finish, stopped),
+        (stopped, LifeCycle.ready, stopped),
+        (stopped, LifeCycle.drain, stopped),
+        (stopped, LifeCycle.finish, stopped),
+    )
+    for start, step, end in edges:
+        start.upon(step).to(end).returns(None)
+    for phase, state in states.items():
+        state.upon(LifeCycle.phase).loop().returns(phase)
+    return builder
+
+
+LIFE_CYCLE = _build().build()
+
+
+def new_life_cycle() -> LifeCycle:
+    """Return a life cycle in its starting phase.
+
+    >>> life = new_life_cycle()
+    >>> life.ready(); life.drain(); life.phase().name
+    'DRAINING'
+    """
+    return LIFE_CYCLE(LifeCycleData())
--- /dev/null
+++ b/src/magnoliaflow/messages.py
@@ -0,0 +1,184 @@
+"""Typed messages between gateways and controllers."""
+
+from dataclasses import dataclass
+from typing import Union
+
+
+@dataclass(frozen=True, slots=True)
+class HostNotice:
+    """A host that will be taken back in ``seconds_left`` seconds."""
+
+    host: str
+    seconds_left: float
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A sign of life with piggybacked news."""
+
+    identity: str
+    host: str
+    zone: str
+    state: int
+    caller_address: str
+    peer_address: str
+    applied: dict[str, int]
+    notices: tuple[HostNotice, ...]
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Parting:
+    """Where an earlier branch of an answer ended for its successor."""
+
+    epoch: int
+    owner: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Copy a whole request to its standby."""
+
+    request_id: str
+    epoch: int
+    owner: str
+    lineage: tuple[Parting, ...]
+    account: str
+    profile: str
+    body: bytes
+    tokens: tuple[int, ...]
+    deadline_s: float
+    engine: str
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class HoldAck:
+    """Acknowledge that the first ``length`` tokens are held.
+
+    ``finished`` says that the end of the request is held too.
+    """
+
+    request_id: str
+    epoch: int
+    owner: str
+    length: int
+    finished: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Extend:
+    """Add tokens to a held request, and name the attempt they are of."""
+
+    request_id: str
+    epoch: int
+    owner: str
+    offset: int
+    tokens: tuple[int, ...]
+    engine: str
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """End a held request with a result code at a token count."""
+
+    request_id: str
+    epoch: int
+    owner: str
+    code: int
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """Ask the standby to take a request over at once."""
+
+    request_id: str
+    epoch: int
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Tell a process that a higher branch, named here, goes on."""
+
+    request_id: str
+    epoch: int
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Release a standby that is no longer needed."""
+
+    request_id: str
+    epoch: int
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimHandover:
+    """Name the receiver as successor for an undispatched claim."""
+
+    key: str
+    submission: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Find:
+    """Ask a peer whether it serves a request."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Answer ``Find`` with the caller address that serves a request."""
+
+    request_id: str
+    caller_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class NewsRequest:
+    """Ask a peer for records of a stream from an offset on."""
+
+    stream: str
+    first_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class NewsRecord:
+    """One encoded record with its offset."""
+
+    offset: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """Records of a stream, in order."""
+
+    stream: str
+    records: tuple[NewsRecord, ...]
+
+
+Message = Union[
+    Heartbeat,
+    HostNotice,
+    Hold,
+    HoldAck,
+    Extend,
+    Finish,
+    Handover,
+    Stop,
+    Drop,
+    ClaimHandover,
+    Find,
+    Found,
+    NewsRequest,
+    News,
+]
--- /dev/null
+++ b/src/magnoliaflow/peers.py
@@ -0,0 +1,150 @@
+"""Thrift links between gateways: one ordered queue to each address."""
+
+from collections.abc import Callable
+from typing import Any
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport.TTwisted import ThriftClientProtocol
+from thrift.transport.TTwisted import ThriftServerFactory
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from zope.interface import implementer
+
+from magnoliaflow.codec import message_from_wire
+from magnoliaflow.codec import message_to_wire
+from magnoliaflow.errors import RecordError
+from magnoliaflow.loop import reactor
+from magnoliaflow.messages import Message
+from magnoliaflow.wire import Peer
+
+REPLY_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 1
+QUEUE_MOST = 20_000
+RETRY_DELAY_S = 0.1
+PROTOCOL = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
+
+Deliver = Callable[[str, Message], None]
+
+
+@implementer(Peer.Iface)
+class PeerService:
+    """The side of the link that takes messages in."""
+
+    def __init__(self, on_message: Deliver) -> None:
+        self.on_message = on_message
+
+    def deliver(self, sender: str, messages: list[Any]) -> None:
+        """Pass on every message that this version understands."""
+        for envelope in messages:
+            try:
+                message = message_from_wire(envelope)
+            except RecordError:
+                continue
+            if message is not None:
+                self.on_message(sender, message)
+
+
+def peer_factory(on_message: Deliver) -> ThriftServerFactory:
+    """Return the server factory of a gateway's peer port."""
+    processor = Peer.Processor(PeerService(on_message))
+    return ThriftServerFactory(processor, PROTOCOL)
+
+
+def _connect(address: str) -> "Deferred[Any]":
+    host, _, port = address.partition(":")
+    endpoint = TCP4ClientEndpoint(
+        reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+    )
+    return connectProtocol(
+        endpoint, ThriftClientProtocol(Peer.Client, PROTOCOL)
+    )
+
+
+class PeerLink:
+    """Messages to one address, in order, one batch at a time.
+
+    A batch without a reply in time loses its connection and its
+    messages; the decision core sends again what still matters.
+    """
+
+    __slots__ = ("address", "busy", "conn", "queue", "sender")
+
+    def __init__(self, address: str, sender: str) -> None:
+        self.address = address
+        self.sender = sender
+        self.queue: list[Message] = []
+        self.conn: Any = None
+        self.busy = False
+
+    def send(self, message: Message) -> None:
+        """Queue a message; the oldest go first."""
+        if len(self.queue) < QUEUE_MOST:
+            self.queue.append(message)
+        if not self.busy:
+            self.busy = True
+            reactor.callLater(0, self._pump)
+
+    @inlineCallbacks
+    def _pump(self) -> Any:
+        """Send batches until the queue is empty."""
+        while self.queue:
+            batch = self.queue
+            self.queue = []
+            try:
+                yield self._deliver(batch)
+            except Exception:
+                self._abandon()
+                break
+        self.busy = False
+
+    @inlineCallbacks
+    def _deliver(self, batch: list[Message]) -> Any:
+        if self.conn is None:
+            self.conn = yield _connect(self.address)
+        reply = self.conn.client.deliver(
+            self.sender, [message_to_wire(message) for message in batch]
+        )
+        yield reply.addTimeout(REPLY_TIMEOUT_S, reactor)
+
+    def _abandon(self) -> None:
+        """Give up a connection that failed or went silent."""
+        if self.conn is not None and self.conn.transport is not None:
+            self.conn.transport.abortConnection()
+        self.conn = None
+
+
+class PeerLinks:
+    """Links by address."""
+
+    __slots__ = ("links", "sender")
+
+    def __init__(self, sender: str) -> None:
+        self.sender = sender
+        self.links: dict[str, PeerLink] = {}
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to an address."""
+        link = self.links.get(address)
+        if link is None:
+            link = PeerLink(address, self.sender)
+            self.links[address] = link
+        link.send(message)
+
+    @inlineCallbacks
+    def probe(self, address: str, message: Message) -> Any:
+        """Return whether an address answers on a new connection."""
+        conn = None
+        try:
+            conn = yield _connect(address)
+            reply = conn.client.deliver(
+                self.sender, [message_to_wire(message)]
+            )
+            yield reply.addTimeout(REPLY_TIMEOUT_S, reactor)
+        except Exception:
+            return False
+        finally:
+            if conn is not None:
+                conn.transport.abortConnection()
+        return True
--- /dev/null
+++ b/src/magnoliaflow/prefixes.py
@@ -0,0 +1,108 @@
+"""Knowledge of which engine has which prompt prefix in its cache."""
+
+from collections import OrderedDict
+
+DEFAULT_BLOCKS_PER_ENGINE = 4096
+TRUST_AFTER_GAP = 0.5
+TRUST_GAIN = 0.02
+
+
+class PrefixIndex:
+    """Cached blocks by engine, from own sends and cache events.
+
+    A gap in an engine's events lowers the trust in what is known of it;
+    it does not clear it.  Memory is bounded by blocks per engine.
+    """
+
+    __slots__ = ("_blocks", "_holders", "_last_event", "_trust", "capacity")
+
+    def __init__(self, *, capacity: int = DEFAULT_BLOCKS_PER_ENGINE) -> None:
+        self.capacity = capacity
+        self._blocks: dict[str, OrderedDict[int, None]] = {}
+        self._holders: dict[int, dict[str, None]] = {}
+        self._last_event: dict[str, int] = {}
+        self._trust: dict[str, float] = {}
+
+    def add(self, engine: str, blocks: tuple[int, ...]) -> None:
+        """Note that the engine holds the blocks, most recent last."""
+        known = self._blocks.setdefault(engine, OrderedDict())
+        for block in blocks:
+            known[block] = None
+            known.move_to_end(block)
+            self._holders.setdefault(block, {})[engine] = None
+        while len(known) > self.capacity:
+            oldest, _ = known.popitem(last=False)
+            self._unhold(engine, oldest)
+
+    def remove(self, engine: str, block: int) -> None:
+        """Note that the engine no longer holds the block."""
+        known = self._blocks.get(engine)
+        if known is None or block not in known:
+            return
+        del known[block]
+        self._unhold(engine, block)
+
+    def event(
+        self, engine: str, number: int, block: int, present: bool
+    ) -> None:
+        """Apply one numbered cache event of an engine."""
+        last = self._last_event.get(engine)
+        if last is not None and number > last + 1:
+            self._trust[engine] = TRUST_AFTER_GAP
+        self._last_event[engine] = max(number, last or 0)
+        if present:
+            self.add(engine, (block,))
+            return
+        self.remove(engine, block)
+
+    def confirm(self, engine: str) -> None:
+        """Raise the trust in an engine after an event without a gap."""
+        trust = self._trust.get(engine, 1.0)
+        self._trust[engine] = min(1.0, trust + TRUST_GAIN)
+
+    def last_event(self, engine: str) -> int:
+        """Return the number of the last event applied for an engine."""
+        return self._last_event.get(engine, 0)
+
+    def forget(self, engine: str) -> None:
+        """Drop all that is known of an engine."""
+        for block in self._blocks.pop(engine, ()):
+            self._unhold(engine, block)
+        self._last_event.pop(engine, None)
+        self._trust.pop(engine, None)
+
+    def matched(self, engine: str, blocks: tuple[int, ...]) -> float:
+        """Return the expected number of leading blocks in cache."""
+        known = self._blocks.get(engine)
+        if not known:
+            return 0.0
+        count = 0
+        for block in blocks:
+            if block not in known:
+                break
+            count += 1
+        return count * self._trust.get(engine, 1.0)
+
+    def holders(
+        self, blocks: tuple[int, ...], *, most: int
+    ) -> tuple[str, ...]:
+        """Return engines that hold the longest known prefix."""
+        low, high = 0, len(blocks)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self._holders.get(blocks[middle - 1]):
+                low = middle
+            else:
+                high = middle - 1
+        if low == 0:
+            return ()
+        names = self._holders[blocks[low - 1]]
+        return tuple(name for name, _ in zip(names, range(most)))
+
+    def _unhold(self, engine: str, block: int) -> None:
+        holders = self._holders.get(block)
+        if holders is None:
+            return
+        holders.pop(engine, None)
+        if not holders:
+            del self._holders[block]
--- /dev/null
+++ b/src/magnoliaflow/profiles.py
@@ -0,0 +1,232 @@
+"""Named profiles and the rules by which changes take hold."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import fields
+from enum import Enum
+from json import dumps
+from json import loads
+from typing import Any
+
+from jsonschema import Draft202012Validator
+
+from magnoliaflow.errors import SettingsError
+from magnoliaflow.records import ProfileChange
+from magnoliaflow.records import ProfileEntry
+from magnoliaflow.records import ProfileSnapshot
+
+REMEMBERED_CHANGES = 4096
+
+
+class Target(Enum):
+    """Kind of backend server that a profile's requests need."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class Decision(Enum):
+    """What became of a profile change."""
+
+    IN_FORCE = "in force"
+    CONFLICT = "conflict"
+    PENDING = "pending"
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """How one class of requests is to be treated.
+
+    ``deadline_s`` bounds the whole request, ``first_token_s`` and
+    ``token_gap_s`` are its latency targets, ``cost_limit`` is the most
+    that one request may cost in the deployment's currency.
+    """
+
+    name: str
+    target: Target
+    idempotent: bool
+    deadline_s: float
+    backend: str
+    cost_limit: float = 1.0
+    first_token_s: float = 1.8
+    token_gap_s: float = 0.035
+    priority: int = 1
+    max_tokens: int = 256
+
+
+SPEC_SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["target", "idempotent", "deadline_s", "backend"],
+    "properties": {
+        "target": {"enum": [item.value for item in Target]},
+        "idempotent": {"type": "boolean"},
+        "deadline_s": {"type": "number", "exclusiveMinimum": 0},
+        "backend": {"type": "string", "minLength": 1},
+        "cost_limit": {"type": "number", "exclusiveMinimum": 0},
+        "first_token_s": {"type": "number", "exclusiveMinimum": 0},
+        "token_gap_s": {"type": "number", "exclusiveMinimum": 0},
+        "priority": {"type": "integer", "minimum": 0, "maximum": 9},
+        "max_tokens": {"type": "integer", "minimum": 1, "maximum": 32768},
+    },
+}
+SPEC_CHECKER = Draft202012Validator(SPEC_SCHEMA)
+
+
+def parse_spec(name: str, spec: str) -> Profile:
+    """Return the profile that a JSON text describes.
+
+    Raises SettingsError naming the profile, the field and the remedy.
+    """
+    try:
+        values = loads(spec)
+    except ValueError as exc:
+        raise SettingsError(f"profile {name}: not JSON: {exc}") from exc
+    for fault in SPEC_CHECKER.iter_errors(values):
+        path = ".".join(str(part) for part in fault.absolute_path)
+        raise SettingsError(
+            f"profile {name}: {path or 'spec'}: {fault.message}"
+        )
+    if not values["idempotent"] and values["target"] == Target.MODEL.value:
+        raise SettingsError(
+            f"profile {name}: target: model engines keep no execution "
+            "record; a non-idempotent profile needs target service"
+        )
+    values["target"] = Target(values["target"])
+    return Profile(name=name, **values)
+
+
+def profile_spec(profile: Profile) -> str:
+    """Return the JSON text of a profile; parse_spec reverses it."""
+    values = {
+        part.name: getattr(profile, part.name)
+        for part in fields(profile)
+        if part.name != "name"
+    }
+    values["target"] = profile.target.value
+    return dumps(values, sort_keys=True)
+
+
+@dataclass(frozen=True, slots=True)
+class HeldChange:
+    """A change that waits until its reader has the history before it."""
+
+    offset: int
+    record: ProfileChange
+
+
+@dataclass(slots=True)
+class ProfileBook:
+    """Profiles in force, derived from the log alone.
+
+    A version never falls: neither a change nor a snapshot can revert one.
+    A reader that lacks the log's beginning holds changes back until a
+    snapshot covers what it lacks.
+    """
+
+    entries: dict[str, ProfileEntry] = field(default_factory=dict)
+    in_force: dict[str, Profile] = field(default_factory=dict)
+    decided: dict[str, Decision] = field(default_factory=dict)
+    held_back: list[HeldChange] = field(default_factory=list)
+    first_offset: int = 0
+    complete: bool = True
+    applied: int = -1
+    snapshot_at: float = 0.0
+
+    def restart(self, first_offset: int) -> None:
+        """Read on at an offset because records before it are gone."""
+        self.held_back.clear()
+        self.first_offset = first_offset
+        self.applied = first_offset - 1
+        self.complete = first_offset == 0
+
+    def apply(self, offset: int, record: Any) -> bool:
+        """Apply the record at an offset; return whether it took hold."""
+        if offset <= self.applied:
+            return False
+        self.applied = offset
+        if isinstance(record, ProfileSnapshot):
+            return self._merge(record)
+        if not isinstance(record, ProfileChange):
+            return False
+        if not self.complete:
+            self.held_back.append(HeldChange(offset, record))
+            return False
+        return self._change(record)
+
+    def adopt(self, snapshot: ProfileSnapshot) -> None:
+        """Take over the state of a reader that knows every change.
+
+        What this reader applied beyond the snapshot stays in force.
+        """
+        self._merge(snapshot)
+        if snapshot.as_of > self.applied:
+            self.applied = snapshot.as_of
+            self.held_back.clear()
+            self.complete = True
+
+    def version(self, name: str) -> int:
+        """Return the current version of a profile, 0 if it never was."""
+        entry = self.entries.get(name)
+        return 0 if entry is None else entry.version
+
+    def decision(self, change_id: str) -> Decision:
+        """Return what became of a change; pending if not yet read."""
+        return self.decided.get(change_id, Decision.PENDING)
+
+    def snapshot(self, *, written_at: float) -> ProfileSnapshot:
+        """Return every profile with its version."""
+        entries = tuple(self.entries[name] for name in sorted(self.entries))
+        return ProfileSnapshot(entries, self.applied, written_at)
+
+    def _change(self, record: ProfileChange) -> bool:
+        if record.change_id in self.decided:
+            return False
+        current = self.version(record.name)
+        if record.base_version != current:
+            self._decide(record.change_id, Decision.CONFLICT)
+            return False
+        self._decide(record.change_id, Decision.IN_FORCE)
+        self._install(
+            ProfileEntry(
+                record.name, current + 1, record.spec, record.change_id
+            )
+        )
+        return True
+
+    def _merge(self, record: ProfileSnapshot) -> bool:
+        newer = [
+            entry
+            for entry in record.entries
+            if entry.version > self.version(entry.name)
+        ]
+        for entry in newer:
+            self._install(entry)
+            self._decide(entry.change_id, Decision.IN_FORCE)
+        self.snapshot_at = max(self.snapshot_at, record.written_at)
+        if not self.complete and record.as_of >= self.first_offset - 1:
+            self.complete = True
+            self._replay(record.as_of)
+        return bool(newer)
+
+    def _replay(self, as_of: int) -> None:
+        waiting = self.held_back
+        self.held_back = []
+        for held in waiting:
+            if held.offset > as_of:
+                self._change(held.record)
+
+    def _install(self, entry: ProfileEntry) -> None:
+        self.entries[entry.name] = entry
+        self.in_force.pop(entry.name, None)
+        if not entry.spec:
+            return
+        try:
+            self.in_force[entry.name] = parse_spec(entry.name, entry.spec)
+        except SettingsError:
+            return
+
+    def _decide(self, change_id: str, decision: Decision) -> None:
+        self.decided[change_id] = decision
+        while len(self.decided) > REMEMBERED_CHANGES:
+            del self.decided[next(iter(self.decided))]
--- /dev/null
+++ b/src/magnoliaflow/requests.py
@@ -0,0 +1,101 @@
+"""Rows of accepted idempotent requests and of attempts to serve them."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+from magnoliaflow.codes import Code
+from magnoliaflow.messages import Parting
+from magnoliaflow.profiles import Profile
+
+
+class Role(Enum):
+    """What this process is to a request."""
+
+    OWNER = "owner"
+    STANDBY = "standby"
+    MOVED = "moved"
+
+
+@dataclass(slots=True)
+class Request:
+    """An accepted idempotent request, or the copy of one.
+
+    ``epoch`` and ``owner`` name the branch of the answer.  Tokens up to
+    ``released`` may be read by the caller; ``acked`` are held by the
+    standby.  A service's answer is held as one token a byte.
+    """
+
+    request_id: str
+    account: str
+    profile: Profile
+    body: bytes
+    prompt: str
+    blocks: tuple[int, ...]
+    max_tokens: int
+    accepted_at: float
+    deadline_at: float
+    role: Role
+    owner: str
+    epoch: int = 0
+    lineage: tuple[Parting, ...] = ()
+    standby: str = ""
+    confirmed: bool = False
+    acked: int = 0
+    finish_acked: bool = False
+    resend_armed: bool = False
+    hold_sent_at: float = 0.0
+    tokens: list[int] = field(default_factory=list)
+    released: int = 0
+    complete: bool = False
+    code: Code = Code.ACCEPTED
+    settled_at: float = 0.0
+    attempt_id: str = ""
+    attempts_made: int = 0
+    failures: int = 0
+    maybe_run: bool = False
+    moving: bool = False
+    resume_engine: str = ""
+    resume_attempt: str = ""
+    export_from: str = ""
+    first_token_at: float = 0.0
+    last_token_at: float = 0.0
+    cancelled: bool = False
+
+    @property
+    def settled(self) -> bool:
+        """Return whether the request has ended."""
+        return self.code not in (Code.ACCEPTED, Code.PENDING)
+
+    @property
+    def branch(self) -> tuple[int, str]:
+        """Return the name of the branch, by which branches compare."""
+        return (self.epoch, self.owner)
+
+    def knows(self, epoch: int, owner: str, offset: int) -> bool:
+        """Return whether a caller's position lies on this branch."""
+        if (epoch, owner) == self.branch:
+            return offset <= len(self.tokens)
+        ends = [
+            parting.offset
+            for parting in self.lineage
+            if (parting.epoch, parting.owner) == (epoch, owner)
+        ]
+        return bool(ends) and offset <= min(ends)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One run of a request at a backend server."""
+
+    attempt_id: str
+    request_id: str
+    engine: str
+    start: int
+    started_at: float
+    heard_at: float
+    uncached_tokens: int
+    resumed: bool = False
+    ended: bool = False
+    pieces: dict[int, tuple[int, ...]] = field(default_factory=dict)
+    final_length: int = -1
--- /dev/null
+++ b/src/magnoliaflow/routing.py
@@ -0,0 +1,262 @@
+"""Choice of an engine for a request.
+
+A policy looks at a bounded number of candidates, so that a decision costs
+the same however many engines are known.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import chain
+from random import Random
+
+from xxhash import xxh64_intdigest
+
+from magnoliaflow.blocks import TOKENS_PER_BLOCK
+from magnoliaflow.engines import Engine
+from magnoliaflow.errors import SettingsError
+from magnoliaflow.prefixes import PrefixIndex
+from magnoliaflow.settings import BackendServer
+
+CANDIDATES = 16
+HOLDERS = 4
+BOUNDED_LOAD = 1.25
+SECONDS_PER_HOUR = 3600.0
+RECOMPUTE_UNIT = 1e-6
+RECLAIMS_PER_HOUR = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a request asks of an engine."""
+
+    request_id: str
+    backend: str
+    blocks: tuple[int, ...]
+    prompt_tokens: int
+    answer_tokens: int
+    first_token_s: float
+    token_gap_s: float
+    avoid: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Pick:
+    """An engine chosen, with what the policy expects of it."""
+
+    engine: str
+    wait_s: float
+    uncached_tokens: int
+    cost: float
+
+
+@dataclass(frozen=True, slots=True)
+class Weights:
+    """What a deployment holds most against a choice."""
+
+    recompute_weight: float
+    latency_weight: float
+
+
+class RoutingView:
+    """Engines and prefix knowledge of one gateway."""
+
+    __slots__ = (
+        "engines",
+        "gateways",
+        "groups",
+        "name",
+        "prefixes",
+        "rng",
+        "turn",
+        "weights",
+    )
+
+    def __init__(
+        self, *, name: str, weights: Weights, rng: Random, gateways: int = 1
+    ) -> None:
+        self.name = name
+        self.weights = weights
+        self.rng = rng
+        self.gateways = gateways
+        self.engines: dict[str, Engine] = {}
+        self.groups: dict[str, list[str]] = {}
+        self.prefixes = PrefixIndex()
+        self.turn = 0
+
+    def add(self, engine: Engine) -> None:
+        """Make an engine known."""
+        self.engines[engine.name] = engine
+        group = self.groups.setdefault(engine.cfg.backend, [])
+        if engine.name not in group:
+            group.append(engine.name)
+
+    def remove(self, name: str) -> None:
+        """Forget an engine."""
+        engine = self.engines.pop(name, None)
+        if engine is None:
+            return
+        self.groups[engine.cfg.backend].remove(name)
+        self.prefixes.forget(name)
+
+    def candidates(self, need: Need, now: float) -> list[Engine]:
+        """Return usable engines worth a look, a bounded number."""
+        group = self.groups.get(need.backend, [])
+        names: list[str] = group
+        if len(group) > CANDIDATES:
+            names = self.rng.sample(group, CANDIDATES - HOLDERS)
+        held = self.prefixes.holders(need.blocks, most=HOLDERS)
+        wanted = dict.fromkeys(chain(held, names))
+        return [
+            engine
+            for name in wanted
+            if (engine := self.engines.get(name)) is not None
+            and engine.cfg.backend == need.backend
+            and engine.usable(now)
+            and name not in need.avoid
+        ]
+
+    def uncached(self, engine: Engine, need: Need) -> int:
+        """Return the prompt tokens the engine would compute."""
+        matched = self.prefixes.matched(engine.name, need.blocks)
+        return max(1, need.prompt_tokens - int(matched * TOKENS_PER_BLOCK))
+
+    def wait_s(self, engine: Engine, uncached: int) -> float:
+        """Return the predicted time to the first token.
+
+        Own sends since the report stand for those of the other gateways
+        too, which decide on the same report.
+        """
+        unseen = engine.own_tokens_since * self.gateways
+        queued = engine.queued_tokens + unseen + uncached
+        wait = queued / engine.cfg.prefill_rate
+        over = engine.occupied() + 1 - engine.limit
+        if over > 0:
+            wait += over / engine.limit / engine.cfg.token_rate * 100
+        return wait
+
+
+Policy = Callable[[RoutingView, Need, list[Engine], float], Engine]
+POLICIES: dict[str, Policy] = {}
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Register a routing policy under the name settings use."""
+
+    def register(function: Policy) -> Policy:
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+def find_policy(name: str) -> Policy:
+    """Return a policy; raises SettingsError naming those that exist."""
+    if name not in POLICIES:
+        raise SettingsError(
+            f"limits.policy: {name!r} is unknown; "
+            f"allowed: {', '.join(sorted(POLICIES))}"
+        )
+    return POLICIES[name]
+
+
+def choose(
+    view: RoutingView, need: Need, function: Policy, now: float
+) -> Pick | None:
+    """Return the policy's choice, None when no engine is usable."""
+    engines = view.candidates(need, now)
+    if not engines:
+        return None
+    engine = function(view, need, engines, now)
+    uncached = view.uncached(engine, need)
+    return Pick(
+        engine.name,
+        view.wait_s(engine, uncached),
+        uncached,
+        work_cost(engine.cfg, uncached, need.answer_tokens),
+    )
+
+
+def work_cost(cfg: BackendServer, uncached: int, answer_tokens: int) -> float:
+    """Return the price of the engine time that a request takes."""
+    prefill_s = uncached / cfg.prefill_rate
+    decode_s = answer_tokens / cfg.token_rate / cfg.slots
+    return cfg.price / SECONDS_PER_HOUR * (prefill_s + decode_s)
+
+
+@policy("round_robin")
+def round_robin(
+    view: RoutingView, need: Need, engines: list[Engine], now: float
+) -> Engine:
+    """Return each engine in turn."""
+    view.turn += 1
+    return engines[view.turn % len(engines)]
+
+
+@policy("least_loaded")
+def least_loaded(
+    view: RoutingView, need: Need, engines: list[Engine], now: float
+) -> Engine:
+    """Return the engine with the fewest requests for its slots."""
+    return min(engines, key=lambda item: item.occupied() / item.cfg.slots)
+
+
+@policy("rendezvous")
+def rendezvous(
+    view: RoutingView, need: Need, engines: list[Engine], now: float
+) -> Engine:
+    """Return the highest hash of prefix and engine below bounded load.
+
+    Rendezvous hashing after Thaler and Ravishankar (1998), with the load
+    bound of Mirrokni, Thorup and Zadimoghaddam (2018).
+    """
+    key = need.blocks[min(3, len(need.blocks) - 1)] if need.blocks else 0
+    seed = key or xxh64_intdigest(need.request_id.encode())
+    total = sum(item.occupied() for item in engines) + 1
+    slots = sum(item.cfg.slots for item in engines)
+    ranked = sorted(
+        engines,
+        key=lambda item: xxh64_intdigest(item.name.encode(), seed=seed),
+        reverse=True,
+    )
+    for engine in ranked:
+        bound = BOUNDED_LOAD * total * engine.cfg.slots / slots
+        if engine.occupied() < bound:
+            return engine
+    return ranked[0]
+
+
+@policy("expected_cost")
+def expected_cost(
+    view: RoutingView, need: Need, engines: list[Engine], now: float
+) -> Engine:
+    """Return the engine of least expected cost that is soon enough.
+
+    Of those that meet the first-token target the cheapest counts: price,
+    plus recomputation, plus tokens at stake times the risk of a reclaim.
+    If none meets it, the soonest.
+    """
+    rows = []
+    for engine in engines:
+        uncached = view.uncached(engine, need)
+        wait = view.wait_s(engine, uncached)
+        rows.append((engine, uncached, wait))
+    soon = [row for row in rows if row[2] <= need.first_token_s]
+    if not soon:
+        return min(rows, key=lambda row: row[2])[0]
+    return min(soon, key=lambda row: _expected(view, need, *row))[0]
+
+
+def _expected(
+    view: RoutingView, need: Need, engine: Engine, uncached: int, wait: float
+) -> float:
+    """Return the expected cost of a choice."""
+    cfg = engine.cfg
+    unit = view.weights.recompute_weight * RECOMPUTE_UNIT
+    at_stake = need.prompt_tokens + need.answer_tokens
+    hours = need.answer_tokens / cfg.token_rate / SECONDS_PER_HOUR
+    risk = RECLAIMS_PER_HOUR * hours if cfg.reclaimable else 0.0
+    return (
+        work_cost(cfg, uncached, need.answer_tokens)
+        + unit * (uncached + risk * at_stake)
+        + view.weights.latency_weight * 1e-3 * wait
+    )
--- /dev/null
+++ b/src/magnoliaflow/shell.py
@@ -0,0 +1,386 @@
+"""Runs a decision core: feeds it inputs and carries out its commands."""
+
+from collections.abc import Callable
+from logging import Logger
+from time import monotonic
+from time import time
+from typing import Any
+
+from twisted.internet.defer import CancelledError
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import deferLater
+from twisted.internet.task import LoopingCall
+
+from magnoliaflow.codec import decode_record
+from magnoliaflow.codec import encode_record
+from magnoliaflow.commands import Append
+from magnoliaflow.commands import AskStatus
+from magnoliaflow.commands import CallService
+from magnoliaflow.commands import CancelAttempt
+from magnoliaflow.commands import Changed
+from magnoliaflow.commands import Exit
+from magnoliaflow.commands import ProbePeer
+from magnoliaflow.commands import ResumeAttempt
+from magnoliaflow.commands import SendAddress
+from magnoliaflow.commands import SendPeer
+from magnoliaflow.commands import StartAttempt
+from magnoliaflow.commands import WriteLog
+from magnoliaflow.errors import MagnoliaflowError
+from magnoliaflow.errors import NotStartedError
+from magnoliaflow.errors import RecordError
+from magnoliaflow.errors import TrimmedError
+from magnoliaflow.eventlog import log_event
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.inputs import AppendEnded
+from magnoliaflow.inputs import AttemptEnded
+from magnoliaflow.inputs import CacheEventsArrived
+from magnoliaflow.inputs import Ending
+from magnoliaflow.inputs import EngineSilent
+from magnoliaflow.inputs import Input
+from magnoliaflow.inputs import PeerProbed
+from magnoliaflow.inputs import PieceArrived
+from magnoliaflow.inputs import ReadFailed
+from magnoliaflow.inputs import ReadRecord
+from magnoliaflow.inputs import RecordsRead
+from magnoliaflow.inputs import ReportArrived
+from magnoliaflow.inputs import ServiceAnswered
+from magnoliaflow.inputs import StatusAnswered
+from magnoliaflow.inputs import StreamTrimmed
+from magnoliaflow.loop import reactor
+from magnoliaflow.membership import make_heartbeat
+from magnoliaflow.messages import NewsRecord
+from magnoliaflow.peers import PeerLinks
+from magnoliaflow.ports import open_port
+from magnoliaflow.ports import TokenPiece
+from magnoliaflow.settings import Settings
+from magnoliaflow.systems import Core
+
+READ_RETRY_S = 0.25
+SILENT_POLLS = 3
+Executor = Callable[["Shell", Any], Any]
+EXECUTORS: dict[type, Executor] = {}
+
+
+def executes(kind: type) -> Callable[[Executor], Executor]:
+    """Register the executor of a command type."""
+
+    def register(function: Executor) -> Executor:
+        EXECUTORS[kind] = function
+        return function
+
+    return register
+
+
+class Shell:
+    """The I/O around one core."""
+
+    __slots__ = (
+        "core",
+        "on_changed",
+        "on_exit",
+        "links",
+        "log_port",
+        "logger",
+        "running",
+        "servers",
+        "streams",
+        "tick_due",
+        "ticker",
+    )
+
+    def __init__(self, core: Core, cfg: Settings, logger: Logger) -> None:
+        self.core = core
+        self.logger = logger
+        self.on_changed: Callable[[str], None] = lambda request_id: None
+        self.on_exit: Callable[[], None] = lambda: None
+        self.links = PeerLinks(core.state.identity)
+        name = cfg.platform.adapter
+        self.log_port = open_port(name, "log", cfg.platform.log)
+        ports = {"model": "model_engine", "service": "service"}
+        self.servers = {
+            server.name: open_port(name, ports[server.kind], server.address)
+            for server in cfg.backend_servers
+        }
+        self.streams: dict[str, Any] = {}
+        self.running = True
+        self.tick_due = False
+        self.ticker = LoopingCall(self.tick)
+
+    def start(self) -> None:
+        """Begin to tick, to read the log and to poll the engines."""
+        timings = self.core.state.cfg.timings
+        self.ticker.start(timings.tick_s, now=True)
+        for stream in self.core.state.cursors:
+            self._read_on(stream)
+        for engine in self.core.state.view.engines.values():
+            if engine.cfg.kind == "model":
+                self._poll(engine.name, 0)
+
+    def stop(self) -> None:
+        """Stop ticking; what is in flight is abandoned."""
+        self.running = False
+        if self.ticker.running:
+            self.ticker.stop()
+
+    def feed(self, item: Input) -> None:
+        """Give the core an input and wake a tick at once."""
+        self.core.receive(item, now=monotonic(), wall=time())
+        if not self.tick_due:
+            self.tick_due = True
+            reactor.callLater(0, self.tick)
+
+    def tick(self) -> None:
+        """Run the core's systems and carry out its commands."""
+        self.tick_due = False
+        if not self.running:
+            return
+        try:
+            commands = self.core.tick(now=monotonic(), wall=time())
+        except Exception:
+            self.logger.exception("tick failed")
+            log_event(self.logger, LogEvent.SYSTEM_FAILED)
+            return
+        for command in commands:
+            EXECUTORS[type(command)](self, command)
+
+    @inlineCallbacks
+    def _read_on(self, stream: str) -> Any:
+        """Follow one stream of the log until the shell stops."""
+        while self.running:
+            cursor = self.core.state.cursors[stream]
+            first = cursor.next_offset
+            try:
+                page = yield self.log_port.read(stream, first)
+            except TrimmedError as exc:
+                self.feed(StreamTrimmed(stream, exc.first_offset))
+                self.tick()
+            except MagnoliaflowError:
+                self.feed(ReadFailed(stream))
+                yield sleep(READ_RETRY_S)
+            else:
+                records = tuple(_decode(item) for item in page.records)
+                self.feed(RecordsRead(stream, records, page.end))
+                self.tick()
+
+    @inlineCallbacks
+    def _poll(self, name: str, failures: int) -> Any:
+        """Follow one engine's load reports and cache events."""
+        state = self.core.state
+        server = self.servers[name]
+        while self.running:
+            yield sleep(state.cfg.timings.report_s)
+            try:
+                report = yield server.report()
+                after = state.view.prefixes.last_event(name)
+                events = yield server.cache_events(after)
+            except MagnoliaflowError:
+                failures += 1
+                if failures >= SILENT_POLLS:
+                    self.feed(EngineSilent(name))
+                continue
+            failures = 0
+            self.feed(ReportArrived(report))
+            if events:
+                self.feed(CacheEventsArrived(name, events))
+
+
+def sleep(delay_s: float) -> Any:
+    """Return a Deferred that fires after a delay."""
+    return deferLater(reactor, delay_s)
+
+
+def _decode(item: NewsRecord) -> ReadRecord:
+    try:
+        return ReadRecord(item.offset, decode_record(item.data))
+    except RecordError:
+        return ReadRecord(item.offset, None)
+
+
+@executes(Append)
+@inlineCallbacks
+def run_append(shell: Shell, command: Append) -> Any:
+    """Append records in one call."""
+    datas = tuple(encode_record(record) for record in command.records)
+    succeeded = True
+    try:
+        yield shell.log_port.append(command.stream, datas)
+    except MagnoliaflowError:
+        succeeded = False
+    record_ids = tuple(record.record_id for record in command.records)
+    shell.feed(AppendEnded(command.stream, record_ids, succeeded))
+
+
+@executes(StartAttempt)
+def run_attempt(shell: Shell, command: StartAttempt) -> None:
+    """Send a request to a model engine or an idempotent service call."""
+    server = shell.servers[command.server]
+    attempt_id = command.call.attempt_id
+    cfg = shell.core.state.view.engines[command.server].cfg
+    if cfg.kind == "service":
+        _run_service_attempt(shell, command)
+        return
+    stream = server.generate(command.call, _piece_sink(shell, attempt_id))
+    _watch(shell, attempt_id, stream)
+
+
+@inlineCallbacks
+def _run_service_attempt(shell: Shell, command: StartAttempt) -> Any:
+    """Make an idempotent call; its answer comes as one piece."""
+    server = shell.servers[command.server]
+    attempt_id = command.call.attempt_id
+    state = shell.core.state
+    req = state.requests.get(command.call.request_id)
+    operation = "" if req is None else req.profile.name
+    try:
+        reply = yield server.call_once(
+            operation, command.call.request_id, command.body
+        )
+    except MagnoliaflowError as exc:
+        shell.feed(_ended(attempt_id, exc))
+        return
+    if not reply.succeeded:
+        shell.feed(AttemptEnded(attempt_id, Ending.FAILED, "service"))
+        return
+    shell.feed(PieceArrived(attempt_id, 0, tuple(reply.body), True))
+
+
+def _piece_sink(shell: Shell, attempt_id: str) -> Callable[[TokenPiece], None]:
+    def on_piece(piece: TokenPiece) -> None:
+        shell.feed(
+            PieceArrived(attempt_id, piece.offset, piece.tokens, piece.done)
+        )
+
+    return on_piece
+
+
+def _watch(shell: Shell, attempt_id: str, stream: Any) -> None:
+    """Tell the core when a stream ends; a newer stream replaces it."""
+    before = shell.streams.get(attempt_id)
+    shell.streams[attempt_id] = stream
+    if before is not None:
+        before.cancel()
+
+    def done(result: Any) -> None:
+        if shell.streams.get(attempt_id) is not stream:
+            return
+        del shell.streams[attempt_id]
+        if result is None:
+            shell.feed(AttemptEnded(attempt_id, Ending.LOST, "stream ended"))
+            return
+        shell.feed(_ended(attempt_id, result.value))
+
+    stream.addBoth(done)
+
+
+def _ended(attempt_id: str, exc: BaseException) -> AttemptEnded:
+    if isinstance(exc, NotStartedError):
+        return AttemptEnded(attempt_id, Ending.NOT_STARTED, str(exc))
+    if isinstance(exc, (MagnoliaflowError, CancelledError)):
+        return AttemptEnded(attempt_id, Ending.LOST, str(exc))
+    return AttemptEnded(attempt_id, Ending.FAILED, repr(exc))
+
+
+@executes(ResumeAttempt)
+def run_resume(shell: Shell, command: ResumeAttempt) -> None:
+    """Read a running attempt on over a new connection."""
+    attempt_id = command.call.attempt_id
+    server = shell.servers[command.server]
+    stream = server.resume(command.call, _piece_sink(shell, attempt_id))
+    _watch(shell, attempt_id, stream)
+
+
+@executes(CancelAttempt)
+def run_cancel(shell: Shell, command: CancelAttempt) -> None:
+    """Stop an attempt at its engine and drop its stream."""
+    stream = shell.streams.pop(command.attempt_id, None)
+    if stream is not None:
+        stream.cancel()
+    server = shell.servers[command.server]
+    if hasattr(server, "cancel"):
+        server.cancel(command.attempt_id).addErrback(lambda failure: None)
+
+
+@executes(CallService)
+@inlineCallbacks
+def run_call(shell: Shell, command: CallService) -> Any:
+    """Send the work of a claim, once."""
+    server = shell.servers[command.server]
+    body = b""
+    try:
+        reply = yield server.call_once(
+            command.profile, command.key, command.body
+        )
+    except NotStartedError:
+        ending = Ending.NOT_STARTED
+    except MagnoliaflowError:
+        ending = Ending.LOST
+    else:
+        ending = Ending.DONE if reply.succeeded else Ending.FAILED
+        body = reply.body
+    shell.feed(
+        ServiceAnswered(
+            command.key, command.submission, command.epoch, ending, body
+        )
+    )
+
+
+@executes(AskStatus)
+@inlineCallbacks
+def run_status(shell: Shell, command: AskStatus) -> Any:
+    """Ask a service what became of a claim."""
+    reply = None
+    try:
+        reply = yield shell.servers[command.server].status(command.key)
+    except MagnoliaflowError:
+        pass
+    shell.feed(
+        StatusAnswered(
+            command.key,
+            command.submission,
+            command.epoch,
+            known=reply is not None,
+            succeeded=reply is not None and reply.succeeded,
+            body=b"" if reply is None else reply.body,
+        )
+    )
+
+
+@executes(SendPeer)
+def run_send(shell: Shell, command: SendPeer) -> None:
+    """Send a message to a peer."""
+    peer = shell.core.state.peers.get(command.identity)
+    if peer is not None:
+        shell.links.send(peer.peer_address, command.message)
+
+
+@executes(SendAddress)
+def run_send_address(shell: Shell, command: SendAddress) -> None:
+    """Send a message to an address."""
+    shell.links.send(command.address, command.message)
+
+
+@executes(ProbePeer)
+@inlineCallbacks
+def run_probe(shell: Shell, command: ProbePeer) -> Any:
+    """Try a silent peer over a new connection."""
+    heartbeat = make_heartbeat(shell.core.state)
+    alive = yield shell.links.probe(command.address, heartbeat)
+    shell.feed(PeerProbed(command.identity, alive))
+
+
+@executes(Changed)
+def run_changed(shell: Shell, command: Changed) -> None:
+    """Wake those who wait for a request."""
+    shell.on_changed(command.request_id)
+
+
+@executes(WriteLog)
+def run_log(shell: Shell, command: WriteLog) -> None:
+    """Write a numbered log event."""
+    log_event(shell.logger, command.event, **command.details)
+
+
+@executes(Exit)
+def run_exit(shell: Shell, command: Exit) -> None:
+    """End the process once queued messages had time to leave."""
+    shell.on_exit()
--- /dev/null
+++ b/src/magnoliaflow/state.py
@@ -0,0 +1,292 @@
+"""State of one gateway: its tables and the commands it has to give."""
+
+from collections.abc import Hashable
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from heapq import heappop
+from heapq import heappush
+from math import inf
+from random import Random
+from typing import Any
+
+from magnoliaflow.budget import RetryBudget
+from magnoliaflow.claims import ClaimBook
+from magnoliaflow.codes import Code
+from magnoliaflow.commands import Changed
+from magnoliaflow.commands import Command
+from magnoliaflow.commands import SendPeer
+from magnoliaflow.commands import WriteLog
+from magnoliaflow.engines import new_engine
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.fairness import FairQueue
+from magnoliaflow.lifecycle import LifeCycle
+from magnoliaflow.lifecycle import new_life_cycle
+from magnoliaflow.lifecycle import Phase
+from magnoliaflow.messages import Message
+from magnoliaflow.metrics import Metrics
+from magnoliaflow.profiles import ProfileBook
+from magnoliaflow.records import Record
+from magnoliaflow.requests import Attempt
+from magnoliaflow.requests import Request
+from magnoliaflow.routing import find_policy
+from magnoliaflow.routing import RoutingView
+from magnoliaflow.routing import Weights
+from magnoliaflow.settings import EntryHost
+from magnoliaflow.settings import Settings
+from magnoliaflow.tables import Table
+
+PROFILE_STREAM = "profiles"
+CLAIM_STREAM = "claims-0"
+STREAMS = (PROFILE_STREAM, CLAIM_STREAM)
+TRAILS_KEPT = 4096
+TRAIL_LENGTH = 40
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another gateway process, as its heartbeats show it."""
+
+    identity: str
+    host: str
+    zone: str
+    caller_address: str
+    peer_address: str
+    heard_at: float
+    phase: Phase = Phase.SERVING
+    probing: bool = False
+    in_flight: int = 0
+    applied: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class PendingAppend:
+    """A record that was not read back yet."""
+
+    stream: str
+    record: Record
+    in_call: bool = False
+    retry_at: float = 0.0
+    tried: bool = False
+
+
+@dataclass(slots=True)
+class StreamCursor:
+    """How far a stream was read, and whether it can be."""
+
+    stream: str
+    next_offset: int = 0
+    read_at: float = -inf
+    failing_since: float = inf
+    behind_since: float = inf
+    news_asked_at: float = -inf
+
+
+@dataclass(slots=True)
+class ClaimJob:
+    """A submission that this process appended.
+
+    ``code`` is 0 until the submission ended without an outcome.
+    """
+
+    key: str
+    submission: str
+    account: str
+    profile: str
+    body: bytes
+    started_at: float
+    refuse_id: str = ""
+    code: int = 0
+    settled_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Timer:
+    """A due time for a subject; ``number`` breaks ties in order."""
+
+    at: float
+    number: int
+    kind: str = field(compare=False)
+    subject: Hashable = field(compare=False)
+
+
+@dataclass(frozen=True, slots=True)
+class TrailEntry:
+    """One step in what happened to a request."""
+
+    at: float
+    what: str
+    details: dict[str, Any]
+
+
+class GatewayState:
+    """All that one gateway process knows; systems run over it."""
+
+    __slots__ = (
+        "attempts",
+        "budget",
+        "cfg",
+        "cursors",
+        "drain_deadline",
+        "exited",
+        "claim_jobs",
+        "claim_wait",
+        "claims",
+        "heartbeat_at",
+        "host",
+        "identity",
+        "last_tick_at",
+        "life",
+        "marked_at",
+        "log_up",
+        "metrics",
+        "noticed",
+        "now",
+        "out",
+        "peers",
+        "pending",
+        "policy",
+        "profiles",
+        "queues",
+        "reclaimed",
+        "refusals",
+        "requests",
+        "rng",
+        "sent_claims",
+        "serial",
+        "snapshot_at",
+        "started_at",
+        "timers",
+        "trails",
+        "view",
+        "wall",
+    )
+
+    def __init__(
+        self,
+        *,
+        cfg: Settings,
+        host: EntryHost,
+        identity: str,
+        rng: Random,
+        now: float,
+        wall: float,
+    ) -> None:
+        self.cfg = cfg
+        self.host = host
+        self.identity = identity
+        self.rng = rng
+        self.now = now
+        self.wall = wall
+        self.started_at = now
+        self.last_tick_at = now
+        self.out: list[Command] = []
+        self.life: LifeCycle = new_life_cycle()
+        self.metrics = Metrics()
+        self.requests: Table[str, Request] = Table()
+        self.requests.add_index("owner", lambda row: row.owner)
+        self.requests.add_index("standby", lambda row: row.standby or None)
+        self.requests.add_index("role", lambda row: (row.role, row.settled))
+        self.requests.add_index(
+            "account",
+            lambda row: (
+                None if row.settled else (row.account, row.role.value)
+            ),
+        )
+        self.attempts: Table[str, Attempt] = Table()
+        self.attempts.add_index("engine", lambda row: row.engine)
+        self.peers: Table[str, Peer] = Table()
+        self.peers.add_index("host", lambda row: row.host)
+        self.pending: Table[str, PendingAppend] = Table()
+        self.claim_jobs: Table[str, ClaimJob] = Table()
+        self.claims = ClaimBook(window_s=cfg.timings.key_window_s)
+        self.claim_wait: dict[str, str] = {}
+        self.marked_at = wall
+        self.snapshot_at = wall
+        self.sent_claims: set[str] = set()
+        self.profiles = ProfileBook()
+        self.cursors = {stream: StreamCursor(stream) for stream in STREAMS}
+        self.log_up = False
+        self.queues: dict[str, FairQueue] = {}
+        self.timers: list[Timer] = []
+        self.serial = 0
+        self.noticed: dict[str, float] = {}
+        self.trails: OrderedDict[str, list[TrailEntry]] = OrderedDict()
+        self.budget = RetryBudget(
+            ratio=cfg.limits.retry_ratio, burst=cfg.limits.retry_burst
+        )
+        self.policy = find_policy(cfg.limits.policy)
+        self.view = RoutingView(
+            name=identity,
+            weights=Weights(
+                cfg.limits.recompute_weight, cfg.limits.latency_weight
+            ),
+            rng=rng,
+            gateways=len(cfg.entry_hosts),
+        )
+        for server in cfg.backend_servers:
+            self.view.add(new_engine(server))
+        self.heartbeat_at = -inf
+        self.drain_deadline = inf
+        self.reclaimed = False
+        self.exited = False
+        self.refusals: dict[str, Code] = {}
+
+    @property
+    def phase(self) -> Phase:
+        """Return the phase of the process."""
+        return self.life.phase()
+
+    def next_id(self, kind: str) -> str:
+        """Return an identifier that no other process run can make."""
+        self.serial += 1
+        return f"{kind}-{self.identity}-{self.serial}"
+
+    def emit(self, command: Command) -> None:
+        """Add a command for the shell."""
+        self.out.append(command)
+
+    def send(self, identity: str, message: Message) -> None:
+        """Send a message to a peer, if it is known."""
+        if identity in self.peers:
+            self.out.append(SendPeer(identity, message))
+
+    def changed(self, request_id: str) -> None:
+        """Tell those who wait for a request that there is news."""
+        self.out.append(Changed(request_id))
+
+    def log(self, event: LogEvent, **details: Any) -> None:
+        """Write a numbered log event."""
+        self.out.append(WriteLog(event, details))
+
+    def trail(self, request_id: str, what: str, **details: Any) -> None:
+        """Remember a step, for ``explain``."""
+        steps = self.trails.setdefault(request_id, [])
+        if len(steps) < TRAIL_LENGTH:
+            steps.append(TrailEntry(self.wall, what, details))
+        while len(self.trails) > TRAILS_KEPT:
+            self.trails.popitem(last=False)
+
+    def set_timer(self, delay_s: float, kind: str, subject: Hashable) -> None:
+        """Run the timer handler of a kind after a delay."""
+        self.serial += 1
+        heappush(
+            self.timers, Timer(self.now + delay_s, self.serial, kind, subject)
+        )
+
+    def due_timers(self) -> list[Timer]:
+        """Remove and return the timers that are due, in order."""
+        due = []
+        while self.timers and self.timers[0].at <= self.now:
+            due.append(heappop(self.timers))
+        return due
+
+    def queue(self, backend: str) -> FairQueue:
+        """Return the queue of requests that wait for a backend."""
+        if backend not in self.queues:
+            weights = {
+                account.name: account.weight
+                for account in self.cfg.client_accounts
+            }
+            self.queues[backend] = FairQueue(weights)
+        return self.queues[backend]
--- /dev/null
+++ b/src/magnoliaflow/submission.py
@@ -0,0 +1,98 @@
+"""What a gateway does with a new request or a cancellation."""
+
+from magnoliaflow.admission import deadline_refusal
+from magnoliaflow.admission import outlook
+from magnoliaflow.admission import refusal
+from magnoliaflow.attempts import enqueue
+from magnoliaflow.attempts import need_of
+from magnoliaflow.attempts import stop_attempt
+from magnoliaflow.blocks import prefix_blocks
+from magnoliaflow.claimwork import cancel_claim
+from magnoliaflow.claimwork import submit_claim
+from magnoliaflow.codes import Code
+from magnoliaflow.custody import place_copy
+from magnoliaflow.custody import settle
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.inputs import CancelAsked
+from magnoliaflow.inputs import Submitted
+from magnoliaflow.requests import Request
+from magnoliaflow.requests import Role
+from magnoliaflow.state import GatewayState
+from magnoliaflow.systems import handles
+
+
+@handles(Submitted)
+def submit(state: GatewayState, item: Submitted) -> None:
+    """Admit a request into custody or onto the log, or refuse it."""
+    code = refusal(state, item.profile, item.account, len(item.body))
+    if code is not None:
+        refuse(state, item, code)
+        return
+    profile = state.profiles.in_force[item.profile]
+    if not profile.idempotent:
+        code = submit_claim(state, item, profile)
+        if code is not None:
+            refuse(state, item, code)
+        return
+    req = make_request(state, item)
+    need = need_of(req)
+    backlog = state.queue(profile.backend)
+    queued = len(backlog) * need.answer_tokens
+    code = deadline_refusal(
+        profile, outlook(state.view, need, queued, state.now)
+    )
+    if code is not None:
+        refuse(state, item, code)
+        return
+    state.requests.put(req.request_id, req)
+    state.budget.earn()
+    place_copy(state, req)
+    enqueue(state, req)
+
+
+def make_request(state: GatewayState, item: Submitted) -> Request:
+    """Return the row of a request that this process is to own."""
+    profile = state.profiles.in_force[item.profile]
+    return Request(
+        request_id=item.request_id,
+        account=item.account,
+        profile=profile,
+        body=item.body,
+        prompt=item.prompt,
+        blocks=prefix_blocks(item.prompt),
+        max_tokens=min(
+            item.max_tokens or profile.max_tokens, profile.max_tokens
+        ),
+        accepted_at=state.now,
+        deadline_at=state.now + profile.deadline_s,
+        role=Role.OWNER,
+        owner=state.identity,
+    )
+
+
+def refuse(state: GatewayState, item: Submitted, code: Code) -> None:
+    """Refuse a request that was never accepted: it was not run."""
+    state.metrics.refusals.labels(code.name).inc()
+    state.log(
+        LogEvent.REQUEST_REFUSED, request=item.request_id, code=int(code)
+    )
+    state.trail(item.request_id, "refused", code=code.name)
+    state.refusals[item.request_id] = code
+
+
+@handles(CancelAsked)
+def cancel(state: GatewayState, item: CancelAsked) -> None:
+    """Stop a request; says not run only when nothing was started."""
+    req = state.requests.get(item.request_id)
+    if req is None:
+        cancel_claim(state, item.request_id)
+        return
+    if req.role is not Role.OWNER or req.settled:
+        return
+    req.cancelled = True
+    stop_attempt(state, req)
+    settle(
+        state,
+        req,
+        Code.CANCELLED if req.maybe_run else Code.CANCELLED_NOT_RUN,
+    )
--- /dev/null
+++ b/src/magnoliaflow/tables.py
@@ -0,0 +1,100 @@
+"""Tables of entities with indexes and dirty sets."""
+
+from collections.abc import Callable
+from collections.abc import Hashable
+from collections.abc import Iterator
+from typing import Generic
+from typing import TypeVar
+
+K = TypeVar("K", bound=Hashable)
+R = TypeVar("R")
+
+
+class Table(Generic[K, R]):
+    """Rows by key; work on it costs what changed, not what exists.
+
+    A row whose indexed values change must be passed to ``touch``.
+
+    >>> table = Table()
+    >>> table.add_index("length", len)
+    >>> table.put("a", "one")
+    >>> table.put("b", "three")
+    >>> table.find("length", 3)
+    ['a']
+    >>> sorted(table.take_dirty())
+    ['a', 'b']
+    """
+
+    __slots__ = ("_dirty", "_functions", "_indexes", "_places", "rows")
+
+    def __init__(self) -> None:
+        self.rows: dict[K, R] = {}
+        self._dirty: dict[K, None] = {}
+        self._functions: dict[str, Callable[[R], Hashable]] = {}
+        self._indexes: dict[str, dict[Hashable, dict[K, None]]] = {}
+        self._places: dict[K, list[Hashable]] = {}
+
+    def add_index(self, name: str, function: Callable[[R], Hashable]) -> None:
+        """Index the rows by a value of theirs; None is left out."""
+        self._functions[name] = function
+        self._indexes[name] = {}
+
+    def put(self, key: K, row: R) -> None:
+        """Insert or replace a row and mark it dirty."""
+        self.rows[key] = row
+        self.touch(key)
+
+    def touch(self, key: K) -> None:
+        """Mark a row dirty and bring its indexes up to date."""
+        self._dirty[key] = None
+        if not self._functions:
+            return
+        row = self.rows[key]
+        values = [function(row) for function in self._functions.values()]
+        self._unplace(key)
+        self._places[key] = values
+        for name, value in zip(self._functions, values):
+            if value is not None:
+                self._indexes[name].setdefault(value, {})[key] = None
+
+    def drop(self, key: K) -> R | None:
+        """Remove a row and return it, None if there was none."""
+        self._unplace(key)
+        self._dirty.pop(key, None)
+        return self.rows.pop(key, None)
+
+    def get(self, key: K) -> R | None:
+        """Return a row, None if there is none."""
+        return self.rows.get(key)
+
+    def find(self, name: str, value: Hashable) -> list[K]:
+        """Return the keys of the rows whose indexed value this is."""
+        return list(self._indexes[name].get(value, ()))
+
+    def count(self, name: str, value: Hashable) -> int:
+        """Return the number of rows whose indexed value this is."""
+        return len(self._indexes[name].get(value, ()))
+
+    def take_dirty(self) -> list[K]:
+        """Return the keys touched since the last call, and clear them."""
+        keys = list(self._dirty)
+        self._dirty.clear()
+        return keys
+
+    def __iter__(self) -> Iterator[R]:
+        return iter(self.rows.values())
+
+    def __len__(self) -> int:
+        return len(self.rows)
+
+    def __contains__(self, key: K) -> bool:
+        return key in self.rows
+
+    def _unplace(self, key: K) -> None:
+        for name, value in zip(self._indexes, self._places.pop(key, ())):
+            keys = self._indexes[name].get(value)
+            if keys is None:
+                continue
+            keys.pop(key, None)
+            if not keys:
+                del self._indexes[name][value]
--- /dev/null
+++ b/src/magnoliaflow/views.py
@@ -0,0 +1,143 @@
+"""What callers and operators are shown, as plain JSON values."""
+
+from dataclasses import asdict
+from json import loads
+from typing import Any
+
+from magnoliaflow.claims import ClaimState
+from magnoliaflow.claimwork import claim_code
+from magnoliaflow.claimwork import CLAIM_PREFIX
+from magnoliaflow.codes import Code
+from magnoliaflow.membership import caller_addresses
+from magnoliaflow.profiles import Target
+from magnoliaflow.requests import Request
+from magnoliaflow.requests import Role
+from magnoliaflow.state import GatewayState
+
+RETRY_AFTER_S = {
+    Code.ACCOUNT_OVER_SHARE: 2.0,
+    Code.DEADLINE_UNREACHABLE: 2.0,
+    Code.RETRY_BUDGET_SPENT: 1.0,
+    Code.LOG_DOWN: 5.0,
+    Code.NO_BACKEND: 2.0,
+    Code.PROFILES_STALE: 2.0,
+    Code.PENDING: 1.0,
+    Code.DRAINING: 0.0,
+}
+HELPFUL_ADDRESSES = (
+    Code.DRAINING,
+    Code.PROFILES_STALE,
+    Code.LOG_DOWN,
+    Code.NOT_FOUND,
+)
+
+
+def code_view(
+    state: GatewayState, code: Code, request_id: str = ""
+) -> dict[str, Any]:
+    """Return what a caller is told about a result code."""
+    view: dict[str, Any] = {
+        "code": int(code),
+        "name": code.name,
+        "run": code.run.value,
+        "meaning": code.meaning,
+    }
+    if request_id:
+        view["request_id"] = request_id
+    if code in RETRY_AFTER_S:
+        view["retry_after_s"] = RETRY_AFTER_S[code]
+    if code in HELPFUL_ADDRESSES:
+        view["addresses"] = caller_addresses(state)
+    return view
+
+
+def request_code(req: Request) -> Code:
+    """Return the code that a caller may be told now."""
+    if req.settled:
+        return req.code
+    return Code.ACCEPTED if req.confirmed else Code.PENDING
+
+
+def request_view(state: GatewayState, req: Request) -> dict[str, Any]:
+    """Return the state of an idempotent request and its answer."""
+    code = request_code(req)
+    view = code_view(state, code, req.request_id)
+    released = req.tokens[: req.released] if not req.settled else req.tokens
+    if req.profile.target is Target.MODEL:
+        view["tokens"] = list(released)
+    elif code is Code.DONE:
+        view["result"] = loads(bytes(req.tokens))
+    view["branch"] = f"{req.epoch}.{req.owner}"
+    return view
+
+
+def claim_view(state: GatewayState, key: str) -> dict[str, Any]:
+    """Return the state of a non-idempotent request and its result."""
+    code = claim_code(state, key) or Code.NOT_FOUND
+    view = code_view(state, code, CLAIM_PREFIX + key.partition("/")[2])
+    claim = state.claims.claims.get(key)
+    if claim is not None and claim.state is ClaimState.CLOSED:
+        if claim.result:
+            view["result"] = loads(claim.result)
+    return view
+
+
+def status_view(state: GatewayState) -> dict[str, Any]:
+    """Return what an operator sees of this gateway."""
+    return {
+        "identity": state.identity,
+        "host": state.host.name,
+        "zone": state.host.zone,
+        "phase": state.phase.name,
+        "log_up": state.log_up,
+        "applied": {
+            name: cursor.next_offset - 1
+            for name, cursor in state.cursors.items()
+        },
+        "profiles_complete": state.profiles.complete,
+        "profiles": {
+            name: entry.version
+            for name, entry in sorted(state.profiles.entries.items())
+        },
+        "owned": state.requests.count("role", (Role.OWNER, False)),
+        "held": state.requests.count("role", (Role.STANDBY, False)),
+        "unsettled_claims": sum(1 for _ in state.claims.unsettled()),
+        "pending_appends": len(state.pending),
+        "peers": [
+            {
+                "identity": peer.identity,
+                "zone": peer.zone,
+                "phase": peer.phase.name,
+                "silent_s": round(state.now - peer.heard_at, 3),
+                "applied": peer.applied,
+            }
+            for peer in state.peers
+        ],
+        "backend_servers": [
+            {
+                "name": engine.name,
+                "host": engine.cfg.host,
+                "zone": engine.cfg.zone,
+                "usable": engine.usable(state.now),
+                "occupied": engine.occupied(),
+                "limit": round(engine.limit, 2),
+            }
+            for engine in state.view.engines.values()
+        ],
+        "noticed_hosts": sorted(state.noticed),
+    }
+
+
+def explain_view(state: GatewayState, request_id: str) -> dict[str, Any]:
+    """Return the steps this gateway remembers of a request."""
+    steps = state.trails.get(request_id, [])
+    return {
+        "request_id": request_id,
+        "identity": state.identity,
+        "steps": [asdict(step) for step in steps],
+    }
+
+
+def is_serving(req: Request) -> bool:
+    """Return whether this process answers for a request."""
+    return req.role is Role.OWNER
--- /dev/null
+++ b/src/magnoliaflow/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/src/magnoliaflow_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small processes that take the platform's and the back ends' place."""
--- /dev/null
+++ b/src/magnoliaflow_standins/fleet.py
@@ -0,0 +1,275 @@
+"""Runs a whole deployment on loopback, each process real and separate."""
+
+from json import dumps
+from json import loads
+from os import environ
+from pathlib import Path
+from signal import SIGKILL
+from signal import SIGTERM
+from socket import socket
+from subprocess import PIPE
+from subprocess import Popen
+from subprocess import run
+from sys import executable
+from threading import Thread
+from time import monotonic
+from time import sleep
+from typing import Any
+from urllib.request import Request
+from urllib.request import urlopen
+
+from twisted.internet.threads import blockingCallFromThread
+from yaml import safe_dump
+from yaml import safe_load
+
+from magnoliaflow.client import Client
+from magnoliaflow.loop import reactor
+from magnoliaflow.settings import load_settings
+from magnoliaflow.settings import Settings
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 40.0
+CALL_LIMIT_S = 120.0
+STANDIN = "magnoliaflow_standins."
+
+
+def free_port(address: str) -> int:
+    """Return a port that the kernel says is free at an address."""
+    with socket() as probe:
+        probe.bind((address, 0))
+        return int(probe.getsockname()[1])
+
+
+def move_ports(values: dict[str, Any], *, engines: int, services: int) -> None:
+    """Give every process of an example a free port, and trim it."""
+    for role in ("log", "host_list", "cloud", "weight_store"):
+        address = values["platform"][role].partition(":")[0]
+        values["platform"][role] = f"{address}:{free_port(address)}"
+    for host in values["entry_hosts"]:
+        for name in tuple(host):
+            if name.endswith("_port"):
+                host[name] = free_port(host["address"])
+    servers = values["backend_servers"]
+    models = [item for item in servers if item["kind"] == "model"][:engines]
+    plain = [item for item in servers if item["kind"] == "service"]
+    values["backend_servers"] = models + plain[:services]
+    for server in values["backend_servers"]:
+        address = server["address"].partition(":")[0]
+        server["address"] = f"{address}:{free_port(address)}"
+
+
+def write_settings(
+    example: Path,
+    folder: Path,
+    *,
+    engines: int,
+    services: int,
+    timings: dict[str, float] | None = None,
+) -> Path:
+    """Write an example's settings with free ports and own tokens."""
+    values = safe_load(example.read_text())
+    move_ports(values, engines=engines, services=services)
+    values["timings"] = {**values.get("timings", {}), **(timings or {})}
+    tokens = folder / "tokens"
+    tokens.mkdir(parents=True, exist_ok=True)
+    names = [item["name"] for item in values["client_accounts"]]
+    for name in [*names, "operator"]:
+        (tokens / name).write_text(f"token-of-{name}\n")
+    path = folder / example.name
+    path.write_text(safe_dump(values, sort_keys=False))
+    return path
+
+
+class LocalFleet:
+    """The processes of one deployment."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.cfg: Settings = load_settings(path)
+        self.processes: dict[str, Popen[bytes]] = {}
+        self.folder = path.parent
+
+    def start(self) -> None:
+        """Start stand-ins first, then every daemon."""
+        self.start_platform()
+        for server in self.cfg.backend_servers:
+            self.start_server(server.name)
+        self.wait_for_ports()
+        for host in self.cfg.entry_hosts:
+            self.start_daemon("gateway", host.name)
+            self.start_daemon("controller", host.name)
+        self.wait_for_gateways()
+
+    def start_platform(self) -> None:
+        """Start the log, the host list, the cloud and the weight store."""
+        platform = self.cfg.platform
+        self.spawn("log", STANDIN + "log", "--listen", platform.log)
+        for role in ("host_list", "cloud", "weight_store"):
+            self.spawn(
+                role,
+                STANDIN + "platform",
+                *("--listen", getattr(platform, role), "--role", role),
+            )
+
+    def start_server(self, name: str) -> None:
+        """Start one backend server's stand-in."""
+        server = next(
+            item for item in self.cfg.backend_servers if item.name == name
+        )
+        args = ["--listen", server.address, "--name", name]
+        if server.kind == "service":
+            self.spawn(name, STANDIN + "service", *args)
+            return
+        args += ["--prefill-rate", str(server.prefill_rate)]
+        args += ["--token-rate", str(server.token_rate)]
+        args += ["--slots", str(server.slots)]
+        self.spawn(name, STANDIN + "engine", *args)
+
+    def start_daemon(self, kind: str, host: str) -> None:
+        """Start a gateway or a controller."""
+        settings = ("--settings", str(self.path))
+        self.spawn(
+            f"{kind}-{host}",
+            *("magnoliaflow", *settings, kind, "--host", host),
+        )
+
+    def spawn(self, name: str, module: str, *args: str) -> None:
+        """Start one process; its output goes to a file."""
+        with open(self.folder / f"{name}.out", "ab") as output:
+            self.processes[name] = Popen(
+                [executable, "-m", module, *args],
+                stdout=output,
+                stderr=output,
+                env={**environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to one of our processes."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.signal(name, SIGKILL)
+        self.processes.pop(name).wait()
+
+    def stop(self, name: str) -> int:
+        """Stop a process gracefully and return its exit code."""
+        self.signal(name, SIGTERM)
+        return self.processes.pop(name).wait(timeout=STOP_LIMIT_S)
+
+    def stop_all(self) -> None:
+        """Kill whatever still runs."""
+        for name in list(self.processes):
+            self.kill(name)
+
+    def wait_for_ports(self) -> None:
+        """Wait until every stand-in answers."""
+        addresses = [self.cfg.platform.log, self.cfg.platform.cloud]
+        addresses += [self.cfg.platform.host_list]
+        addresses += [item.address for item in self.cfg.backend_servers]
+        for address in addresses:
+            self.wait_until(lambda: self.history(address) is not None)
+
+    def wait_for_gateways(self, *, peers: int | None = None) -> None:
+        """Wait until every gateway sees its peers and the log."""
+        count = len(self.cfg.entry_hosts) - 1 if peers is None else peers
+        for host in self.cfg.entry_hosts:
+            if f"gateway-{host.name}" in self.processes:
+                self.wait_until(lambda: self._ready(host.name, count))
+
+    def _ready(self, host: str, peers: int) -> bool:
+        view = self.status(host)
+        if view is None or not view["log_up"]:
+            return False
+        engines = [item["usable"] for item in view["backend_servers"]]
+        return len(view["peers"]) >= peers and any(engines)
+
+    def wait_until(self, check: Any, *, limit_s: float = START_LIMIT_S) -> Any:
+        """Wait until a check returns something true and return it."""
+        until = monotonic() + limit_s
+        while monotonic() < until:
+            try:
+                result = check()
+            except OSError:
+                result = None
+            if result:
+                return result
+            sleep(0.05)
+        raise TimeoutError(f"nothing came true within {limit_s} s")
+
+    def status(self, host: str) -> Any:
+        """Return what a gateway shows to operators."""
+        entry = self.cfg.entry_host(host)
+        token = self.cfg.read_token(self.cfg.operator_token_file).decode()
+        return fetch(
+            f"http://{entry.caller_address}/v1/status",
+            headers={"Authorization": f"Bearer {token}"},
+        )
+
+    def history(self, address: str) -> Any:
+        """Return a stand-in's history."""
+        return fetch(f"http://{address}/history")["history"] + [{"at": 0}]
+
+    def server_history(self, name: str) -> list[dict[str, Any]]:
+        """Return the history of a backend server's stand-in."""
+        rows = self.history(self.address_of(name))[:-1]
+        return list(rows)
+
+    def address_of(self, name: str) -> str:
+        """Return the address of a stand-in."""
+        if hasattr(self.cfg.platform, name):
+            return str(getattr(self.cfg.platform, name))
+        return next(
+            item.address
+            for item in self.cfg.backend_servers
+            if item.name == name
+        )
+
+    def switch(self, name: str, **switches: Any) -> None:
+        """Set fault switches of a stand-in."""
+        fetch(
+            f"http://{self.address_of(name)}/control",
+            data=dumps(switches).encode(),
+        )
+
+    def command(self, *args: str) -> tuple[int, str]:
+        """Run the command line; return exit code and output."""
+        result = run(
+            [
+                *(executable, "-m", "magnoliaflow"),
+                *("--settings", str(self.path), *args),
+            ],
+            stdout=PIPE,
+            stderr=PIPE,
+            timeout=CALL_LIMIT_S,
+        )
+        return result.returncode, (result.stdout + result.stderr).decode()
+
+    def client(self, account: str) -> Client:
+        """Return a caller of a client account."""
+        token = (self.folder / "tokens" / account).read_text().strip()
+        seeds = tuple(host.caller_address for host in self.cfg.entry_hosts)
+        return Client(token, seeds)
+
+
+def fetch(url: str, *, data: bytes | None = None, headers: Any = None) -> Any:
+    """Return the JSON at a URL."""
+    req = Request(url, data=data, headers=headers or {})
+    with urlopen(req, timeout=5) as reply:
+        return loads(reply.read())
+
+
+def start_reactor() -> None:
+    """Run the reactor in a thread, so that callers may block."""
+    if reactor.running:
+        return
+    Thread(
+        target=reactor.run,
+        kwargs={"installSignalHandlers": False},
+        daemon=True,
+    ).start()
+
+
+def block(function: Any, *args: Any, **options: Any) -> Any:
+    """Run a function in the reactor's thread and wait for its result."""
+    return blockingCallFromThread(reactor, function, *args, **options)
--- /dev/null
+++ b/src/magnoliaflow_standins/log.py
@@ -0,0 +1,109 @@
+"""Stand-in for the log service: streams, offsets, retention, outages."""
+
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from magnoliaflow.loop import reactor
+from magnoliaflow_standins.base import add_control
+from magnoliaflow_standins.base import content_of
+from magnoliaflow_standins.base import parser
+from magnoliaflow_standins.base import reply
+from magnoliaflow_standins.base import serve
+from magnoliaflow_standins.base import sleep
+from magnoliaflow_standins.base import Standin
+
+PAGE = 500
+
+
+class LogStandin(Standin):
+    """Streams in memory.
+
+    Further switches: ``late_s`` lets an append land after its reply said
+    that it failed; ``keep`` bounds the records kept in a stream.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.switches.update(late_s=0.0, keep=0)
+        self.streams: dict[str, list[str]] = {}
+        self.first: dict[str, int] = {}
+        self.waiting: list[Deferred[None]] = []
+
+    def land(self, stream: str, records: list[str]) -> None:
+        """Add records and wake the readers."""
+        rows = self.streams.setdefault(stream, [])
+        rows.extend(records)
+        keep = int(self.switches["keep"])
+        if keep and len(rows) > keep:
+            gone = len(rows) - keep
+            del rows[:gone]
+            self.first[stream] = self.first.get(stream, 0) + gone
+        waiting, self.waiting = self.waiting, []
+        for fut in waiting:
+            if not fut.called:
+                fut.callback(None)
+
+
+def build(log: LogStandin) -> Klein:
+    """Return the routes of a log stand-in."""
+    app = Klein()
+    add_control(app, log)
+
+    @app.route("/streams/<stream>", methods=["POST"])
+    async def append(request: Any, stream: str) -> Any:
+        records = content_of(request)["records"]
+        late_s = float(log.switches["late_s"])
+        if late_s:
+            sleep(late_s).addCallback(lambda _: log.land(stream, records))
+            return reply(request, {}, 500)
+        if not await log.before():
+            return reply(request, {}, 500)
+        log.land(stream, records)
+        if log.lose_reply(request):
+            return b""
+        return reply(request, {})
+
+    @app.route("/streams/<stream>", methods=["GET"])
+    async def read(request: Any, stream: str) -> Any:
+        start = int(request.args[b"from"][0])
+        wait_s = float(request.args.get(b"wait", [b"0"])[0])
+        if not await log.before():
+            return reply(request, {}, 500)
+        if start >= end_of(log, stream) and wait_s > 0:
+            fut: Deferred[None] = Deferred()
+            log.waiting.append(fut)
+            fut.addTimeout(wait_s, reactor).addErrback(lambda _: None)
+            await fut
+        if not await log.before():
+            return reply(request, {}, 500)
+        first = log.first.get(stream, 0)
+        if start < first:
+            return reply(request, {"first": first}, 410)
+        rows = log.streams.get(stream, [])[start - first :][:PAGE]
+        return reply(
+            request,
+            {
+                "records": [
+                    [start + number, text] for number, text in enumerate(rows)
+                ],
+                "end": end_of(log, stream),
+            },
+        )
+
+    return app
+
+
+def end_of(log: LogStandin, stream: str) -> int:
+    """Return the next free offset of a stream."""
+    return log.first.get(stream, 0) + len(log.streams.get(stream, []))
+
+
+def main() -> None:
+    """Run the stand-in."""
+    serve(build(LogStandin()), parser("the log service").parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/magnoliaflow_standins/service.py
@@ -0,0 +1,74 @@
+"""Stand-in for a plain service, which counts executions by key."""
+
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from magnoliaflow_standins.base import add_control
+from magnoliaflow_standins.base import content_of
+from magnoliaflow_standins.base import parser
+from magnoliaflow_standins.base import reply
+from magnoliaflow_standins.base import serve
+from magnoliaflow_standins.base import sleep
+from magnoliaflow_standins.base import Standin
+
+
+class ServiceStandin(Standin):
+    """Executes every call it gets, also a repeated one, and counts.
+
+    Further switches: ``late_s`` delays the answer after execution,
+    ``never`` executes and never answers, ``refuse`` does not execute.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__()
+        self.name = name
+        self.switches.update(late_s=0.0, never=False, refuse=False)
+        self.results: dict[str, dict[str, Any]] = {}
+
+
+def build(service: ServiceStandin) -> Klein:
+    """Return the routes of a service stand-in."""
+    app = Klein()
+    add_control(app, service)
+
+    @app.route("/call/<operation>", methods=["POST"])
+    async def call(request: Any, operation: str) -> Any:
+        content = content_of(request)
+        if service.switches["refuse"] or not await service.before():
+            return reply(request, {}, 503)
+        key = content["key"]
+        service.note(kind="executed", key=key, operation=operation)
+        number = len(service.results) + 1
+        result = {"number": number, "operation": operation, "key": key}
+        service.results[key] = result
+        if service.switches["never"]:
+            await Deferred()
+        if service.lose_reply(request):
+            return b""
+        await sleep(float(service.switches["late_s"]))
+        return reply(request, {"result": result})
+
+    @app.route("/status", methods=["POST"])
+    async def status(request: Any) -> Any:
+        if not await service.before():
+            return reply(request, {}, 500)
+        result = service.results.get(content_of(request)["key"])
+        if result is None:
+            return reply(request, {}, 404)
+        return reply(request, {"result": result})
+
+    return app
+
+
+def main() -> None:
+    """Run the stand-in."""
+    arguments = parser("a plain service")
+    arguments.add_argument("--name", required=True)
+    args = arguments.parse_args()
+    serve(build(ServiceStandin(args.name)), args)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,56 @@
+"""Pages in docs/ and tables in the code say the same."""
+
+from pathlib import Path
+
+from prometheus_client.metrics import MetricWrapperBase
+import pytest
+
+from magnoliaflow.codes import Code
+from magnoliaflow.codes import DETAILS
+from magnoliaflow.eventlog import EXPLANATIONS
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.metrics import Metrics
+
+DOCS = Path(__file__).parent.parent / "docs"
+
+
+@pytest.fixture
+def rows():
+    """Return a function that reads the table rows of a page."""
+
+    def read(page):
+        lines = (DOCS / page).read_text().splitlines()
+        return [
+            [cell.strip() for cell in line.strip("|").split("|")]
+            for line in lines
+            if line.startswith("| ") and not line.startswith("| -")
+        ][1:]
+
+    return read
+
+
+def test_result_codes_page(rows):
+    expected = [
+        [str(int(code)), code.name, code.run.value, str(code.http_status)]
+        for code in Code
+    ]
+    assert [row[:4] for row in rows("RESULT_CODES.md")] == expected
+    assert [row[4] for row in rows("RESULT_CODES.md")] == [
+        DETAILS[code].meaning for code in Code
+    ]
+
+
+def test_events_page(rows):
+    expected = [
+        [str(int(item)), item.name, EXPLANATIONS[item]] for item in LogEvent
+    ]
+    assert rows("EVENTS.md") == expected
+
+
+def test_metrics_page(rows):
+    metrics = Metrics()
+    found = [getattr(metrics, name) for name in Metrics.__slots__]
+    names = sorted(
+        item._name for item in found if isinstance(item, MetricWrapperBase)
+    )
+    assert [row[0] for row in rows("METRICS.md")] == names
