--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,178 @@
+"""Shows a whole deployment at work on loopback, then stops it."""
+
+from pathlib import Path
+from sys import exit as sys_exit
+from tempfile import TemporaryDirectory
+from threading import Thread
+from time import monotonic
+
+from twisted.internet.defer import inlineCallbacks
+
+from magnoliaflow.client import make_key
+from magnoliaflow.codes import Code
+from magnoliaflow_standins.fleet import block
+from magnoliaflow_standins.fleet import LocalFleet
+from magnoliaflow_standins.fleet import start_reactor
+from magnoliaflow_standins.fleet import write_settings
+from magnoliaflow_standins.tokens import is_answer
+
+ROOT = Path(__file__).parent.parent
+GARMENT = "Repair file of a school blazer, zip number 5, brass. " * 60
+DRAWING = "Beech mallet head, 90 mm, turned, oiled, maple handle. " * 60
+
+
+class Demo:
+    """One deployment with its calls."""
+
+    def __init__(self, name, profiles, account, folder):
+        example = ROOT / "examples" / f"{name}.yaml"
+        path = write_settings(example, folder, engines=3, services=1)
+        self.name = name
+        self.profiles = ROOT / "examples" / profiles
+        self.account = account
+        self.fleet = LocalFleet(path)
+        self.failures = 0
+
+    def run(self, calls):
+        """Start everything, make the calls, stop everything."""
+        try:
+            self.fleet.start()
+            code, text = self.fleet.command(
+                "profile", "publish", str(self.profiles), "--wait"
+            )
+            print(text.strip())
+            self.check("profiles published", code == 0)
+            calls(self)
+            self.stop()
+        finally:
+            self.fleet.stop_all()
+
+    def stop(self):
+        """Stop every daemon gracefully."""
+        names = [
+            name
+            for name in self.fleet.processes
+            if name.startswith(("gateway", "controller"))
+        ]
+        for name in names:
+            self.check(f"{name} stopped", self.fleet.stop(name) == 0)
+
+    def check(self, what, passed):
+        """Print what became of a step."""
+        self.failures += not passed
+        print(f"{self.name}: {what}: {'ok' if passed else 'FAILED'}")
+
+    def ask(self, profile, *, prompt="", payload=None, key=""):
+        """Make one call and wait for its whole answer."""
+        client = self.fleet.client(self.account)
+
+        @inlineCallbacks
+        def call():
+            answer = yield client.submit(
+                profile, prompt=prompt, payload=payload, key=key
+            )
+            return (yield client.wait(answer))
+
+        answer = block(call)
+        whole = answer.code is Code.DONE
+        if prompt:
+            whole = whole and self.whole(prompt, answer.tokens)
+        self.check(f"{profile}: {answer.code.name}", whole)
+
+    def stream_through_reclaim(self, profile, prompt):
+        """Reclaim the engine's host while its answer is streamed."""
+        client = self.fleet.client(self.account)
+        read = []
+        found = []
+
+        @inlineCallbacks
+        def call():
+            answer = yield client.submit(profile, prompt=prompt)
+            found.append(answer)
+            return (yield client.stream(answer, on_tokens=read.extend))
+
+        def reclaim():
+            self.fleet.wait_until(lambda: len(read) > 5)
+            server = self.engine_of(found[0].request_id)
+            self.fleet.switch("cloud", reclaim={server.host: 2.0})
+            until = monotonic() + 2.0
+            self.fleet.wait_until(lambda: monotonic() > until)
+            self.fleet.kill(server.name)
+            return server.name
+
+        lost = []
+        thread = Thread(target=lambda: lost.append(reclaim()))
+        thread.start()
+        answer = block(call)
+        thread.join()
+        passed = (
+            answer.code is Code.DONE
+            and answer.resets == 0
+            and bool(lost)
+            and self.whole(prompt, answer.tokens)
+        )
+        self.check(
+            f"{profile} streamed through the reclaim of {lost}: "
+            f"{len(answer.tokens)} tokens, {answer.code.name}",
+            passed,
+        )
+        code, text = self.fleet.command("explain", answer.request_id)
+        print(text.rstrip())
+
+    def engine_of(self, request_id):
+        """Return the engine that ran a request last."""
+        for server in self.fleet.cfg.backend_servers:
+            if server.kind != "model":
+                continue
+            for entry in self.fleet.server_history(server.name):
+                if entry.get("request") == request_id:
+                    return server
+        raise LookupError(request_id)
+
+    def whole(self, prompt, tokens):
+        """Return whether an answer is what engines were asked for."""
+        names = [
+            server.name
+            for server in self.fleet.cfg.backend_servers
+            if server.kind == "model"
+        ]
+        return bool(tokens) and is_answer(prompt, tokens, names)
+
+
+def repair_calls(demo):
+    """Make the repair office's calls."""
+    demo.ask("claim-review", prompt=GARMENT + "Review the claim.")
+    demo.ask("quote-draft", prompt=GARMENT + "Price zip and labour.")
+    demo.ask(
+        "voucher-booking", payload={"voucher": 7}, key=make_key("voucher-7")
+    )
+    demo.ask("ticket-lookup", payload={"ticket": 12})
+    demo.stream_through_reclaim("counter-chat", GARMENT + "Does it fit?")
+
+
+def mallet_calls(demo):
+    """Make the mallet works' calls."""
+    demo.ask("quotation", prompt=DRAWING + "Quote for forty heads.")
+    demo.ask("mallet-order", payload={"heads": 40}, key=make_key("order-3"))
+    demo.stream_through_reclaim("workshop-query", DRAWING + "Which timber?")
+
+
+def main():
+    """Show both deployments, one after the other."""
+    start_reactor()
+    shows = (
+        ("repair-office", "repair-profiles.yaml", "schools", repair_calls),
+        ("mallet-works", "mallet-profiles.yaml", "coopers", mallet_calls),
+    )
+    failures = 0
+    for name, profiles, account, calls in shows:
+        with TemporaryDirectory() as folder:
+            demo = Demo(name, profiles, account, Path(folder))
+            demo.run(calls)
+            failures += demo.failures
+    print(f"demo: {'ok' if not failures else f'{failures} FAILED'}")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys_exit(main())
