--- a/src/magnoliaflow/claimwork.py
+++ b/src/magnoliaflow/claimwork.py
@@ -416,27 +416,43 @@
 
 
 def ask_status(state: GatewayState, claim: Claim) -> None:
-    """Ask a service that can tell what became of a claim."""
-    server = pick_service(state, claim)
-    cfg = state.view.engines[server].cfg if server else None
-    if cfg is None or not cfg.answers_status:
+    """Ask every service that can tell what became of a claim.
+
+    Which one the work went to may be known only to a process that is
+    dead.
+    """
+    profile = state.profiles.in_force.get(claim.profile)
+    backend = claim.profile if profile is None else profile.backend
+    servers = [
+        name
+        for name in state.view.groups.get(backend, ())
+        if state.view.engines[name].cfg.answers_status
+        and state.view.engines[name].usable(state.now)
+    ]
+    if not servers:
         append_outcome(state, claim, Code.OUTCOME_UNKNOWN, b"")
         return
+    state.status_asked[claim.key] = len(servers)
     state.metrics.retries.labels("status_asked").inc()
-    state.emit(AskStatus(server, claim.key, claim.submission, claim.epoch))
+    for server in servers:
+        state.emit(AskStatus(server, claim.key, claim.submission, claim.epoch))
 
 
 @handles(StatusAnswered)
 def take_status(state: GatewayState, item: StatusAnswered) -> None:
     """State the outcome a service knows of, else that it is unknown."""
+    left = state.status_asked.get(item.key, 0) - 1
     claim = state.claims.current(item.key, item.submission)
-    if claim is None:
-        return
-    if not item.known:
+    if claim is None or left < 0:
+        return
+    state.status_asked[item.key] = left
+    if item.known or left == 0:
+        del state.status_asked[item.key]
+    if item.known:
+        code = Code.DONE if item.succeeded else Code.BACKEND_FAILED
+        append_outcome(state, claim, code, item.body)
+    elif left == 0:
         append_outcome(state, claim, Code.OUTCOME_UNKNOWN, b"")
-        return
-    code = Code.DONE if item.succeeded else Code.BACKEND_FAILED
-    append_outcome(state, claim, code, item.body)
 
 
 def append_outcome(
@@ -482,7 +498,7 @@
         getattr(row.record.body, "key", "") == claim.key
         for row in state.pending
     )
-    if waiting:
+    if waiting or claim.key in state.status_asked:
         return
     if claim.state is ClaimState.OPEN:
         _append_takeover(state, claim)
--- a/src/magnoliaflow/state.py
+++ b/src/magnoliaflow/state.py
@@ -156,6 +156,7 @@
         "serial",
         "snapshot_at",
         "started_at",
+        "status_asked",
         "timers",
         "trails",
         "view",
@@ -203,6 +204,7 @@
         self.claim_wait: dict[str, str] = {}
         self.marked_at = wall
         self.snapshot_at = wall
+        self.status_asked: dict[str, int] = {}
         self.sent_claims: set[str] = set()
         self.profiles = ProfileBook()
         self.cursors = {stream: StreamCursor(stream) for stream in STREAMS}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,12 @@
 """Fixtures shared by all tests."""
 
+from dataclasses import replace
 from pathlib import Path
 
 from hypothesis import settings
 import pytest
+from world import World
+from yaml import safe_load
 
 from magnoliaflow.settings import load_settings
 
@@ -25,3 +28,24 @@
 def cfg():
     """Return the settings of the repair office's example."""
     return load_settings(EXAMPLES / "repair-office.yaml")
+
+
+@pytest.fixture
+def make_world(cfg):
+    """Return a function that starts a world with profiles in force."""
+    text = (EXAMPLES / "repair-profiles.yaml").read_text()
+
+    def make(seed, *, limits=None, timings=None, nodes=4):
+        changed = replace(
+            cfg,
+            limits=replace(cfg.limits, **(limits or {})),
+            timings=replace(cfg.timings, **(timings or {})),
+        )
+        world = World(changed, seed, nodes=nodes)
+        for number, (name, spec) in enumerate(safe_load(text).items()):
+            world.publish(name, spec, base=0, change_id=f"first-{number}")
+        world.run(4.0)
+        world.notices = {}
+        return world
+
+    return make
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,737 @@
+"""Several decision cores in virtual time, with fakes at their ports.
+
+Everything random comes from one seed; a run with the same seed and the
+same faults is the same run.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from heapq import heappop
+from heapq import heappush
+from itertools import count
+from json import dumps
+from random import Random
+
+from magnoliaflow.callerapi import resume_offset
+from magnoliaflow.claimwork import claim_code
+from magnoliaflow.codes import Code
+from magnoliaflow.codes import SETTLED
+from magnoliaflow.commands import Append
+from magnoliaflow.commands import AskStatus
+from magnoliaflow.commands import CallService
+from magnoliaflow.commands import CancelAttempt
+from magnoliaflow.commands import Exit
+from magnoliaflow.commands import ProbePeer
+from magnoliaflow.commands import ResumeAttempt
+from magnoliaflow.commands import SendAddress
+from magnoliaflow.commands import SendPeer
+from magnoliaflow.commands import StartAttempt
+from magnoliaflow.commands import WriteLog
+from magnoliaflow.custody import serving_address
+from magnoliaflow.draining import left_in_progress
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.gatewaycore import open_core
+from magnoliaflow.inputs import AppendEnded
+from magnoliaflow.inputs import AttemptEnded
+from magnoliaflow.inputs import Ending
+from magnoliaflow.inputs import EngineSilent
+from magnoliaflow.inputs import HostNoticed
+from magnoliaflow.inputs import MessageArrived
+from magnoliaflow.inputs import PeerProbed
+from magnoliaflow.inputs import PieceArrived
+from magnoliaflow.inputs import ReadFailed
+from magnoliaflow.inputs import ReadRecord
+from magnoliaflow.inputs import RecordsRead
+from magnoliaflow.inputs import ReportArrived
+from magnoliaflow.inputs import ServiceAnswered
+from magnoliaflow.inputs import StatusAnswered
+from magnoliaflow.inputs import StreamTrimmed
+from magnoliaflow.inputs import Submitted
+from magnoliaflow.membership import make_heartbeat
+from magnoliaflow.ports import LoadReport
+from magnoliaflow.records import ProfileChange
+from magnoliaflow.records import Record
+from magnoliaflow.requests import Role
+from magnoliaflow.state import CLAIM_STREAM
+from magnoliaflow.state import GatewayState
+from magnoliaflow.state import PROFILE_STREAM
+from magnoliaflow.views import request_code
+from magnoliaflow_standins.tokens import next_digest
+from magnoliaflow_standins.tokens import next_token
+from magnoliaflow_standins.tokens import start_digest
+
+WALL_START = 1_700_000_000.0
+STEP_S = 0.05
+TOKENS_PER_STEP = 2
+PREFILL_S = 0.1
+
+
+@dataclass
+class Call:
+    """One caller's request and everything it was told."""
+
+    name: str
+    account: str
+    profile: str
+    prompt: str
+    key: str
+    max_tokens: int
+    body: bytes
+    request_id: str = ""
+    last_id: str = ""
+    tokens: list = field(default_factory=list)
+    told: list = field(default_factory=list)
+    resets: int = 0
+    place: str = ""
+    asked_at: float = 0.0
+    settled_at: float = 0.0
+
+    @property
+    def code(self):
+        """Return the last code the caller was told."""
+        return self.told[-1] if self.told else Code.PENDING
+
+    @property
+    def done(self):
+        """Return whether the caller has its last word."""
+        return self.code in SETTLED and self.code is not Code.NOT_FOUND
+
+
+class Node:
+    """One gateway process: a core that may be frozen, cut or dead."""
+
+    def __init__(self, world, host, serial):
+        self.world = world
+        self.host = host
+        self.identity = f"{host.name}-{serial}"
+        self.alive = True
+        self.frozen = False
+        self.backlog = []
+        self.tick_set = False
+        self.reading = set()
+        self.log_cut = False
+        self.left = None
+        state = GatewayState(
+            cfg=world.cfg,
+            host=host,
+            identity=self.identity,
+            rng=Random(f"{world.seed}{self.identity}"),
+            now=world.now,
+            wall=world.wall,
+        )
+        self.core = open_core(state)
+        self.state = state
+        world.after(0, self.beat)
+        world.after(0, self.read_all)
+        world.after(0, self.poll)
+
+    def feed(self, item):
+        """Give the core an input, now or when the process is woken."""
+        if not self.alive:
+            return
+        if self.frozen:
+            self.backlog.append(item)
+            return
+        self.core.receive(item, now=self.world.now, wall=self.world.wall)
+        if not self.tick_set:
+            self.tick_set = True
+            self.world.after(0, self.tick)
+
+    def tick(self):
+        """Run the core once and carry out its commands."""
+        self.tick_set = False
+        if not self.alive or self.frozen:
+            return
+        commands = self.core.tick(now=self.world.now, wall=self.world.wall)
+        for command in commands:
+            self.world.carry_out(self, command)
+
+    def beat(self):
+        """Tick when nothing arrives."""
+        if self.alive:
+            self.tick()
+            self.world.after(STEP_S, self.beat)
+
+    def freeze(self):
+        """Stop the process without its noticing."""
+        self.frozen = True
+
+    def wake(self):
+        """Let the process go on; what waited arrives at once."""
+        self.frozen = False
+        backlog, self.backlog = self.backlog, []
+        for item in backlog:
+            self.feed(item)
+        self.tick()
+
+    def read_all(self):
+        """Read every stream on, once a while."""
+        if not self.alive:
+            return
+        for stream in (PROFILE_STREAM, CLAIM_STREAM):
+            self.world.log.read(self, stream)
+        self.world.after(0.5, self.read_all)
+
+    def poll(self):
+        """Fetch every engine's load report."""
+        if not self.alive:
+            return
+        for engine in self.world.engines.values():
+            if engine.alive:
+                report = engine.report()
+                self.world.after(0.1, lambda r=report: self.feed(r))
+            else:
+                self.feed(EngineSilent(engine.name))
+        self.world.after(0.25, self.poll)
+
+
+class FakeLog:
+    """The platform's log with its faults."""
+
+    def __init__(self, world):
+        self.world = world
+        self.streams = {PROFILE_STREAM: [], CLAIM_STREAM: []}
+        self.first = {PROFILE_STREAM: 0, CLAIM_STREAM: 0}
+        self.down = False
+        self.lose_replies = 0.0
+        self.late = 0.0
+        self.late_s = 5.0
+        self.keep = 0
+
+    def append(self, node, stream, records):
+        """Append with a delay; the reply may be lost, or come too early."""
+        ids = tuple(record.record_id for record in records)
+
+        def reply(succeeded):
+            node.feed(AppendEnded(stream, ids, succeeded))
+
+        if self.down or node.log_cut:
+            self.world.after(0.2, lambda: reply(False))
+            return
+        if self.world.rng.random() < self.late:
+            delay = self.late_s * self.world.rng.random()
+            self.world.after(delay, lambda: self.land(stream, records))
+            self.world.after(0.5, lambda: reply(False))
+            return
+        lost = self.world.rng.random() < self.lose_replies
+        self.world.after(0.003, lambda: self.land(stream, records))
+        self.world.after(0.5 if lost else 0.006, lambda: reply(not lost))
+
+    def land(self, stream, records):
+        """Add records; readers see them soon."""
+        rows = self.streams[stream]
+        rows.extend(records)
+        if self.keep and len(rows) > self.keep:
+            gone = len(rows) - self.keep
+            del rows[:gone]
+            self.first[stream] += gone
+        for node in self.world.nodes.values():
+            self.read(node, stream)
+
+    def read(self, node, stream):
+        """Deliver what a node has not read, after a short delay."""
+        if stream in node.reading or not node.alive:
+            return
+        node.reading.add(stream)
+        self.world.after(0.004, lambda: self.deliver(node, stream))
+
+    def deliver(self, node, stream):
+        """Answer one read."""
+        node.reading.discard(stream)
+        if self.down or node.log_cut:
+            node.feed(ReadFailed(stream))
+            return
+        if node.frozen:
+            return
+        start = node.state.cursors[stream].next_offset
+        first = self.first[stream]
+        if start < first:
+            node.feed(StreamTrimmed(stream, first))
+            self.read(node, stream)
+            return
+        rows = self.streams[stream][start - first :]
+        records = tuple(
+            ReadRecord(start + number, record)
+            for number, record in enumerate(rows)
+        )
+        node.feed(RecordsRead(stream, records, start + len(rows)))
+
+
+class FakeEngine:
+    """A model engine whose every token depends on all before it."""
+
+    def __init__(self, world, cfg):
+        self.world = world
+        self.cfg = cfg
+        self.name = cfg.name
+        self.alive = True
+        self.runs = {}
+        self.starts = []
+        self.silent = set()
+        self.jumble = 0.0
+
+    def report(self):
+        """Return the load as an input."""
+        live = sum(1 for run in self.runs.values() if not run["done"])
+        return ReportArrived(LoadReport(self.name, live, 0, 0))
+
+    def start(self, node, call):
+        """Begin an attempt."""
+        if not self.alive:
+            lost = AttemptEnded(call.attempt_id, Ending.NOT_STARTED, "dead")
+            self.world.after(0.002, lambda: node.feed(lost))
+            return
+        digest = start_digest(call.prompt)
+        for token in call.prefix:
+            digest = next_digest(digest, token)
+        run = {
+            "id": call.attempt_id,
+            "tokens": list(call.prefix),
+            "limit": call.max_tokens,
+            "digest": digest,
+            "done": False,
+            "to": node,
+            "gone": False,
+        }
+        self.runs[call.attempt_id] = run
+        self.starts.append((self.world.now, call))
+        self.world.after(PREFILL_S, lambda: self.step(run))
+
+    def resume(self, node, call):
+        """Read an attempt on, if it is known."""
+        run = self.runs.get(call.attempt_id)
+        if run is None or not self.alive or run["gone"]:
+            ended = AttemptEnded(call.attempt_id, Ending.NOT_STARTED, "gone")
+            self.world.after(0.002, lambda: node.feed(ended))
+            return
+        self.silent.discard(call.attempt_id)
+        run["to"] = node
+        offset = len(call.prefix)
+        self.send(run, offset, run["tokens"][offset:])
+
+    def cancel(self, attempt_id):
+        """Stop an attempt."""
+        run = self.runs.get(attempt_id)
+        if run is not None:
+            run["gone"] = True
+
+    def step(self, run):
+        """Produce a few tokens and pass them on."""
+        if not self.alive or run["gone"]:
+            return
+        offset = len(run["tokens"])
+        for _ in range(min(TOKENS_PER_STEP, run["limit"] - offset)):
+            token = next_token(self.name, run["digest"])
+            run["tokens"].append(token)
+            run["digest"] = next_digest(run["digest"], token)
+        run["done"] = len(run["tokens"]) >= run["limit"]
+        self.send(run, offset, run["tokens"][offset:])
+        if not run["done"]:
+            self.world.after(STEP_S, lambda: self.step(run))
+
+    def send(self, run, offset, tokens):
+        """Deliver a piece, perhaps late, perhaps twice."""
+        if run["id"] in self.silent:
+            return
+        piece = PieceArrived(run["id"], offset, tuple(tokens), run["done"])
+        node = run["to"]
+        rng = self.world.rng
+        jumbled = rng.random() < self.jumble
+        delay = 0.001 + (rng.random() * 0.2 if jumbled else 0.0)
+        self.world.after(delay, lambda: node.feed(piece))
+        if jumbled:
+            self.world.after(rng.random(), lambda: node.feed(piece))
+
+    def die(self):
+        """Lose the host: streams end, nothing answers."""
+        self.alive = False
+        for run in self.runs.values():
+            if not run["done"] and not run["gone"]:
+                ended = AttemptEnded(run["id"], Ending.LOST, "host gone")
+                run["to"].feed(ended)
+
+
+class FakeService:
+    """A plain service that executes whatever reaches it."""
+
+    def __init__(self, world, cfg):
+        self.world = world
+        self.cfg = cfg
+        self.alive = True
+        self.executions = []
+        self.never = 0.0
+        self.late_s = 0.05
+
+    def call(self, key):
+        """Execute a call and return when, or whether, it answers."""
+        self.executions.append((self.world.now, key))
+        if self.world.rng.random() < self.never:
+            return None
+        return self.late_s * (0.5 + self.world.rng.random())
+
+
+class World:
+    """The whole deployment of one run."""
+
+    def __init__(self, cfg, seed, *, nodes=4):
+        self.cfg = cfg
+        self.seed = seed
+        self.rng = Random(seed)
+        self.now = 0.0
+        self.queue = []
+        self.number = count()
+        self.serial = count(1)
+        self.nodes = {}
+        self.every_node = []
+        self.cuts = set()
+        self.last_delivery = {}
+        self.events = Counter()
+        self.calls = []
+        self.profile_told = {}
+        self.log = FakeLog(self)
+        self.engines = {
+            item.name: FakeEngine(self, item)
+            for item in cfg.backend_servers
+            if item.kind == "model"
+        }
+        self.services = {
+            item.name: FakeService(self, item)
+            for item in cfg.backend_servers
+            if item.kind == "service"
+        }
+        for host in cfg.entry_hosts[:nodes]:
+            self.start(host.name)
+
+    @property
+    def wall(self):
+        """Return the wall clock in seconds."""
+        return WALL_START + self.now
+
+    def after(self, delay, function):
+        """Run a function after a delay in virtual seconds."""
+        row = (self.now + delay, next(self.number), function)
+        heappush(self.queue, row)
+
+    def run(self, seconds):
+        """Let virtual time pass."""
+        until = self.now + seconds
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, function = heappop(self.queue)
+            function()
+        self.now = until
+
+    def run_until(self, check, *, limit):
+        """Let time pass until a check holds; return whether it did."""
+        until = self.now + limit
+        while self.now < until and not check():
+            self.run(0.25)
+        return bool(check())
+
+    def start(self, name):
+        """Start a gateway on a host, as a new run of its process."""
+        node = Node(self, self.cfg.entry_host(name), next(self.serial))
+        self.nodes[name] = node
+        self.every_node.append(node)
+        return node
+
+    def kill(self, name):
+        """End a gateway at once."""
+        self.nodes[name].alive = False
+
+    def notice(self, host, seconds):
+        """Announce a reclaim to every gateway and carry it out."""
+        for node in list(self.nodes.values()):
+            delay = 0.05 + self.rng.random() * 0.3
+            item = HostNoticed(host, seconds)
+            self.after(delay, lambda n=node, i=item: n.feed(i))
+        self.after(seconds, lambda: self.reclaim(host))
+
+    def reclaim(self, host):
+        """Take a host back."""
+        for server in (*self.engines.values(), *self.services.values()):
+            if server.cfg.host == host:
+                server.alive = False
+                if isinstance(server, FakeEngine):
+                    server.die()
+        if host in self.nodes:
+            self.kill(host)
+
+    def cut(self, one, other):
+        """Lose every packet between two gateways."""
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self):
+        """Undo every cut."""
+        self.cuts.clear()
+        for node in self.nodes.values():
+            node.log_cut = False
+
+    def by_address(self, address):
+        """Return the live gateway behind a peer or caller address."""
+        for node in self.nodes.values():
+            known = (node.host.peer_address, node.host.caller_address)
+            if address in known and node.alive:
+                return node
+        return None
+
+    def carry_out(self, node, command):
+        """Do what a core commands."""
+        if isinstance(command, SendPeer):
+            peer = node.state.peers.get(command.identity)
+            if peer is not None:
+                self.send(node, peer.peer_address, command.message)
+        elif isinstance(command, SendAddress):
+            self.send(node, command.address, command.message)
+        elif isinstance(command, Append):
+            self.log.append(node, command.stream, command.records)
+        elif isinstance(command, StartAttempt):
+            self.start_attempt(node, command)
+        elif isinstance(command, ResumeAttempt):
+            engine = self.engines[command.server]
+            self.after(0.001, lambda: engine.resume(node, command.call))
+        elif isinstance(command, CancelAttempt):
+            engine = self.engines.get(command.server)
+            if engine is not None:
+                engine.cancel(command.attempt_id)
+        elif isinstance(command, CallService):
+            self.call_service(node, command)
+        elif isinstance(command, AskStatus):
+            self.ask_status(node, command)
+        elif isinstance(command, ProbePeer):
+            self.probe(node, command)
+        elif isinstance(command, WriteLog):
+            self.events[command.event] += 1
+        elif isinstance(command, Exit):
+            node.left = left_in_progress(node.state)
+            node.alive = False
+
+    def send(self, node, address, message):
+        """Deliver a message in order, unless the link is cut."""
+        target = self.by_address(address)
+        if target is None or target is node:
+            return
+        if frozenset((node.host.name, target.host.name)) in self.cuts:
+            return
+        link = (node.identity, target.identity)
+        at = max(
+            self.now + 0.0005 + self.rng.random() * 0.0005,
+            self.last_delivery.get(link, 0.0),
+        )
+        self.last_delivery[link] = at
+        item = MessageArrived(node.identity, message)
+        self.after(at - self.now, lambda: target.feed(item))
+
+    def probe(self, node, command):
+        """Answer a probe over a new connection."""
+        target = self.by_address(command.address)
+        reached = (
+            target is not None
+            and not target.frozen
+            and frozenset((node.host.name, target.host.name)) not in self.cuts
+        )
+        if reached:
+            self.send(node, command.address, make_heartbeat(node.state))
+        item = PeerProbed(command.identity, reached)
+        self.after(0.002 if reached else 0.5, lambda: node.feed(item))
+
+    def start_attempt(self, node, command):
+        """Start an attempt at an engine, or call an idempotent service."""
+        engine = self.engines.get(command.server)
+        if engine is not None:
+            self.after(0.001, lambda: engine.start(node, command.call))
+            return
+        service = self.services[command.server]
+        attempt_id = command.call.attempt_id
+        if not service.alive:
+            item = AttemptEnded(attempt_id, Ending.NOT_STARTED, "dead")
+            self.after(0.002, lambda: node.feed(item))
+            return
+        delay = service.call(command.call.request_id)
+        if delay is None:
+            item = AttemptEnded(attempt_id, Ending.LOST, "timeout")
+            self.after(5.0, lambda: node.feed(item))
+            return
+        body = tuple(dumps({"key": command.call.request_id}).encode())
+        piece = PieceArrived(attempt_id, 0, body, True)
+        self.after(delay, lambda: node.feed(piece))
+
+    def call_service(self, node, command):
+        """Carry the one call of a claim."""
+        service = self.services[command.server]
+
+        def answer(ending, body=b""):
+            node.feed(
+                ServiceAnswered(
+                    command.key,
+                    command.submission,
+                    command.epoch,
+                    ending,
+                    body,
+                )
+            )
+
+        if not service.alive:
+            self.after(0.002, lambda: answer(Ending.NOT_STARTED))
+            return
+        delay = service.call(command.key)
+        if delay is None:
+            self.after(5.0, lambda: answer(Ending.LOST))
+            return
+        body = dumps({"key": command.key}).encode()
+        self.after(delay, lambda: answer(Ending.DONE, body))
+
+    def ask_status(self, node, command):
+        """Answer what became of a key at a service."""
+        service = self.services[command.server]
+        known = service.alive and any(
+            key == command.key for _, key in service.executions
+        )
+        item = StatusAnswered(
+            command.key,
+            command.submission,
+            command.epoch,
+            known,
+            known,
+            dumps({"key": command.key}).encode(),
+        )
+        self.after(0.01, lambda: node.feed(item))
+
+    def publish(self, name, spec, *, base, change_id):
+        """Append a profile change as an operator does."""
+        change = ProfileChange(
+            change_id, name, base, dumps(spec), "operator", self.wall
+        )
+        self.log.land(PROFILE_STREAM, [Record(change_id, change)])
+
+    def live(self):
+        """Return the names of the gateways that answer callers."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node.alive and not node.frozen
+        ]
+
+    def call(self, profile, *, at="", key="", prompt="", account="", n=20):
+        """Make a call at an entry host and follow it to its end."""
+        number = len(self.calls)
+        account = account or self.cfg.client_accounts[0].name
+        call = Call(
+            name=f"c{number}",
+            account=account,
+            profile=profile,
+            prompt=prompt or f"prompt {number} " * 60,
+            key=key and f"{int(self.wall)}-{key}",
+            max_tokens=n,
+            body=b"",
+        )
+        content = {"prompt": call.prompt, "max_tokens": n, "key": call.key}
+        call.body = dumps(content).encode()
+        call.asked_at = self.now
+        self.calls.append(call)
+        self.submit(call, at or self.rng.choice(self.live()))
+        return call
+
+    def submit(self, call, name):
+        """Submit a call at an entry host, as the caller's next try."""
+        node = self.nodes[name]
+        state = node.state
+        request_id = state.next_id("q")
+        node.feed(
+            Submitted(
+                request_id=request_id,
+                account=call.account,
+                profile=call.profile,
+                body=call.body,
+                prompt=call.prompt if not call.key else "",
+                max_tokens=call.max_tokens,
+                key=call.key,
+            )
+        )
+        code = state.refusals.pop(request_id, None)
+        if code is not None:
+            call.told.append(code)
+            call.settled_at = self.now
+            return
+        call.request_id = request_id
+        call.place = name
+        self.after(0.1, lambda: self.follow(call))
+
+    def follow(self, call):
+        """Ask for news of a call, as a caller that resumes does."""
+        if call.done:
+            return
+        node = self.nodes.get(call.place)
+        if node is None or not node.alive or node.frozen:
+            live = self.live()
+            call.place = self.rng.choice(live) if live else call.place
+            self.after(0.2, lambda: self.follow(call))
+            return
+        if call.key:
+            self.follow_claim(call, node)
+        else:
+            self.follow_answer(call, node)
+        if call.done:
+            call.settled_at = self.now
+            return
+        self.after(0.1, lambda: self.follow(call))
+
+    def follow_claim(self, call, node):
+        """Ask one entry host for the state of a key."""
+        key = f"{call.account}/{call.key}"
+        code = claim_code(node.state, key)
+        if code is None:
+            call.place = self.rng.choice(self.live())
+            return
+        if not call.told or call.code is not code:
+            call.told.append(code)
+
+    def follow_answer(self, call, node):
+        """Read an answer on from the position the caller has."""
+        req = node.state.requests.get(call.request_id)
+        if req is None or req.role is not Role.OWNER:
+            address = serving_address(node.state, call.request_id)
+            target = self.by_address(address) if address else None
+            names = [target.host.name] if target else self.live()
+            call.place = self.rng.choice(names)
+            return
+        start = resume_offset(req, call.last_id)
+        if start < 0:
+            call.resets += 1
+            call.tokens = []
+            start = 0
+        end = len(req.tokens) if req.settled else req.released
+        call.tokens += req.tokens[start:end]
+        call.last_id = f"{req.epoch}.{req.owner}.{max(start, end)}"
+        code = request_code(req)
+        if not call.told or call.code is not code:
+            call.told.append(code)
+
+    def settle(self, *, limit=120.0):
+        """Let time pass until every caller has its last word."""
+        return self.run_until(
+            lambda: all(call.done for call in self.calls), limit=limit
+        )
+
+    def attempts(self):
+        """Return every attempt as (time, engine, call)."""
+        return [
+            (at, engine, call)
+            for engine in self.engines.values()
+            for at, call in engine.starts
+        ]
+
+    def executions(self):
+        """Return how often each key was executed, over all services."""
+        return Counter(
+            key
+            for service in self.services.values()
+            for _, key in service.executions
+        )
+
+    def took_over(self):
+        """Return how many requests and claims were taken over."""
+        return (
+            self.events[LogEvent.REQUEST_TAKEN_OVER]
+            + self.events[LogEvent.CLAIM_TAKEN_OVER]
+        )
