Void a duplicate submission for good

Cause: an Accept judged a duplicate could land a second time after the submission in force was refused, and then open and run, although its caller had been told 'not run'. Ruled out: the driver, which never appends a duplicate again; the second copy comes from an append whose reply was lost. Change: a duplicate's submission is void from then on.

--- a/src/magnoliaflow/callerapi.py
+++ b/src/magnoliaflow/callerapi.py
@@ -10,8 +10,11 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeout
 
 from magnoliaflow.auth import Tokens
+from magnoliaflow.claimwork import body_digest
 from magnoliaflow.claimwork import claim_code
 from magnoliaflow.claimwork import CLAIM_PREFIX
+from magnoliaflow.claimwork import ClaimName
+from magnoliaflow.claimwork import parse_claim_id
 from magnoliaflow.codes import Code
 from magnoliaflow.codes import SETTLED
 from magnoliaflow.custody import serving_address
@@ -142,7 +145,8 @@
             return self._reply(request, code_view(self.state, code))
         wait_s = min(WAIT_MOST_S, float(content.get("wait_s", 0.0)))
         if request_id not in self.state.requests:
-            view = yield self._wait_claim(f"{account}/{key}", wait_s)
+            name = ClaimName(account, key, body_digest(raw))
+            view = yield self._wait_claim(name, wait_s)
             return self._reply(request, view)
         if "text/event-stream" in (request.getHeader("accept") or ""):
             return (yield self._stream(request, request_id, ""))
@@ -157,8 +161,8 @@
             return self._refuse(request, Code.UNAUTHENTICATED)
         wait_s = _wait_argument(request)
         if request_id.startswith(CLAIM_PREFIX):
-            key = f"{account}/{request_id[len(CLAIM_PREFIX):]}"
-            view = yield self._wait_claim(key, wait_s)
+            name = parse_claim_id(account, request_id)
+            view = yield self._wait_claim(name, wait_s)
             return self._reply(request, view)
         place = yield self._locate(request_id, account)
         if place != "here":
@@ -186,9 +190,9 @@
         if not account:
             return self._refuse(request, Code.UNAUTHENTICATED)
         if request_id.startswith(CLAIM_PREFIX):
-            key = f"{account}/{request_id[len(CLAIM_PREFIX):]}"
-            self.shell.feed(CancelAsked(key))
-            view = yield self._wait_claim(key, 1.0)
+            name = parse_claim_id(account, request_id)
+            self.shell.feed(CancelAsked(name.full_key))
+            view = yield self._wait_claim(name, 1.0)
             return self._reply(request, view)
         place = yield self._locate(request_id, account)
         if place != "here":
@@ -259,18 +263,18 @@
             yield self.waiters.wait(request_id, limit - now + 0.001)
 
     @inlineCallbacks
-    def _wait_claim(self, key: str, wait_s: float) -> Any:
+    def _wait_claim(self, name: ClaimName, wait_s: float) -> Any:
         """Return the claim's view once settled or the wait is over."""
         until = reactor.seconds() + wait_s
         accept_until = until + 1.0
         while True:
-            code = claim_code(self.state, key)
+            code = claim_code(self.state, name)
             now = reactor.seconds()
             limit = until if code is Code.ACCEPTED else accept_until
             done = code is None or code in SETTLED
             if done or now >= limit:
-                return claim_view(self.state, key)
-            yield self.waiters.wait(key, limit - now + 0.001)
+                return claim_view(self.state, name)
+            yield self.waiters.wait(name.full_key, limit - now + 0.001)
 
     @inlineCallbacks
     def _stream(self, request: Any, request_id: str, last: str) -> Any:
--- a/src/magnoliaflow/claims.py
+++ b/src/magnoliaflow/claims.py
@@ -223,6 +223,8 @@
             return Verdict.VOID
         known = self.claims.get(record.key)
         if known is not None and known.state is not ClaimState.REFUSED:
+            if known.submission != record.submission:
+                self.voided[record.submission] = record.key
             return Verdict.DUPLICATE
         self.claims[record.key] = Claim(
             record.key,
--- a/src/magnoliaflow/claimwork.py
+++ b/src/magnoliaflow/claimwork.py
@@ -6,8 +6,11 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
+from xxhash import xxh64_hexdigest
+
 from magnoliaflow.claims import Claim
 from magnoliaflow.claims import ClaimState
 from magnoliaflow.claims import key_made_at
@@ -52,9 +55,35 @@
 FUTURE_KEY_S = 300.0
 
 
-def claim_request_id(key: str) -> str:
-    """Return the request id under which callers ask for a claim."""
-    return CLAIM_PREFIX + key.partition("/")[2]
+@dataclass(frozen=True, slots=True)
+class ClaimName:
+    """A key of an account, and the digest of the body it was used for."""
+
+    account: str
+    key: str
+    digest: str
+
+    @property
+    def full_key(self) -> str:
+        """Return the key as records carry it."""
+        return f"{self.account}/{self.key}"
+
+    @property
+    def request_id(self) -> str:
+        """Return the request id under which callers ask for a claim."""
+        return f"{CLAIM_PREFIX}{self.digest}.{self.key}"
+
+
+def body_digest(body: bytes) -> str:
+    """Return the digest by which bodies under one key are compared."""
+    return xxh64_hexdigest(body)
+
+
+def parse_claim_id(account: str, request_id: str) -> ClaimName:
+    """Return the name behind a claim's request id."""
+    rest = request_id.removeprefix(CLAIM_PREFIX)
+    digest, _, key = rest.partition(".")
+    return ClaimName(account, key, digest)
 
 
 def submit_claim(
@@ -117,18 +146,29 @@
     return state.claim_jobs.get(key)
 
 
-def claim_code(state: GatewayState, key: str) -> Code | None:
-    """Return what this process may say of a key, None if unknown."""
-    claim = state.claims.claims.get(key)
-    job = find_job(state, key)
-    if job is not None and job.code:
-        if claim is None or claim.submission == job.submission:
-            return Code(job.code)
+def claim_code(state: GatewayState, name: ClaimName) -> Code | None:
+    """Return what this process may say of a claim, None if unknown.
+
+    The digest tells the caller whose body is not the one in force: that
+    body was not run, and the log's order keeps it so.
+    """
+    claim = state.claims.claims.get(name.full_key)
+    job = find_job(state, name.full_key)
+    if job is not None and body_digest(job.body) != name.digest:
+        job = None
     if claim is None:
-        return Code.PENDING if job is not None else None
-    if job is not None and claim.submission != job.submission:
-        if claim.state is ClaimState.REFUSED:
-            return Code.PENDING
+        if job is None:
+            return None
+        return Code(job.code) if job.code else Code.PENDING
+    if job is not None and claim.submission == job.submission and job.code:
+        return Code(job.code)
+    if body_digest(claim.body) != name.digest:
+        if claim.state is not ClaimState.REFUSED:
+            return Code.KEY_CONFLICT
+        return None if job is None else Code.PENDING
+    if claim.state is ClaimState.REFUSED and job is not None:
+        if claim.submission != job.submission:
+            return Code(job.code) if job.code else Code.PENDING
     if claim.state in (ClaimState.CLOSED, ClaimState.REFUSED):
         return Code(claim.code)
     return Code.ACCEPTED
@@ -152,6 +192,9 @@
     """Append the Refuse of a submission, once."""
     if job.refuse_id:
         return
+    for record_id, row in list(state.pending.rows.items()):
+        if getattr(row.record.body, "submission", "") == job.submission:
+            state.pending.drop(record_id)
     job.refuse_id = append(
         state,
         CLAIM_STREAM,
@@ -210,8 +253,7 @@
             _settle_job(state, job, Code.KEY_EXPIRED)
         return
     if claim.body != job.body:
-        _settle_job(state, job, Code.KEY_CONFLICT)
-        return
+        state.metrics.refusals.labels(Code.KEY_CONFLICT.name).inc()
     state.claim_jobs.drop(rec.key)
 
 
--- a/src/magnoliaflow/client.py
+++ b/src/magnoliaflow/client.py
@@ -16,6 +16,8 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from magnoliaflow.claimwork import body_digest
+from magnoliaflow.claimwork import ClaimName
 from magnoliaflow.codes import Code
 from magnoliaflow.codes import SETTLED
 from magnoliaflow.errors import CallError
@@ -43,6 +45,12 @@
     return f"{int(time())}-{name}"
 
 
+def claim_id(content: dict[str, Any], key: str) -> str:
+    """Return the request id of a claim before any host has named it."""
+    body = dumps(content).encode()
+    return ClaimName("", key, body_digest(body)).request_id
+
+
 class Answer:
     """What became of a request: code, tokens or result."""
 
@@ -121,7 +129,7 @@
         refusal: MagnoliaflowError = NotStartedError("no address answered")
         for number in range(len(addresses)):
             address = addresses[(start + number) % len(addresses)]
-            answer = Answer(f"claim.{key}" if key else "")
+            answer = Answer(claim_id(content, key) if key else "")
             try:
                 _, view = yield self._call(
                     "POST",
--- a/src/magnoliaflow/codes.py
+++ b/src/magnoliaflow/codes.py
@@ -33,7 +33,6 @@
     NOT_FOUND = 2007
     ACCOUNT_OVER_SHARE = 3000
     DEADLINE_UNREACHABLE = 3001
-    RETRY_BUDGET_SPENT = 3002
     DRAINING = 3003
     LOG_DOWN = 3004
     NO_BACKEND = 3005
@@ -115,9 +114,6 @@
     Code.DEADLINE_UNREACHABLE: Detail(
         Run.NO, 503, "The profile's deadline cannot be met now."
     ),
-    Code.RETRY_BUDGET_SPENT: Detail(
-        Run.NO, 503, "No attempt was started and no retry is left."
-    ),
     Code.DRAINING: Detail(
         Run.NO, 503, "This entry host is leaving; use the listed addresses."
     ),
--- a/src/magnoliaflow/views.py
+++ b/src/magnoliaflow/views.py
@@ -6,7 +6,7 @@
 
 from magnoliaflow.claims import ClaimState
 from magnoliaflow.claimwork import claim_code
-from magnoliaflow.claimwork import CLAIM_PREFIX
+from magnoliaflow.claimwork import ClaimName
 from magnoliaflow.codes import Code
 from magnoliaflow.membership import caller_addresses
 from magnoliaflow.profiles import Target
@@ -17,7 +17,6 @@
 RETRY_AFTER_S = {
     Code.ACCOUNT_OVER_SHARE: 2.0,
     Code.DEADLINE_UNREACHABLE: 2.0,
-    Code.RETRY_BUDGET_SPENT: 1.0,
     Code.LOG_DOWN: 5.0,
     Code.NO_BACKEND: 2.0,
     Code.PROFILES_STALE: 2.0,
@@ -71,13 +70,13 @@
     return view
 
 
-def claim_view(state: GatewayState, key: str) -> dict[str, Any]:
+def claim_view(state: GatewayState, name: ClaimName) -> dict[str, Any]:
     """Return the state of a non-idempotent request and its result."""
-    code = claim_code(state, key) or Code.NOT_FOUND
-    view = code_view(state, code, CLAIM_PREFIX + key.partition("/")[2])
-    claim = state.claims.claims.get(key)
+    code = claim_code(state, name) or Code.NOT_FOUND
+    view = code_view(state, code, name.request_id)
+    claim = state.claims.claims.get(name.full_key)
     if claim is not None and claim.state is ClaimState.CLOSED:
-        if claim.result:
+        if claim.result and code is not Code.KEY_CONFLICT:
             view["result"] = loads(claim.result)
     return view
 
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,187 @@
+"""Every code that says "not run" is brought about; nothing has run."""
+
+from checkers import violations
+import pytest
+
+from magnoliaflow.codes import Code
+from magnoliaflow.codes import Run
+from magnoliaflow.inputs import CancelAsked
+from magnoliaflow.inputs import DrainAsked
+
+AT_THE_HTTP_DOOR = {
+    Code.BAD_REQUEST,
+    Code.UNAUTHENTICATED,
+    Code.BODY_TOO_LARGE,
+}
+
+
+def draining(world):
+    """Call a gateway that is leaving."""
+    world.call("claim-review", n=40, at="entry-1")
+    world.run(0.2)
+    world.nodes["entry-1"].feed(DrainAsked(False, 20.0))
+    return world.call("quote-draft", at="entry-1")
+
+
+def profiles_stale(world):
+    """Call a gateway that was cut off from log and peers."""
+    world.nodes["entry-1"].log_cut = True
+    for name in world.live()[1:]:
+        world.cut("entry-1", name)
+    world.run(20.0)
+    return world.call("quote-draft", at="entry-1")
+
+
+def unknown_profile(world):
+    """Name a profile that is not in force."""
+    return world.call("no-such-profile")
+
+
+def account_over_share(world):
+    """Open more than an account's share of a busy gateway."""
+    for _ in range(30):
+        world.call("claim-review", at="entry-1", account="schools")
+    return world.calls[-1]
+
+
+def deadline_unreachable(world):
+    """Ask for more than the engines can do before the deadline."""
+    for _ in range(600):
+        world.call("counter-chat", at="entry-1", n=100)
+    return world.calls[-1]
+
+
+def no_backend(world):
+    """Call while every engine's host is leaving."""
+    for engine in world.engines.values():
+        world.notice(engine.cfg.host, 60.0)
+    world.run(1.0)
+    return world.call("quote-draft")
+
+
+def log_down(world):
+    """Ask for non-idempotent work in a log outage."""
+    world.log.down = True
+    world.run(4.0)
+    return world.call("voucher-booking", key="v")
+
+
+def key_missing(world):
+    """Ask for non-idempotent work without a key."""
+    call = world.call("voucher-booking", key="")
+    return call
+
+
+def key_expired(world):
+    """Use a key that is older than the window."""
+    return world.call("voucher-booking", raw_key="1600000000-old")
+
+
+def key_conflict(world):
+    """Use one key for two bodies."""
+    world.call("voucher-booking", key="v", prompt="one", at="entry-1")
+    world.run(0.02)
+    call = world.call("voucher-booking", key="v", prompt="two", at="entry-1")
+    return call
+
+
+def key_conflict_elsewhere(world):
+    """Use one key for two bodies at two entry hosts at once."""
+    world.call("voucher-booking", key="v", prompt="one", at="entry-1")
+    return world.call("voucher-booking", key="v", prompt="two", at="entry-2")
+
+
+def not_started(world):
+    """Give an Accept up whose append never lands."""
+    world.log.late = 1.0
+    world.log.late_s = 500.0
+    call = world.call("voucher-booking", key="v")
+    world.run(20.5)
+    world.log.late = 0.0
+    return call
+
+
+def cancelled_claim(world):
+    """Cancel a claim before its dispatch."""
+    call = world.call("voucher-booking", key="v")
+    key = f"{call.account}/{call.key}"
+    world.nodes[call.place].feed(CancelAsked(key))
+    return call
+
+
+def cancelled_answer(world):
+    """Cancel an answer before it was sent anywhere."""
+    for engine in world.engines.values():
+        for node in world.nodes.values():
+            node.state.view.engines[engine.name].limit = 1.0
+            node.state.view.engines[engine.name].own_running = 1
+    call = world.call("quote-draft")
+    world.run(0.1)
+    world.nodes[call.place].feed(CancelAsked(call.request_id))
+    return call
+
+
+SCENARIOS = [
+    (draining, Code.DRAINING),
+    (profiles_stale, Code.PROFILES_STALE),
+    (unknown_profile, Code.UNKNOWN_PROFILE),
+    (account_over_share, Code.ACCOUNT_OVER_SHARE),
+    (deadline_unreachable, Code.DEADLINE_UNREACHABLE),
+    (no_backend, Code.NO_BACKEND),
+    (log_down, Code.LOG_DOWN),
+    (key_missing, Code.KEY_MISSING),
+    (key_expired, Code.KEY_EXPIRED),
+    (key_conflict, Code.KEY_CONFLICT),
+    (key_conflict_elsewhere, Code.KEY_CONFLICT),
+    (not_started, Code.NOT_STARTED),
+    (cancelled_claim, Code.CANCELLED_NOT_RUN),
+    (cancelled_answer, Code.CANCELLED_NOT_RUN),
+]
+
+
+@pytest.mark.parametrize(
+    "scenario, code",
+    SCENARIOS,
+    ids=[case[0].__name__ for case in SCENARIOS],
+)
+def test_refusal_is_true(make_world, scenario, code):
+    limits = {"open_requests": 20} if code is Code.ACCOUNT_OVER_SHARE else {}
+    world = make_world(1, limits=limits)
+    call = scenario(world)
+    world.run_until(lambda: call.done, limit=60.0)
+    assert call.code is code
+    assert code.run is Run.NO
+    world.run(5.0)
+    assert world.settle()
+    assert call.request_id not in {
+        row.request_id for _, _, row in world.attempts()
+    }
+    assert violations(world) == []
+
+
+def test_every_refusal_is_brought_about():
+    codes = {code for _, code in SCENARIOS} | AT_THE_HTTP_DOOR
+    assert codes == {code for code in Code if code.run is Run.NO}
+
+
+def test_nothing_that_may_have_run_is_denied(make_world):
+    """A caller that cancels late hears that the work may have run."""
+    world = make_world(2)
+    call = world.call("claim-review", n=100)
+    world.run(0.5)
+    world.nodes[call.place].feed(CancelAsked(call.request_id))
+    assert world.settle()
+    assert call.code is Code.CANCELLED
+    assert call.code.run is Run.UNKNOWN
+
+
+def test_a_key_may_be_used_anew_after_a_refusal(make_world):
+    """After "not run" the same key is a new submission, and runs once."""
+    world = make_world(3)
+    call = cancelled_claim(world)
+    assert world.settle() and call.code is Code.CANCELLED_NOT_RUN
+    call.told.clear()
+    world.submit(call, "entry-2")
+    assert world.settle()
+    assert call.code is Code.DONE
+    assert violations(world) == []
