Free a service's slots when its calls end; end solitude

Ruled out: the retry budget (full) and take-overs (the requests had owners). Change: a service's load is its calls in flight. Also found: a request served without a standby never got one when peers came back; now it does.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(BIN)/mypy
 
 measure: $(VENV)/ready
-	$(BIN)/python -m tools.measure
+	$(BIN)/python tools/measure.py
+	$(BIN)/python tools/slopes.py
 
 format: $(VENV)/ready
 	$(BIN)/isort -q src tests tools
--- a/src/magnoliaflow/custody.py
+++ b/src/magnoliaflow/custody.py
@@ -16,6 +16,7 @@
 from magnoliaflow.lifecycle import Phase
 from magnoliaflow.membership import on_death
 from magnoliaflow.membership import pick_standby
+from magnoliaflow.membership import serving_peers
 from magnoliaflow.messages import Drop
 from magnoliaflow.messages import Extend
 from magnoliaflow.messages import Find
@@ -34,6 +35,7 @@
 from magnoliaflow.state import GatewayState
 from magnoliaflow.systems import on_timer
 from magnoliaflow.systems import receives
+from magnoliaflow.systems import system
 
 RESEND_S = 0.5
 COPY_CHECK_S = 30.0
@@ -499,6 +501,15 @@
     state.set_timer(COPY_CHECK_S, "check copy", request_id)
 
 
+@system(50)
+def end_solitude(state: GatewayState) -> None:
+    """Give a standby to requests that had none to be had before."""
+    if not state.requests.count("alone", True) or not serving_peers(state):
+        return
+    for request_id in state.requests.find("alone", True):
+        place_copy(state, state.requests.rows[request_id])
+
+
 @receives(Find)
 def answer_find(state: GatewayState, sender: str, msg: Find) -> None:
     """Tell a peer who serves a request, if it is known here."""
--- a/src/magnoliaflow/engines.py
+++ b/src/magnoliaflow/engines.py
@@ -1,7 +1,6 @@
 """Backend servers as one gateway sees them."""
 
 from dataclasses import dataclass
-from dataclasses import field
 from math import inf
 
 from magnoliaflow.ports import LoadReport
@@ -45,7 +44,12 @@
         return self.leaving_at == inf and now >= self.shunned_until
 
     def occupied(self) -> float:
-        """Return the estimated number of requests at the engine."""
+        """Return the estimated number of requests at the engine.
+
+        A plain service reports no load: own calls are all that is known.
+        """
+        if self.cfg.kind == "service":
+            return self.own_running
         return max(
             self.own_running,
             self.running + self.waiting + self.own_sent_since,
@@ -89,14 +93,6 @@
             self.limit = min(self.limit + LIMIT_STEP, 4.0 * self.cfg.slots)
 
 
-@dataclass(slots=True)
-class EngineGroup:
-    """Engines that serve one backend name, and their cheapest price."""
-
-    backend: str
-    names: list[str] = field(default_factory=list)
-
-
 def new_engine(cfg: BackendServer) -> Engine:
     """Return the row of a backend server that was not heard of yet."""
     return Engine(cfg=cfg, limit=float(cfg.slots))
--- a/src/magnoliaflow/gatewaycore.py
+++ b/src/magnoliaflow/gatewaycore.py
@@ -10,6 +10,7 @@
 from magnoliaflow import membership
 from magnoliaflow import profilework
 from magnoliaflow.profilework import SNAPSHOT_CHECK_S
+from magnoliaflow import ranges
 from magnoliaflow.state import GatewayState
 from magnoliaflow import submission
 from magnoliaflow.systems import Core
@@ -23,6 +24,7 @@
     logsession,
     membership,
     profilework,
+    ranges,
     submission,
 )
 
--- a/src/magnoliaflow/membership.py
+++ b/src/magnoliaflow/membership.py
@@ -210,6 +210,8 @@
         )
         state.peers.put(msg.identity, peer)
         state.log(LogEvent.PEER_ALIVE, peer=msg.identity)
+        if state.now > state.noticed.get(msg.host, state.now):
+            del state.noticed[msg.host]
     peer.heard_at = state.now
     peer.phase = Phase(msg.state)
     peer.in_flight = msg.in_flight
--- /dev/null
+++ b/src/magnoliaflow/ranges.py
@@ -0,0 +1,103 @@
+"""Placement by order-preserving prefix keys, balanced by a histogram.
+
+The idea of the DROP paper: keys that keep the order of prefixes, servers
+that own contiguous key ranges, and small ranges that move from a loaded
+server to its neighbour.  See docs/DESIGN.md for what it measured.
+"""
+
+from bisect import bisect_right
+
+from magnoliaflow.engines import Engine
+from magnoliaflow.routing import Need
+from magnoliaflow.routing import policy
+from magnoliaflow.routing import RoutingView
+
+KEY_BLOCKS = 4
+BLOCK_BITS = 16
+BUCKETS = 256
+REBALANCE_EVERY = 64
+IMBALANCE = 1.25
+DECAY = 0.5
+BOUNDED_LOAD = 1.25
+
+
+def order_key(blocks: tuple[int, ...]) -> int:
+    """Return a key whose order is that of prefixes, block by block.
+
+    >>> order_key((1, 5)) < order_key((1, 6)) < order_key((2,))
+    True
+    """
+    key = 0
+    for number in range(KEY_BLOCKS):
+        part = blocks[number] if number < len(blocks) else 0
+        key = key << BLOCK_BITS | part & (1 << BLOCK_BITS) - 1
+    return key
+
+
+class RangeMap:
+    """Which engine owns which range of buckets of the key space."""
+
+    __slots__ = ("bounds", "decisions", "histogram", "names")
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self.names = names
+        self.histogram = [0.0] * BUCKETS
+        self.decisions = 0
+        self.bounds = [
+            (number + 1) * BUCKETS // len(names)
+            for number in range(len(names) - 1)
+        ]
+
+    def owner(self, bucket: int) -> int:
+        """Return the index of the engine that owns a bucket."""
+        return bisect_right(self.bounds, bucket)
+
+    def note(self, bucket: int, tokens: int) -> None:
+        """Count load on a bucket and rebalance now and then."""
+        self.histogram[bucket] += tokens
+        self.decisions += 1
+        if self.decisions % REBALANCE_EVERY == 0:
+            self.rebalance()
+
+    def rebalance(self) -> None:
+        """Move one bucket between each uneven pair of neighbours."""
+        edges = [0, *self.bounds, BUCKETS]
+        loads = [
+            sum(self.histogram[start:end])
+            for start, end in zip(edges, edges[1:])
+        ]
+        for number, bound in enumerate(self.bounds):
+            left, right = loads[number], loads[number + 1]
+            if left > IMBALANCE * right and bound - 1 > edges[number]:
+                self.bounds[number] = bound - 1
+            elif right > IMBALANCE * left and bound + 1 < edges[number + 2]:
+                self.bounds[number] = bound + 1
+        self.histogram = [load * DECAY for load in self.histogram]
+
+
+@policy("key_ranges")
+def key_ranges(
+    view: RoutingView, need: Need, engines: list[Engine], now: float
+) -> Engine:
+    """Return the owner of the prefix's range, or its next neighbour."""
+    names = tuple(sorted(view.groups[need.backend]))
+    ranges = view.ranges.get(need.backend)
+    if ranges is None or ranges.names != names:
+        ranges = RangeMap(names)
+        view.ranges[need.backend] = ranges
+    bucket = order_key(need.blocks) * BUCKETS >> KEY_BLOCKS * BLOCK_BITS
+    ranges.note(bucket, need.prompt_tokens)
+    first = ranges.owner(bucket)
+    usable = {engine.name: engine for engine in engines}
+    total = sum(item.occupied() for item in engines) + 1
+    slots = sum(item.cfg.slots for item in engines)
+    in_order = [
+        usable[name]
+        for name in names[first:] + names[:first]
+        if name in usable
+    ]
+    for engine in in_order:
+        bound = BOUNDED_LOAD * total * engine.cfg.slots / slots
+        if engine.occupied() < bound:
+            return engine
+    return in_order[0]
--- a/src/magnoliaflow/routing.py
+++ b/src/magnoliaflow/routing.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from itertools import chain
 from random import Random
+from typing import Any
 
 from xxhash import xxh64_intdigest
 
@@ -66,6 +67,7 @@
         "groups",
         "name",
         "prefixes",
+        "ranges",
         "rng",
         "turn",
         "weights",
@@ -81,6 +83,7 @@
         self.engines: dict[str, Engine] = {}
         self.groups: dict[str, list[str]] = {}
         self.prefixes = PrefixIndex()
+        self.ranges: dict[str, Any] = {}
         self.turn = 0
 
     def add(self, engine: Engine) -> None:
--- a/src/magnoliaflow/state.py
+++ b/src/magnoliaflow/state.py
@@ -29,6 +29,7 @@
 from magnoliaflow.records import Record
 from magnoliaflow.requests import Attempt
 from magnoliaflow.requests import Request
+from magnoliaflow.requests import Role
 from magnoliaflow.routing import find_policy
 from magnoliaflow.routing import RoutingView
 from magnoliaflow.routing import Weights
@@ -187,6 +188,10 @@
         self.requests: Table[str, Request] = Table()
         self.requests.add_index("owner", lambda row: row.owner)
         self.requests.add_index("standby", lambda row: row.standby or None)
+        self.requests.add_index(
+            "alone",
+            lambda row: row.role is Role.OWNER and not row.standby or None,
+        )
         self.requests.add_index("role", lambda row: (row.role, row.settled))
         self.requests.add_index(
             "account",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,10 @@
 
 from hypothesis import settings
 import pytest
-from world import World
 from yaml import safe_load
 
 from magnoliaflow.settings import load_settings
+from world import World
 
 settings.register_profile(
     "fixed", derandomize=True, deadline=None, max_examples=100
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -3,15 +3,15 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from checkers import CHECKERS
 import pytest
-from world import Call
 
+from checkers import CHECKERS
 from magnoliaflow.codes import Code
 from magnoliaflow.records import ProfileEntry
 from magnoliaflow_standins.tokens import next_digest
 from magnoliaflow_standins.tokens import next_token
 from magnoliaflow_standins.tokens import start_digest
+from world import Call
 
 
 def make_history(calls=(), executions=(), attempts=(), nodes=(), notices=()):
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -5,9 +5,9 @@
 
 from itertools import product
 
-from checkers import violations
 import pytest
 
+from checkers import violations
 from magnoliaflow.codes import Code
 
 SEEDS = (1, 2, 3)
@@ -220,3 +220,31 @@
     assert [item.code for item in world.calls] == [Code.DONE] * 4
     if fault is not cut_owner:
         assert [item.resets for item in world.calls] == [0] * 4
+
+
+def test_lookups_go_on_beyond_a_service_s_slots(make_world):
+    """A service reports no load; ended calls must free its slots."""
+    world = make_world(1)
+    for number in range(200):
+        world.after(
+            number * 0.05, lambda: world.call("ticket-lookup", at="entry-1")
+        )
+    world.run(10.0)
+    assert world.settle(limit=20.0)
+    assert violations(world) == []
+
+
+def test_request_served_alone_gets_a_standby_once_there_is_one(make_world):
+    """A lone owner's request survives it once a peer has come back."""
+    world = make_world(2)
+    for name in ("entry-2", "entry-3", "entry-4"):
+        world.kill(name)
+    world.run(4.0)
+    call = world.call("claim-review", n=100, at="entry-1")
+    world.run(0.5)
+    world.start("entry-2")
+    world.run(2.0)
+    world.kill("entry-1")
+    assert world.settle()
+    assert violations(world) == []
+    assert (call.code, call.resets) == (Code.DONE, 0)
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -1,9 +1,8 @@
 """Each mechanism switched off: its checker must see the violation."""
 
-from checkers import violations
 import pytest
-import world as world_module
 
+from checkers import violations
 from magnoliaflow import answers
 from magnoliaflow import claimwork
 from magnoliaflow.codes import Code
@@ -14,6 +13,7 @@
 from magnoliaflow.requests import Role
 from magnoliaflow.systems import SYSTEMS
 from magnoliaflow.systems import TIMER_HANDLERS
+import world as world_module
 
 
 def send_again(monkeypatch):
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,301 @@
+"""Histories of real processes under SIGKILL, SIGSTOP, SIGTERM and faults."""
+
+from http.client import HTTPConnection
+from json import dumps
+from json import loads
+from pathlib import Path
+from signal import SIGCONT
+from signal import SIGSTOP
+from threading import Thread
+from time import monotonic
+from time import sleep
+
+import pytest
+from twisted.internet.defer import inlineCallbacks
+
+from magnoliaflow.client import make_key
+from magnoliaflow.codes import Code
+from magnoliaflow_standins.fleet import block
+from magnoliaflow_standins.fleet import LocalFleet
+from magnoliaflow_standins.fleet import start_reactor
+from magnoliaflow_standins.fleet import write_settings
+from magnoliaflow_standins.tokens import is_answer
+
+ROOT = Path(__file__).parent.parent
+PROMPT = "Repair file of a coat, zip number 8, nickel. " * 40
+ACCOUNT = "schools"
+SHORT = {"prompt": PROMPT, "max_tokens": 20}
+PAUSE_S = 5.0
+NOTICE_S = 4.0
+
+
+@pytest.fixture(scope="module")
+def running_fleet(tmp_path_factory):
+    """Run one deployment for the cases of this module."""
+    folder = tmp_path_factory.mktemp("fleet")
+    path = write_settings(
+        ROOT / "examples/repair-office.yaml",
+        folder,
+        engines=3,
+        services=2,
+        timings={"drain_s": 15.0},
+    )
+    start_reactor()
+    fleet = LocalFleet(path)
+    try:
+        fleet.start()
+        profiles = ROOT / "examples/repair-profiles.yaml"
+        code, text = fleet.command("profile", "publish", str(profiles))
+        assert code == 0, text
+        yield fleet
+    finally:
+        fleet.stop_all()
+
+
+@pytest.fixture
+def fleet(running_fleet):
+    """Return the deployment, whole again after each case."""
+    yield running_fleet
+    for host in running_fleet.cfg.entry_hosts:
+        name = f"gateway-{host.name}"
+        process = running_fleet.processes.get(name)
+        if process is None or process.poll() is not None:
+            running_fleet.start_daemon("gateway", host.name)
+    running_fleet.wait_for_gateways()
+
+
+def client_at(fleet, host):
+    """Return a caller that uses one entry host as long as it answers."""
+    client = fleet.client(ACCOUNT)
+    client.addresses = [fleet.cfg.entry_host(host).caller_address]
+    client.expires_at = monotonic() + 1.0
+    return client
+
+
+def call(fleet, host, profile, *, fault=None, streamed=False, **options):
+    """Make a call at an entry host; strike once it is under way."""
+    client = client_at(fleet, host)
+    read = []
+    answers = []
+
+    @inlineCallbacks
+    def run():
+        answer = yield client.submit(profile, **options)
+        answers.append(answer)
+        if streamed:
+            yield client.stream(answer, on_tokens=read.extend)
+        return (yield client.wait(answer))
+
+    def strike():
+        fleet.wait_until(lambda: len(read) > 5 if streamed else answers)
+        fault(fleet, host)
+
+    thread = Thread(target=strike)
+    if fault is not None:
+        thread.start()
+    answer = block(run)
+    if fault is not None:
+        thread.join()
+    return answer
+
+
+def kill(fleet, host):
+    """End a gateway at once."""
+    fleet.kill(f"gateway-{host}")
+
+
+def kill_and_restart(fleet, host):
+    """End a gateway and start it again at the same address."""
+    fleet.kill(f"gateway-{host}")
+    fleet.start_daemon("gateway", host)
+
+
+def pause(fleet, host):
+    """Pause a gateway past its take-over, then wake it."""
+    fleet.signal(f"gateway-{host}", SIGSTOP)
+    sleep(PAUSE_S)
+    fleet.signal(f"gateway-{host}", SIGCONT)
+
+
+def terminate(fleet, host):
+    """Stop a gateway gracefully."""
+    assert fleet.stop(f"gateway-{host}") == 0
+
+
+def reclaim(fleet, host):
+    """Announce the reclaim of an entry host; its gateway must leave."""
+    fleet.switch("cloud", reclaim={host: NOTICE_S})
+    process = fleet.processes.pop(f"gateway-{host}")
+    assert process.wait(timeout=10) == 0
+    sleep(NOTICE_S)
+
+
+def silence_engines(fleet, host):
+    """Let every open stream of every engine go silent for good."""
+    for number in (1, 2, 3):
+        fleet.switch(f"engine-{number}", silence=monotonic())
+
+
+def executions(fleet, key):
+    """Return how often a key was executed."""
+    rows = [
+        entry
+        for number in (1, 2)
+        for entry in fleet.server_history(f"counter-{number}")
+    ]
+    return sum(
+        1
+        for row in rows
+        if row["kind"] == "executed" and row["key"].endswith(key)
+    )
+
+
+STREAM_CASES = [
+    (kill, "entry-1"),
+    (kill_and_restart, "entry-2"),
+    (pause, "entry-3"),
+    (terminate, "entry-1"),
+    (silence_engines, "entry-2"),
+    (reclaim, "entry-4"),
+]
+
+
+@pytest.mark.parametrize(
+    "fault, host",
+    STREAM_CASES,
+    ids=[case[0].__name__ for case in STREAM_CASES],
+)
+def test_stream_under_fault(fleet, fault, host):
+    answer = call(
+        fleet,
+        host,
+        "counter-chat",
+        fault=fault,
+        streamed=True,
+        prompt=PROMPT + fault.__name__,
+        max_tokens=100,
+    )
+    assert (answer.code, answer.resets) == (Code.DONE, 0)
+    assert len(answer.tokens) == 100
+    names = ["engine-1", "engine-2", "engine-3"]
+    assert is_answer(PROMPT + fault.__name__, answer.tokens, names)
+
+
+CLAIM_CASES = [
+    (kill, "entry-1", 1.0),
+    (kill_and_restart, "entry-2", 1.0),
+    (pause, "entry-3", 1.0),
+    (terminate, "entry-1", 1.0),
+    (kill, "entry-2", 0.0),
+]
+
+
+@pytest.mark.parametrize("fault, host, late_s", CLAIM_CASES)
+def test_claim_under_fault(fleet, fault, host, late_s):
+    for number in (1, 2):
+        fleet.switch(f"counter-{number}", late_s=late_s)
+    key = make_key(f"{fault.__name__}-{late_s}")
+    answer = call(
+        fleet,
+        host,
+        "voucher-booking",
+        fault=fault,
+        payload={"voucher": 1},
+        key=key,
+    )
+    assert answer.code is Code.DONE
+    assert executions(fleet, key) == 1
+
+
+def test_lost_reply_of_a_service_is_settled_by_its_status(fleet):
+    for number in (1, 2):
+        fleet.switch(f"counter-{number}", lose_replies=1, late_s=0.0)
+    key = make_key("lost-reply")
+    answer = call(fleet, "entry-1", "voucher-booking", payload={}, key=key)
+    for number in (1, 2):
+        fleet.switch(f"counter-{number}", lose_replies=0)
+    assert answer.code is Code.DONE
+    assert executions(fleet, key) == 1
+
+
+def test_lost_reply_of_the_log_is_settled_by_reading(fleet):
+    fleet.switch("log", lose_replies=3)
+    key = make_key("lost-append")
+    answer = call(fleet, "entry-1", "voucher-booking", payload={}, key=key)
+    assert answer.code is Code.DONE
+    assert executions(fleet, key) == 1
+
+
+def test_log_outage_is_refused_honestly_and_answers_go_on(fleet):
+    fleet.switch("log", outage=True)
+    sleep(4.0)
+    key = make_key("in-outage")
+    with pytest.raises(Exception, match=str(int(Code.LOG_DOWN))):
+        call(fleet, "entry-1", "voucher-booking", payload={}, key=key)
+    answer = call(fleet, "entry-1", "quote-draft", **SHORT)
+    fleet.switch("log", outage=False)
+    fleet.wait_until(lambda: fleet.status("entry-1")["log_up"])
+    assert answer.code is Code.DONE
+    assert executions(fleet, key) == 0
+
+
+def test_racing_operators_get_one_acceptance(fleet, tmp_path):
+    text = (ROOT / "examples/repair-profiles.yaml").read_text()
+    path = tmp_path / "one.yaml"
+    path.write_text(text.split("quote-draft")[0])
+    codes = []
+
+    def publish():
+        args = ("profile", "publish", str(path), "--base", "1")
+        codes.append(fleet.command(*args)[0])
+
+    threads = [Thread(target=publish) for _ in range(2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(codes) == [0, 3]
+    code, text = fleet.command("profile", "history", "claim-review")
+    assert code == 0 and text.count("conflict") == 1
+    for command in ("list", "get claim-review", f"diff {path}"):
+        assert fleet.command("profile", *command.split())[0] == 0
+
+
+DOOR_CASES = [
+    ({"headers": {}}, 401, Code.UNAUTHENTICATED),
+    ({"headers": {"Authorization": "Bearer x"}}, 401, Code.UNAUTHENTICATED),
+    ({"body": b"{"}, 400, Code.BAD_REQUEST),
+    ({"body": b'{"profile": 3}'}, 400, Code.BAD_REQUEST),
+    ({"body": b'{"profile": "nope"}'}, 404, Code.UNKNOWN_PROFILE),
+    ({"body": b"x" * 1_000_001}, 413, Code.BODY_TOO_LARGE),
+]
+
+
+def test_bad_input_gets_a_code_and_the_connection_lives(fleet):
+    host = fleet.cfg.entry_host("entry-1")
+    token = (fleet.folder / "tokens" / ACCOUNT).read_text().strip()
+    conn = HTTPConnection(host.address, host.caller_port, timeout=5)
+    for options, status, code in DOOR_CASES:
+        headers = options.get("headers", {"Authorization": f"Bearer {token}"})
+        body = options.get("body", b'{"profile": "ticket-lookup"}')
+        conn.request("POST", "/v1/requests", body=body, headers=headers)
+        reply = conn.getresponse()
+        view = loads(reply.read())
+        assert (reply.status, view["code"]) == (status, int(code))
+        assert view["run"] == "no"
+    good = dumps({"profile": "ticket-lookup", "wait_s": 5}).encode()
+    headers = {"Authorization": f"Bearer {token}"}
+    conn.request("POST", "/v1/requests", body=good, headers=headers)
+    assert loads(conn.getresponse().read())["code"] == int(Code.DONE)
+    text = "".join(
+        path.read_text() for path in fleet.folder.glob("gateway-*.out")
+    )
+    assert token not in text
+
+
+def test_status_and_explain_tell_what_happened(fleet):
+    answer = call(fleet, "entry-1", "quote-draft", **SHORT)
+    code, text = fleet.command("explain", answer.request_id)
+    assert code == 0 and "settled code=DONE" in text and "sent" in text
+    code, text = fleet.command("status")
+    assert code == 0 and len(loads(text)) == 4
--- a/tests/test_profiles.py
+++ b/tests/test_profiles.py
@@ -2,12 +2,12 @@
 
 from json import dumps
 
-from checkers import PROFILE_BOUND_S
-from checkers import violations
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from checkers import PROFILE_BOUND_S
+from checkers import violations
 from magnoliaflow.codes import Code
 from magnoliaflow.errors import SettingsError
 from magnoliaflow.profiles import Decision
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,8 +1,8 @@
 """Every code that says "not run" is brought about; nothing has run."""
 
-from checkers import violations
 import pytest
 
+from checkers import violations
 from magnoliaflow.codes import Code
 from magnoliaflow.codes import Run
 from magnoliaflow.inputs import CancelAsked
