Order waiting requests by due time; price what a prefill displaces

Cause: the engines' own queues were first come, first served, so requests with a loose target filled them and those with a tight one were refused or spilled, with recomputation; choices ignored that a prefill delays all who wait; streams that waited for prefill were taken for silent in the measurement, whose fake sent no sign of life (mended there).

Change: due-time queue at the gateway with at most 0.6 s of prefill at an engine, look-ahead past blocked requests, learnt forecast error in admission, shares of accounts bite under load only, expected cost counts lateness and displaced answers by the profile's cost limit.

--- a/src/magnoliaflow/admission.py
+++ b/src/magnoliaflow/admission.py
@@ -4,6 +4,7 @@
 from math import inf
 
 from magnoliaflow.codes import Code
+from magnoliaflow.fairness import Backlog
 from magnoliaflow.lifecycle import Phase
 from magnoliaflow.profiles import Profile
 from magnoliaflow.profiles import Target
@@ -31,14 +32,6 @@
         return self.wait_s + self.service_s
 
 
-@dataclass(slots=True)
-class Backlog:
-    """Tokens of the requests that wait at this gateway."""
-
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
-
-
 def profiles_fresh(state: GatewayState) -> bool:
     """Return whether profile changes can still reach this process."""
     if not state.profiles.complete:
@@ -110,19 +103,28 @@
     return Outlook(best + ahead, need.answer_tokens / token_rate)
 
 
-def deadline_refusal(profile: Profile, seen: Outlook | None) -> Code | None:
+def deadline_refusal(
+    profile: Profile,
+    seen: Outlook | None,
+    *,
+    error_s: float,
+    allowance: float,
+) -> Code | None:
     """Return the code for a deadline that cannot be met, else None.
 
     A model's answer must begin within the profile's first-token target
-    and be whole within its deadline.
+    and be whole within its deadline; ``error_s`` is by how much
+    predictions were exceeded lately.  An account that used more than its
+    share is refused first: its ``allowance`` shortens the target.
     """
     if seen is None:
         return Code.NO_BACKEND
     if profile.target is Target.SERVICE:
         late = seen.wait_s > profile.deadline_s
-    else:
-        late = (
-            seen.wait_s > profile.first_token_s
-            or seen.total_s > profile.deadline_s
-        )
-    return Code.DEADLINE_UNREACHABLE if late else None
+        return Code.DEADLINE_UNREACHABLE if late else None
+    wait_s = seen.wait_s + error_s
+    if wait_s > profile.first_token_s or seen.total_s > profile.deadline_s:
+        return Code.DEADLINE_UNREACHABLE
+    if wait_s > profile.first_token_s * allowance:
+        return Code.ACCOUNT_OVER_SHARE
+    return None
--- a/src/magnoliaflow/attempts.py
+++ b/src/magnoliaflow/attempts.py
@@ -7,6 +7,8 @@
 from magnoliaflow.commands import ResumeAttempt
 from magnoliaflow.commands import StartAttempt
 from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.fairness import DueQueue
+from magnoliaflow.fairness import Ticket
 from magnoliaflow.inputs import CacheEventsArrived
 from magnoliaflow.inputs import EngineSilent
 from magnoliaflow.inputs import ReportArrived
@@ -23,61 +25,107 @@
 from magnoliaflow.systems import system
 
 SHUN_S = 2.0
-MOVED_PRIORITY = 10
+MOVED_TARGET_S = 0.5
+DISPATCH_PERIOD_S = 0.05
+LOOK_AHEAD = 32
+ENGINE_QUEUE_S = 0.6
 
 
-def need_of(req: Request) -> Need:
-    """Return what a request asks of an engine, from its prefix on."""
+def need_of(req: Request, now: float) -> Need:
+    """Return what a request asks of an engine, from its prefix on.
+
+    Its first token, or the next one, is wanted within what is left of
+    the latency target.
+    """
     done = len(req.tokens)
+    target = req.profile.first_token_s
+    left_s = MOVED_TARGET_S if done else req.accepted_at + target - now
     return Need(
         request_id=req.request_id,
         backend=req.profile.backend,
         blocks=req.blocks,
         prompt_tokens=prompt_tokens(req.prompt) + done,
         answer_tokens=max(1, req.max_tokens - done),
-        first_token_s=req.profile.first_token_s,
+        first_token_s=left_s,
         token_gap_s=req.profile.token_gap_s,
+        target_s=target,
+        value=req.profile.cost_limit,
     )
 
 
 def enqueue(state: GatewayState, req: Request) -> None:
-    """Let a request wait for an engine."""
+    """Let a request wait for an engine; a moved one is due at once."""
     if req.settled or req.attempt_id:
         return
-    priority = MOVED_PRIORITY if req.moving else req.profile.priority
-    need = need_of(req)
+    state.dispatch_at = state.now
+    need = need_of(req, state.now)
+    moved = bool(req.attempts_made or req.tokens)
+    target_s = 0.0 if moved else req.profile.first_token_s
     state.queue(req.profile.backend).push(
         req.request_id,
-        account=req.account,
-        prompt_tokens=need.prompt_tokens,
+        due=req.accepted_at + target_s,
+        prompt_tokens=state.view.least_uncached(need, state.now),
         answer_tokens=need.answer_tokens,
-        priority=priority,
     )
 
 
 @system(60)
 def dispatch(state: GatewayState) -> None:
     """Send waiting requests to engines that have room."""
-    for queue in state.queues.values():
-        while len(queue):
+    if state.now < state.dispatch_at:
+        return
+    state.dispatch_at = state.now + DISPATCH_PERIOD_S
+    for backend, queue in state.queues.items():
+        _note_backlog(state, backend, queue)
+        blocked: list[Ticket] = []
+        while len(queue) and len(blocked) < LOOK_AHEAD:
             ticket = queue.take()
             if ticket is None:
                 break
-            req = state.requests.get(ticket.request_id)
-            if req is None or req.settled or req.role is not Role.OWNER:
-                continue
-            if resume(state, req):
-                continue
-            pick = choose(state.view, need_of(req), state.policy, state.now)
-            if pick is None or not _has_room(state, pick):
-                queue.push_back(ticket)
-                break
-            start(state, req, pick)
+            if not _send(state, ticket):
+                blocked.append(ticket)
+        for ticket in blocked:
+            queue.push_back(ticket)
+
+
+def _note_backlog(state: GatewayState, backend: str, queue: DueQueue) -> None:
+    """Tell routing how long the queue would take to prefill."""
+    rate = sum(
+        state.view.engines[name].cfg.prefill_rate
+        for name in state.view.groups.get(backend, ())
+    )
+    waiting = queue.prompt_tokens * state.view.gateways
+    state.view.backlog_s = waiting / rate if rate else 0.0
+
+
+def _send(state: GatewayState, ticket: Ticket) -> bool:
+    """Send one request on; return False if it has to wait."""
+    req = state.requests.get(ticket.request_id)
+    if req is None or req.settled or req.role is not Role.OWNER:
+        return True
+    if resume(state, req):
+        return True
+    need = need_of(req, state.now)
+    pick = choose(state.view, need, state.policy, state.now)
+    if pick is None or not _has_room(state, pick):
+        return False
+    start(state, req, pick)
+    return True
 
 
 def _has_room(state: GatewayState, pick: Pick) -> bool:
+    """Return whether an engine may be sent more now.
+
+    What waits is better kept here, in order of due times, than in an
+    engine's own queue.
+    """
     engine = state.view.engines[pick.engine]
-    return engine.occupied() < max(1.0, engine.limit)
+    if engine.occupied() >= max(1.0, engine.limit):
+        return False
+    if engine.cfg.kind == "service":
+        return True
+    ahead = state.view.prefill_ahead_s(engine)
+    return ahead <= ENGINE_QUEUE_S
 
 
 def resume(state: GatewayState, req: Request) -> bool:
@@ -181,6 +229,7 @@
 def drop_attempt(state: GatewayState, attempt: Attempt) -> None:
     """Forget an attempt; what still arrives for it is ignored."""
     state.attempts.drop(attempt.attempt_id)
+    state.dispatch_at = state.now
     engine = state.view.engines.get(attempt.engine)
     if engine is not None:
         engine.note_ended()
@@ -212,6 +261,7 @@
     if engine is None:
         return
     engine.take_report(item.report, state.now)
+    state.dispatch_at = state.now
 
 
 @handles(CacheEventsArrived)
@@ -251,7 +301,7 @@
         for attempt in attempts
         if attempt.request_id in state.requests
     ]
-    rows.sort(key=lambda row: -need_of(row[1]).prompt_tokens)
+    rows.sort(key=lambda row: -need_of(row[1], state.now).prompt_tokens)
     for attempt, req in rows:
         move(state, attempt, req, reason)
 
--- a/src/magnoliaflow/custody.py
+++ b/src/magnoliaflow/custody.py
@@ -201,6 +201,11 @@
     metrics.tokens.inc(fresh)
     if req.first_token_at == 0.0:
         req.first_token_at = state.now
+        if req.attempts_made == 1 and req.predicted_s > 0.0:
+            state.forecast(req.profile.backend).note(
+                predicted_s=req.predicted_s,
+                actual_s=state.now - req.accepted_at,
+            )
         metrics.first_token.labels(req.profile.name).observe(
             state.now - req.accepted_at
         )
--- a/src/magnoliaflow/draining.py
+++ b/src/magnoliaflow/draining.py
@@ -91,7 +91,7 @@
             seconds_left,
         )
     ]
-    moves.sort(key=lambda row: -need_of(row[1]).prompt_tokens)
+    moves.sort(key=lambda row: -need_of(row[1], state.now).prompt_tokens)
     for attempt, req in moves:
         move(state, attempt, req, "reclaim")
     for attempt, engine in rows:
--- a/src/magnoliaflow/requests.py
+++ b/src/magnoliaflow/requests.py
@@ -58,6 +58,7 @@
     resume_engine: str = ""
     resume_attempt: str = ""
     export_from: str = ""
+    predicted_s: float = 0.0
     first_token_at: float = 0.0
     last_token_at: float = 0.0
     cancelled: bool = False
--- a/src/magnoliaflow/routing.py
+++ b/src/magnoliaflow/routing.py
@@ -29,7 +29,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """What a request asks of an engine."""
+    """What a request asks of an engine.
+
+    ``first_token_s`` is what is left of the latency target ``target_s``;
+    ``value`` is what an answer in time may cost.
+    """
 
     request_id: str
     backend: str
@@ -38,6 +42,8 @@
     answer_tokens: int
     first_token_s: float
     token_gap_s: float
+    target_s: float = 1.8
+    value: float = 0.1
     avoid: frozenset[str] = frozenset()
 
 
@@ -63,6 +69,7 @@
     """Engines and prefix knowledge of one gateway."""
 
     __slots__ = (
+        "backlog_s",
         "engines",
         "gateways",
         "groups",
@@ -85,6 +92,7 @@
         self.groups: dict[str, list[str]] = {}
         self.prefixes = PrefixIndex()
         self.ranges: dict[str, Any] = {}
+        self.backlog_s = 0.0
         self.turn = 0
 
     def add(self, engine: Engine) -> None:
@@ -124,15 +132,27 @@
         matched = self.prefixes.matched(engine.name, need.blocks)
         return max(1, need.prompt_tokens - int(matched * TOKENS_PER_BLOCK))
 
+    def least_uncached(self, need: Need, now: float) -> int:
+        """Return the prompt tokens to compute at the best holder."""
+        engines = self.candidates(need, now)
+        return min(
+            (self.uncached(engine, need) for engine in engines),
+            default=need.prompt_tokens,
+        )
+
+    def prefill_ahead_s(self, engine: Engine) -> float:
+        """Return the prefill an engine has to do before new work."""
+        unseen = engine.recent_tokens * self.gateways
+        return (engine.queued_tokens + unseen) / engine.cfg.prefill_rate
+
     def wait_s(self, engine: Engine, uncached: int) -> float:
         """Return the predicted time to the first token.
 
         Own sends since the report stand for those of the other gateways
         too, which decide on the same report.
         """
-        unseen = engine.recent_tokens * self.gateways
-        queued = engine.queued_tokens + unseen + uncached
-        wait = queued / engine.cfg.prefill_rate
+        wait = self.prefill_ahead_s(engine)
+        wait += uncached / engine.cfg.prefill_rate
         over = engine.occupied() + 1 - engine.limit
         if over > 0:
             wait += over / engine.limit / engine.cfg.token_rate * 100
@@ -233,25 +253,29 @@
 def expected_cost(
     view: RoutingView, need: Need, engines: list[Engine], now: float
 ) -> Engine:
-    """Return the engine of least expected cost that is soon enough.
+    """Return the engine of least expected cost.
 
-    Of those that meet the first-token target the cheapest counts: price,
-    plus recomputation here and of what is evicted for it, plus tokens at
-    stake times the risk of a reclaim.  If none meets it, the soonest.
+    The cost is the price of the engine's time, recomputation here and of
+    what is evicted for it, the tokens at stake times the risk of a
+    reclaim, the value of the answer if it would be late, and of the
+    answers that its prefill displaces while there is a queue.
     """
     rows = []
     for engine in engines:
         uncached = view.uncached(engine, need)
-        wait = view.wait_s(engine, uncached)
-        rows.append((engine, uncached, wait))
-    soon = [row for row in rows if row[2] <= need.first_token_s]
-    if not soon:
-        return min(rows, key=lambda row: row[2])[0]
-    return min(soon, key=lambda row: _expected(view, need, *row))[0]
+        rows.append((engine, uncached, view.wait_s(engine, uncached)))
+    shortest = min(wait for _, _, wait in rows)
+    crowding = min(1.0, (shortest + view.backlog_s) / need.target_s)
+    return min(rows, key=lambda row: _expected(view, need, crowding, *row))[0]
 
 
 def _expected(
-    view: RoutingView, need: Need, engine: Engine, uncached: int, wait: float
+    view: RoutingView,
+    need: Need,
+    crowding: float,
+    engine: Engine,
+    uncached: int,
+    wait: float,
 ) -> float:
     """Return the expected cost of a choice."""
     cfg = engine.cfg
@@ -259,10 +283,14 @@
     age = view.prefixes.evicted_age(engine.name)
     reuse = REUSE_S / (REUSE_S + age)
     at_stake = need.prompt_tokens + need.answer_tokens
-    hours = need.answer_tokens / cfg.token_rate / SECONDS_PER_HOUR
+    answer_s = need.answer_tokens / cfg.token_rate
+    hours = answer_s / SECONDS_PER_HOUR
     risk = RECLAIMS_PER_HOUR * hours if cfg.reclaimable else 0.0
+    late = 1.0 if wait > need.first_token_s else 0.0
+    displaced = uncached / cfg.prefill_rate * engine.limit / answer_s
     return (
         work_cost(cfg, uncached, need.answer_tokens)
         + unit * (uncached * (1.0 + reuse) + risk * at_stake)
         + view.weights.latency_weight * 1e-3 * wait
+        + need.value * (late + crowding * displaced)
     )
--- a/src/magnoliaflow/state.py
+++ b/src/magnoliaflow/state.py
@@ -19,7 +19,9 @@
 from magnoliaflow.commands import WriteLog
 from magnoliaflow.engines import new_engine
 from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.fairness import FairQueue
+from magnoliaflow.fairness import DueQueue
+from magnoliaflow.fairness import Shares
+from magnoliaflow.forecast import Forecast
 from magnoliaflow.lifecycle import LifeCycle
 from magnoliaflow.lifecycle import new_life_cycle
 from magnoliaflow.lifecycle import Phase
@@ -129,7 +131,9 @@
         "cfg",
         "cursors",
         "drain_deadline",
+        "dispatch_at",
         "exited",
+        "forecasts",
         "claim_jobs",
         "claim_wait",
         "claims",
@@ -155,6 +159,7 @@
         "rng",
         "sent_claims",
         "serial",
+        "shares",
         "snapshot_at",
         "started_at",
         "status_asked",
@@ -214,7 +219,12 @@
         self.profiles = ProfileBook()
         self.cursors = {stream: StreamCursor(stream) for stream in STREAMS}
         self.log_up = False
-        self.queues: dict[str, FairQueue] = {}
+        self.dispatch_at = -inf
+        self.shares = Shares(
+            {item.name: item.weight for item in cfg.client_accounts}
+        )
+        self.forecasts: dict[str, Forecast] = {}
+        self.queues: dict[str, DueQueue] = {}
         self.timers: list[Timer] = []
         self.serial = 0
         self.noticed: dict[str, float] = {}
@@ -288,12 +298,10 @@
             due.append(heappop(self.timers))
         return due
 
-    def queue(self, backend: str) -> FairQueue:
+    def queue(self, backend: str) -> DueQueue:
         """Return the queue of requests that wait for a backend."""
-        if backend not in self.queues:
-            weights = {
-                account.name: account.weight
-                for account in self.cfg.client_accounts
-            }
-            self.queues[backend] = FairQueue(weights)
-        return self.queues[backend]
+        return self.queues.setdefault(backend, DueQueue())
+
+    def forecast(self, backend: str) -> Forecast:
+        """Return the learnt error of predictions for a backend."""
+        return self.forecasts.setdefault(backend, Forecast())
--- a/src/magnoliaflow/submission.py
+++ b/src/magnoliaflow/submission.py
@@ -1,6 +1,5 @@
 """What a gateway does with a new request or a cancellation."""
 
-from magnoliaflow.admission import Backlog
 from magnoliaflow.admission import deadline_refusal
 from magnoliaflow.admission import outlook
 from magnoliaflow.admission import refusal
@@ -36,17 +35,30 @@
             refuse(state, item, code)
         return
     req = make_request(state, item)
-    need = need_of(req)
-    queue = state.queue(profile.backend)
-    queued = Backlog(queue.prompt_tokens, queue.answer_tokens)
+    need = need_of(req, state.now)
+    forecast = state.forecast(profile.backend)
+    due = state.now + profile.first_token_s
+    seen = outlook(
+        state.view,
+        need,
+        state.queue(profile.backend).ahead_of(due),
+        state.now,
+    )
     code = deadline_refusal(
-        profile, outlook(state.view, need, queued, state.now)
+        profile,
+        seen,
+        error_s=forecast.error_s,
+        allowance=state.shares.allowance(item.account, state.now),
     )
     if code is not None:
         refuse(state, item, code)
         return
+    if seen is not None:
+        req.predicted_s = seen.wait_s
     state.requests.put(req.request_id, req)
     state.budget.earn()
+    size = need.prompt_tokens + need.answer_tokens
+    state.shares.use(item.account, size, state.now)
     place_copy(state, req)
     enqueue(state, req)
 
--- a/tools/workload.py
+++ b/tools/workload.py
@@ -19,6 +19,7 @@
 
 STEP_S = 0.1
 REPORT_LAG_S = 0.3
+KEEPALIVE_S = 1.0
 EVENT_LAG_S = 0.5
 EVENT_GAP = 0.02
 CACHE_BLOCKS = 2400
@@ -171,6 +172,8 @@
             "sent": len(call.prefix),
             "limit": call.max_tokens,
             "ready": self.free_at,
+            "work_s": work / self.cfg.prefill_rate,
+            "heard": self.world.now,
             "to": node,
             "gone": False,
         }
@@ -243,6 +246,9 @@
                 del self.live[run["id"]]
             elif end > run["sent"]:
                 self.send_piece(run, end)
+        for run in self.live.values():
+            if now - run["heard"] >= KEEPALIVE_S:
+                self.send_piece(run, run["sent"])
         self.stepping = bool(self.live)
         if self.stepping:
             self.world.after(STEP_S, self.step_all)
@@ -253,6 +259,7 @@
         tokens = (0,) * (end - run["sent"])
         piece = PieceArrived(run["id"], run["sent"], tokens, done)
         run["sent"] = end
+        run["heard"] = self.world.now
         run["to"].feed(piece)
         if done:
             del self.live[run["id"]]
@@ -268,8 +275,15 @@
         run["sent"] = len(call.prefix)
 
     def cancel(self, attempt_id):
-        """Stop an attempt."""
-        self.live.pop(attempt_id, None)
+        """Stop an attempt; a prefill not yet begun is not done."""
+        run = self.live.pop(attempt_id, None)
+        if run is None or run["ready"] - run["work_s"] <= self.world.now:
+            return
+        self.free_at -= run["work_s"]
+        self.busy_s -= run["work_s"]
+        for other in self.live.values():
+            if other["ready"] > run["ready"]:
+                other["ready"] -= run["work_s"]
 
     def report(self):
         """Return the load as it was a while ago."""
