Look through the peers once a heartbeat; measure slopes

Cause: three systems walked over every peer in each tick: an idle tick took 16 us at 4 peers and 178 us at 410. A prefix block took 391 bytes, most of it a dictionary for its one holder.

Change: the walk is due once a heartbeat; holders are a tuple.

--- a/src/magnoliaflow/draining.py
+++ b/src/magnoliaflow/draining.py
@@ -235,6 +235,8 @@
 @system(85)
 def leave_draining_peers(state: GatewayState) -> None:
     """Move copies away from peers that are draining."""
+    if not state.peers_due:
+        return
     for peer in state.peers:
         if peer.phase is not Phase.DRAINING:
             continue
--- a/src/magnoliaflow/membership.py
+++ b/src/magnoliaflow/membership.py
@@ -142,6 +142,14 @@
         peer.heard_at = state.now
 
 
+@system(15)
+def time_peer_checks(state: GatewayState) -> None:
+    """Say once a heartbeat that the peers are to be looked through."""
+    state.peers_due = state.now >= state.peer_check_at
+    if state.peers_due:
+        state.peer_check_at = state.now + state.cfg.timings.heartbeat_s
+
+
 @system(20)
 def send_heartbeats(state: GatewayState) -> None:
     """Send a heartbeat to a bounded number of peers when it is due."""
@@ -167,6 +175,8 @@
 @system(30)
 def suspect_peers(state: GatewayState) -> None:
     """Probe silent peers over a new connection."""
+    if not state.peers_due:
+        return
     limit = state.cfg.timings.silence_s
     for peer in state.peers:
         if peer.probing or state.now - peer.heard_at < limit:
--- a/src/magnoliaflow/prefixes.py
+++ b/src/magnoliaflow/prefixes.py
@@ -29,7 +29,7 @@
         self.capacity = capacity
         self._blocks: dict[str, OrderedDict[int, float]] = {}
         self._evicted_age: dict[str, float] = {}
-        self._holders: dict[int, dict[str, None]] = {}
+        self._holders: dict[int, tuple[str, ...]] = {}
         self._last_event: dict[str, int] = {}
         self._trust: dict[str, float] = {}
 
@@ -39,7 +39,9 @@
         for block in blocks:
             known[block] = now
             known.move_to_end(block)
-            self._holders.setdefault(block, {})[engine] = None
+            holders = self._holders.get(block, ())
+            if engine not in holders:
+                self._holders[block] = (*holders, engine)
         while len(known) > self.capacity:
             oldest, _ = known.popitem(last=False)
             self._unhold(engine, oldest)
@@ -116,13 +118,12 @@
                 high = middle - 1
         if low == 0:
             return ()
-        names = self._holders[blocks[low - 1]]
-        return tuple(name for name, _ in zip(names, range(most)))
+        return self._holders[blocks[low - 1]][:most]
 
     def _unhold(self, engine: str, block: int) -> None:
-        holders = self._holders.get(block)
-        if holders is None:
+        holders = self._holders.get(block, ())
+        left = tuple(name for name in holders if name != engine)
+        if left:
+            self._holders[block] = left
             return
-        holders.pop(engine, None)
-        if not holders:
-            del self._holders[block]
+        self._holders.pop(block, None)
--- a/src/magnoliaflow/profilework.py
+++ b/src/magnoliaflow/profilework.py
@@ -26,6 +26,8 @@
 @system(45)
 def ask_for_news(state: GatewayState) -> None:
     """Ask a peer that is ahead for the profiles it knows."""
+    if not state.peers_due:
+        return
     cursor = state.cursors[PROFILE_STREAM]
     ahead = [
         peer
--- a/src/magnoliaflow/state.py
+++ b/src/magnoliaflow/state.py
@@ -148,7 +148,9 @@
         "noticed",
         "now",
         "out",
+        "peer_check_at",
         "peers",
+        "peers_due",
         "pending",
         "policy",
         "profiles",
@@ -244,6 +246,8 @@
         for server in cfg.backend_servers:
             self.view.add(new_engine(server))
         self.heartbeat_at = -inf
+        self.peer_check_at = -inf
+        self.peers_due = False
         self.drain_deadline = inf
         self.reclaimed = False
         self.exited = False
--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,469 @@
+"""Measures slopes: time and memory against size, bytes of membership.
+
+With --fleet it also runs real gateways and reads their processor time.
+"""
+
+from argparse import ArgumentParser
+from dataclasses import replace
+from json import dumps
+from os import sysconf
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from time import perf_counter
+from time import sleep
+import tracemalloc
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+from twisted.internet.defer import gatherResults
+from twisted.internet.defer import inlineCallbacks
+from yaml import safe_dump
+from yaml import safe_load
+
+from magnoliaflow.blocks import prefix_blocks
+from magnoliaflow.claims import ClaimBook
+from magnoliaflow.codec import decode_record
+from magnoliaflow.codec import encode_record
+from magnoliaflow.codec import message_to_wire
+from magnoliaflow.engines import new_engine
+from magnoliaflow.gatewaycore import open_core
+from magnoliaflow.inputs import MessageArrived
+from magnoliaflow.inputs import PieceArrived
+from magnoliaflow.inputs import ReadRecord
+from magnoliaflow.inputs import RecordsRead
+from magnoliaflow.inputs import Submitted
+from magnoliaflow.messages import Heartbeat
+from magnoliaflow.messages import HoldAck
+from magnoliaflow.prefixes import PrefixIndex
+from magnoliaflow.profiles import parse_spec
+from magnoliaflow.profiles import ProfileBook
+from magnoliaflow.records import Accept
+from magnoliaflow.records import Dispatch
+from magnoliaflow.records import Outcome
+from magnoliaflow.records import ProfileChange
+from magnoliaflow.records import Record
+from magnoliaflow.routing import choose
+from magnoliaflow.routing import find_policy
+from magnoliaflow.routing import Need
+from magnoliaflow.settings import load_settings
+from magnoliaflow.state import GatewayState
+from magnoliaflow.state import PROFILE_STREAM
+from magnoliaflow_standins.fleet import block
+from magnoliaflow_standins.fleet import LocalFleet
+from magnoliaflow_standins.fleet import start_reactor
+from magnoliaflow_standins.fleet import write_settings
+
+ROOT = Path(__file__).parent.parent
+ENGINE_COUNTS = (10, 100, 1000, 7400)
+PEER_COUNTS = (4, 40, 410)
+REQUEST_COUNTS = (10, 100, 1000, 10_000)
+SPEC = dumps(
+    {
+        "target": "model",
+        "idempotent": True,
+        "deadline_s": 60,
+        "backend": "repair-model",
+        "max_tokens": 2000,
+    }
+)
+
+
+def make_state(*, engines=10):
+    """Return a gateway's state with a number of engines."""
+    cfg = load_settings(ROOT / "examples/repair-office.yaml")
+    model = cfg.backend_servers[0]
+    servers = tuple(
+        replace(model, name=f"e{number}", host=f"h{number}")
+        for number in range(engines)
+    )
+    cfg = replace(cfg, backend_servers=servers)
+    return GatewayState(
+        cfg=cfg,
+        host=cfg.entry_hosts[0],
+        identity="entry-1-0",
+        rng=Random(1),
+        now=0.0,
+        wall=1.7e9,
+    )
+
+
+def seconds_each(function, count):
+    """Return the mean time of a call, the best of three rounds."""
+    best = 1e9
+    for _ in range(3):
+        start = perf_counter()
+        for number in range(count):
+            function(number)
+        best = min(best, (perf_counter() - start) / count)
+    return best
+
+
+def bytes_each(make, count):
+    """Return the memory that one more row takes."""
+    tracemalloc.start()
+    rows = [make(number) for number in range(count)]
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del rows
+    return used / count
+
+
+def measure_decisions():
+    """Return the time of a routing decision by engines known."""
+    result = {}
+    function = find_policy("expected_cost")
+    for count in ENGINE_COUNTS:
+        state = make_state(engines=count)
+        names = list(state.view.engines)
+        rng = Random(2)
+        prompts = [
+            prefix_blocks(f"document {number} " * 800) for number in range(50)
+        ]
+        for blocks in prompts:
+            state.view.prefixes.add(rng.choice(names), blocks, 0.0)
+        needs = [
+            Need("r", "repair-model", blocks, 3000, 100, 1.8, 0.035)
+            for blocks in prompts
+        ]
+        result[count] = seconds_each(
+            lambda n: choose(state.view, needs[n % 50], function, 1.0), 2000
+        )
+    return result
+
+
+def measure_ticks():
+    """Return the time of an idle tick by engines, requests and peers."""
+    result = {"engines": {}, "requests": {}, "peers": {}}
+    for count in ENGINE_COUNTS:
+        core = open_core(make_state(engines=count))
+        result["engines"][count] = idle_tick(core)
+    for count in REQUEST_COUNTS:
+        core = core_with_requests(count)
+        result["requests"][count] = idle_tick(core)
+    for count in PEER_COUNTS:
+        core = open_core(make_state())
+        for number in range(count):
+            core.receive(heartbeat_of(number), now=0.0, wall=1.7e9)
+        result["peers"][count] = idle_tick(core)
+    return result
+
+
+def idle_tick(core):
+    """Return the time of a tick in which nothing changed."""
+    core.tick(now=0.01, wall=1.7e9)
+    return seconds_each(lambda n: core.tick(now=0.02, wall=1.7e9), 2000)
+
+
+def heartbeat_of(number):
+    """Return the heartbeat of one of many peers as an input."""
+    return MessageArrived(
+        f"p{number}",
+        Heartbeat(
+            identity=f"p{number}",
+            host=f"ph{number}",
+            zone=f"z{number % 8}",
+            state=1,
+            caller_address="10.0.0.1:80",
+            peer_address=f"10.0.{number // 250}.{number % 250}:81",
+            applied={"profiles": 10, "claims-0": 10},
+            notices=(),
+            in_flight=3,
+        ),
+    )
+
+
+def with_profile(state):
+    """Bring one profile in force."""
+    change = ProfileChange("c", "p", 0, SPEC, "op", 1.7e9)
+    return RecordsRead(
+        PROFILE_STREAM, (ReadRecord(0, Record("c", change)),), 1
+    )
+
+
+def core_with_requests(count):
+    """Return a core that serves a number of requests."""
+    state = make_state(engines=200)
+    core = open_core(state)
+    core.receive(heartbeat_of(1), now=0.0, wall=1.7e9)
+    core.receive(with_profile(state), now=0.0, wall=1.7e9)
+    state.cfg = replace(
+        state.cfg, limits=replace(state.cfg.limits, open_requests=100_000)
+    )
+    for number in range(count):
+        core.receive(submitted(number), now=0.0, wall=1.7e9)
+        ack = HoldAck(f"q{number}", 0, state.identity, 0, False)
+        core.receive(MessageArrived("p1", ack), now=0.0, wall=1.7e9)
+    core.tick(now=0.0, wall=1.7e9)
+    return core
+
+
+def submitted(number):
+    """Return the input of one small request."""
+    return Submitted(
+        request_id=f"q{number}",
+        account="north-counter",
+        profile="p",
+        body=b'{"prompt": "text"}',
+        prompt="text",
+        max_tokens=1000,
+        key="",
+    )
+
+
+def measure_token_path():
+    """Return the core's time for one piece, its copy and its ack."""
+    core = core_with_requests(100)
+    state = core.state
+    attempts = list(state.attempts.rows.values())[:100]
+
+    def piece(number):
+        attempt = attempts[number % len(attempts)]
+        req = state.requests.rows[attempt.request_id]
+        offset = len(req.tokens)
+        item = PieceArrived(attempt.attempt_id, offset, (7,), False)
+        core.receive(item, now=0.1, wall=1.7e9)
+        ack = HoldAck(req.request_id, 0, state.identity, offset + 1, False)
+        core.receive(MessageArrived("p1", ack), now=0.1, wall=1.7e9)
+        core.tick(now=0.1, wall=1.7e9)
+
+    return seconds_each(piece, 3000)
+
+
+def measure_submission():
+    """Return the core's time to admit and send one request."""
+    core = core_with_requests(1)
+    return seconds_each(
+        lambda n: core.receive(submitted(1000 + n), now=0.0, wall=1.7e9),
+        1000,
+    )
+
+
+def measure_records():
+    """Return time and bytes of records, and of applying them."""
+    accept = Record(
+        "r-entry-1-0-1",
+        Accept("a/1-k", "s-1", "entry-1-0", "a", "p", b"x" * 200, 1.7e9),
+    )
+    data = encode_record(accept)
+    book = ClaimBook()
+
+    def claim(number):
+        key = f"a/1700000000-{book.applied}"
+        offset = book.applied + 1
+        book.apply(offset, Accept(key, "s", "o", "a", "p", b"", 1.7e9))
+        book.apply(offset + 1, Dispatch(key, "s", "o", 0, 1.7e9))
+        book.apply(offset + 2, Outcome(key, "s", 0, 1000, b"", 1.7e9))
+
+    profiles = ProfileBook()
+
+    def change(number):
+        version = profiles.version("p")
+        record = ProfileChange(f"c{version}", "p", version, SPEC, "o", 1.7e9)
+        profiles.apply(profiles.applied + 1, record)
+
+    return {
+        "accept_bytes": len(data),
+        "profile_change_bytes": len(
+            encode_record(
+                Record("c", ProfileChange("c", "p", 1, SPEC, "op", 1.7e9))
+            )
+        ),
+        "encode_s": seconds_each(lambda n: encode_record(accept), 3000),
+        "decode_s": seconds_each(lambda n: decode_record(data), 3000),
+        "apply_claim_s": seconds_each(claim, 2000),
+        "apply_profile_s": seconds_each(change, 1000),
+    }
+
+
+def wire_bytes(message):
+    """Return the size of a peer message on the wire."""
+    buffer = TMemoryBuffer()
+    message_to_wire(message).write(
+        TCompactProtocolAccelerated(buffer, fallback=True)
+    )
+    return len(buffer.getvalue())
+
+
+def measure_memory():
+    """Return the memory of one more row of each kind."""
+    state = make_state()
+    server = state.cfg.backend_servers[0]
+    state_b = make_state(engines=200)
+    core = open_core(state_b)
+    core.receive(heartbeat_of(1), now=0.0, wall=1.7e9)
+    core.receive(with_profile(state_b), now=0.0, wall=1.7e9)
+    index = PrefixIndex(capacity=10**9)
+    book = ClaimBook()
+    peers = open_core(make_state())
+    return {
+        "engine": bytes_each(
+            lambda n: new_engine(replace(server, name=f"e{n}")), 2000
+        ),
+        "request": bytes_each(
+            lambda n: core.receive(submitted(n), now=0.0, wall=1.7e9), 2000
+        ),
+        "prefix_block": bytes_each(
+            lambda n: index.add(f"e{n % 20}", (n * 7919,), 0.0), 20_000
+        ),
+        "claim": bytes_each(
+            lambda n: book.apply(
+                n,
+                Accept(
+                    f"a/1700000000-{n}", f"s{n}", "o", "a", "p", b"", 1.7e9
+                ),
+            ),
+            5000,
+        ),
+        "peer": bytes_each(
+            lambda n: peers.receive(heartbeat_of(n), now=0.0, wall=1.7e9),
+            1000,
+        ),
+        "profile": bytes_each(lambda n: parse_spec(f"p{n}", SPEC), 2000),
+    }
+
+
+def processor_s(process):
+    """Return the processor time that a process has used."""
+    parts = Path(f"/proc/{process.pid}/stat").read_text().split()
+    ticks = int(parts[13]) + int(parts[14])
+    return ticks / sysconf("SC_CLK_TCK")
+
+
+def resident_mb(process):
+    """Return the resident memory of a process."""
+    pages = Path(f"/proc/{process.pid}/statm").read_text().split()[1]
+    return int(pages) * sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def gateways_of(fleet):
+    """Return the gateway processes of a fleet."""
+    return [
+        process
+        for name, process in fleet.processes.items()
+        if name.startswith("gateway")
+    ]
+
+
+def add_entry_hosts(path, count):
+    """Give a settings file more entry hosts."""
+    values = safe_load(path.read_text())
+    first = values["entry_hosts"][0]
+    values["entry_hosts"] = [
+        {
+            **first,
+            "name": f"entry-{number + 1}",
+            "zone": ("gauteng-a", "gauteng-b", "gauteng-c")[number % 3],
+            "address": f"127.0.1.{number + 1}",
+        }
+        for number in range(count)
+    ]
+    path.write_text(safe_dump(values, sort_keys=False))
+
+
+def measure_idle_gateways(count, seconds=10.0):
+    """Return what each of many idle real gateways costs."""
+    with TemporaryDirectory() as folder:
+        path = write_settings(
+            ROOT / "examples/repair-office.yaml",
+            Path(folder),
+            engines=3,
+            services=1,
+        )
+        add_entry_hosts(path, count)
+        fleet = LocalFleet(path)
+        try:
+            fleet.start_platform()
+            for server in fleet.cfg.backend_servers:
+                fleet.start_server(server.name)
+            fleet.wait_for_ports()
+            for host in fleet.cfg.entry_hosts:
+                fleet.start_daemon("gateway", host.name)
+            fleet.wait_for_gateways()
+            before = [processor_s(item) for item in gateways_of(fleet)]
+            sleep(seconds)
+            after = [processor_s(item) for item in gateways_of(fleet)]
+            used = [end - start for start, end in zip(before, after)]
+            memory = [resident_mb(item) for item in gateways_of(fleet)]
+            return {
+                "core_share": sum(used) / len(used) / seconds,
+                "resident_mb": sum(memory) / len(memory),
+            }
+        finally:
+            fleet.stop_all()
+
+
+def measure_streams(streams=24, tokens=200):
+    """Return the processor time of real gateways by token released."""
+    with TemporaryDirectory() as folder:
+        path = write_settings(
+            ROOT / "examples/repair-office.yaml",
+            Path(folder),
+            engines=5,
+            services=1,
+        )
+        fleet = LocalFleet(path)
+        try:
+            fleet.start()
+            profiles = ROOT / "examples/repair-profiles.yaml"
+            fleet.command("profile", "publish", str(profiles))
+            before = sum(processor_s(item) for item in gateways_of(fleet))
+            start = perf_counter()
+            done = block(lambda: run_streams(fleet, streams, tokens))
+            took = perf_counter() - start
+            after = sum(processor_s(item) for item in gateways_of(fleet))
+            return {
+                "streams": streams,
+                "tokens": done,
+                "seconds": took,
+                "processor_s_per_token": (after - before) / done,
+            }
+        finally:
+            fleet.stop_all()
+
+
+@inlineCallbacks
+def run_streams(fleet, streams, tokens):
+    """Stream answers at once and return the tokens read."""
+
+    @inlineCallbacks
+    def one(number):
+        client = fleet.client("north-counter")
+        answer = yield client.submit(
+            "quote-draft", prompt=f"question {number} " * 20, max_tokens=tokens
+        )
+        yield client.stream(answer)
+        return len(answer.tokens)
+
+    counts = yield gatherResults([one(number) for number in range(streams)])
+    return sum(counts)
+
+
+def main():
+    """Measure and print every slope as JSON."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--fleet", action="store_true")
+    parser.add_argument("--out", type=Path, default=ROOT / "run")
+    args = parser.parse_args()
+    result = {
+        "decision_s": measure_decisions(),
+        "idle_tick_s": measure_ticks(),
+        "token_piece_s": measure_token_path(),
+        "submission_s": measure_submission(),
+        "records": measure_records(),
+        "heartbeat_bytes": wire_bytes(heartbeat_of(1).message),
+        "memory_bytes": measure_memory(),
+    }
+    if args.fleet:
+        start_reactor()
+        result["idle_gateways"] = {
+            count: measure_idle_gateways(count) for count in (4, 24)
+        }
+        result["streams"] = measure_streams()
+    args.out.mkdir(exist_ok=True)
+    (args.out / "slopes.json").write_text(dumps(result, indent=1))
+    print(dumps(result, indent=1))
+
+
+if __name__ == "__main__":
+    main()
