--- a/src/magnoliaflow/shell.py
+++ b/src/magnoliaflow/shell.py
@@ -57,6 +57,7 @@
 
 READ_RETRY_S = 0.25
 SILENT_POLLS = 3
+IDLE_POLL_S = 1.0
 Executor = Callable[["Shell", Any], Any]
 EXECUTORS: dict[type, Executor] = {}
 
@@ -164,17 +165,30 @@
 
     @inlineCallbacks
     def _poll(self, name: str, failures: int) -> Any:
-        """Follow one engine's load reports and cache events."""
+        """Follow one engine's load reports and cache events.
+
+        An idle engine is asked less often, and not for cache events.
+        """
         state = self.core.state
         server = self.servers[name]
+        engine = state.view.engines[name]
+        busy = True
         while self.running:
-            yield sleep(state.cfg.timings.report_s)
+            period_s = state.cfg.timings.report_s
+            yield sleep(period_s if busy else max(period_s, IDLE_POLL_S))
             try:
                 report = yield server.report()
-                after = state.view.prefixes.last_event(name)
-                events = yield server.cache_events(after)
+                was_busy = busy
+                busy = bool(
+                    engine.own_running or report.running or report.waiting
+                )
+                events = ()
+                if busy or was_busy:
+                    after = state.view.prefixes.last_event(name)
+                    events = yield server.cache_events(after)
             except MagnoliaflowError:
                 failures += 1
+                busy = True
                 if failures >= SILENT_POLLS:
                     self.feed(EngineSilent(name))
                 continue
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from checkers import LEAVING_BOUND_S
 from checkers import violations
 from magnoliaflow import answers
 from magnoliaflow import claimwork
@@ -9,6 +10,7 @@
 from magnoliaflow import custody
 from magnoliaflow import draining
 from magnoliaflow.inputs import DrainAsked
+from magnoliaflow.inputs import HostNoticed
 from magnoliaflow.membership import NOTICE_HOOKS
 from magnoliaflow.requests import Role
 from magnoliaflow.systems import SYSTEMS
@@ -259,3 +261,37 @@
         and node.state.requests.rows[call.request_id].role is Role.OWNER
     ]
     assert len(holders) == 1
+
+
+def test_notice_known_to_one_gateway_holds_everywhere(make_world):
+    """The list lags or lies to the others; they learn from their peer."""
+    world = make_world(8)
+    host = "model-host-2"
+    world.notices[host] = world.now
+    world.nodes["entry-3"].feed(HostNoticed(host, 10.0))
+    for number in range(80):
+        world.after(number * 0.1, lambda: world.call("quote-draft", n=10))
+    world.run(9.0)
+    late = [
+        at - world.notices[host]
+        for at, engine, _ in world.attempts()
+        if engine.cfg.host == host
+    ]
+    assert seen_in(world) == []
+    assert max(late, default=0.0) < LEAVING_BOUND_S
+
+
+def test_entry_host_that_leaves_is_given_no_new_copies(make_world):
+    """After the bound nothing is held or owned on a leaving entry host."""
+    world = make_world(9)
+    world.notices["entry-2"] = world.now
+    world.notice("entry-2", 8.0)
+    world.run(LEAVING_BOUND_S)
+    calls = [world.call("quote-draft", at="entry-1") for _ in range(20)]
+    world.run(1.0)
+    standbys = {
+        world.nodes["entry-1"].state.requests.rows[call.request_id].standby
+        for call in calls
+    }
+    assert world.nodes["entry-2"].identity not in standbys
+    assert seen_in(world) == []
