--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -33,6 +33,7 @@
 from magnoliaflow.inputs import ReadRecord
 from magnoliaflow.inputs import RecordsRead
 from magnoliaflow.inputs import Submitted
+from magnoliaflow.messages import Extend
 from magnoliaflow.messages import Heartbeat
 from magnoliaflow.messages import HoldAck
 from magnoliaflow.prefixes import PrefixIndex
@@ -285,6 +286,17 @@
     return len(buffer.getvalue())
 
 
+def copied_token():
+    """Return the message that copies one token to a standby."""
+    identity = "entry-1-0a1b2c3d"
+    return Extend(
+        f"q-{identity}-123", 0, identity, 50, (7,), "e1", f"a-{identity}-9"
+    )
+
+
+HELD = HoldAck("q-entry-1-0a1b2c3d-123", 0, "entry-1-0a1b2c3d", 51, False)
+
+
 def measure_memory():
     """Return the memory of one more row of each kind."""
     state = make_state()
@@ -452,6 +464,7 @@
         "submission_s": measure_submission(),
         "records": measure_records(),
         "heartbeat_bytes": wire_bytes(heartbeat_of(1).message),
+        "token_copy_bytes": wire_bytes(copied_token()) + wire_bytes(HELD),
         "memory_bytes": measure_memory(),
     }
     if args.fleet:
