--- a/src/magnoliaflow/callerapi.py
+++ b/src/magnoliaflow/callerapi.py
@@ -10,16 +10,16 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeout
 
 from magnoliaflow.auth import Tokens
-from magnoliaflow.claimwork import body_digest
+from magnoliaflow.claimnames import body_digest
+from magnoliaflow.claimnames import CLAIM_PREFIX
+from magnoliaflow.claimnames import ClaimName
+from magnoliaflow.claimnames import parse_claim_id
 from magnoliaflow.claimwork import claim_code
-from magnoliaflow.claimwork import CLAIM_PREFIX
-from magnoliaflow.claimwork import ClaimName
-from magnoliaflow.claimwork import parse_claim_id
 from magnoliaflow.codes import Code
 from magnoliaflow.codes import SETTLED
-from magnoliaflow.custody import serving_address
 from magnoliaflow.inputs import CancelAsked
 from magnoliaflow.inputs import Submitted
+from magnoliaflow.location import serving_address
 from magnoliaflow.loop import reactor
 from magnoliaflow.membership import caller_addresses
 from magnoliaflow.messages import Find
--- a/src/magnoliaflow/client.py
+++ b/src/magnoliaflow/client.py
@@ -16,8 +16,8 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from magnoliaflow.claimwork import body_digest
-from magnoliaflow.claimwork import ClaimName
+from magnoliaflow.claimnames import body_digest
+from magnoliaflow.claimnames import ClaimName
 from magnoliaflow.codes import Code
 from magnoliaflow.codes import SETTLED
 from magnoliaflow.errors import CallError
--- /dev/null
+++ b/src/magnoliaflow/dispatching.py
@@ -0,0 +1,151 @@
+"""Sending the work of a dispatched claim, once, and stating its outcome."""
+
+from magnoliaflow.claims import Claim
+from magnoliaflow.claims import ClaimState
+from magnoliaflow.codes import Code
+from magnoliaflow.commands import AskStatus
+from magnoliaflow.commands import CallService
+from magnoliaflow.eventlog import LogEvent
+from magnoliaflow.inputs import Ending
+from magnoliaflow.inputs import ServiceAnswered
+from magnoliaflow.inputs import StatusAnswered
+from magnoliaflow.logsession import append
+from magnoliaflow.membership import hash_rank
+from magnoliaflow.records import Outcome
+from magnoliaflow.state import CLAIM_STREAM
+from magnoliaflow.state import GatewayState
+from magnoliaflow.systems import handles
+from magnoliaflow.systems import on_timer
+
+SEND_RETRY_S = 0.5
+
+
+def pick_service(state: GatewayState, claim: Claim) -> str:
+    """Return the service for a claim, '' if none is usable."""
+    profile = state.profiles.in_force.get(claim.profile)
+    backend = claim.profile if profile is None else profile.backend
+    names = [
+        name
+        for name in state.view.groups.get(backend, ())
+        if state.view.engines[name].usable(state.now)
+    ]
+    if not names:
+        return ""
+    return min(
+        names,
+        key=lambda name: (
+            state.view.engines[name].own_running,
+            hash_rank(claim.key, name),
+        ),
+    )
+
+
+def send(state: GatewayState, claim: Claim) -> None:
+    """Send the work of a dispatched claim, the only time."""
+    server = pick_service(state, claim)
+    if not server:
+        state.metrics.retries.labels("no_service").inc()
+        state.set_timer(SEND_RETRY_S, "send claim", claim.key)
+        return
+    state.log(LogEvent.CLAIM_DISPATCHED, request=claim.key, server=server)
+    state.trail(claim.key, "sent", server=server, epoch=claim.epoch)
+    state.view.engines[server].note_sent(0, state.now)
+    state.claim_wait[claim.key] = server
+    state.emit(
+        CallService(
+            server,
+            claim.key,
+            claim.submission,
+            claim.epoch,
+            claim.profile,
+            claim.body,
+        )
+    )
+
+
+@on_timer("send claim")
+def send_due(state: GatewayState, key: str) -> None:
+    """Send a dispatched claim for which no attempt has been started."""
+    claim = state.claims.claims.get(key)
+    if claim is None or claim.state is not ClaimState.DISPATCHED:
+        return
+    if claim.owner == state.identity and key not in state.claim_wait:
+        send(state, claim)
+
+
+@handles(ServiceAnswered)
+def take_service_answer(state: GatewayState, item: ServiceAnswered) -> None:
+    """State the outcome; try again only what was confirmed not started."""
+    server = state.claim_wait.pop(item.key, "")
+    if server in state.view.engines:
+        state.view.engines[server].note_ended()
+    claim = state.claims.current(item.key, item.submission)
+    if claim is None:
+        return
+    if item.ending is Ending.NOT_STARTED:
+        state.metrics.retries.labels("service_not_started").inc()
+        state.set_timer(SEND_RETRY_S, "send claim", item.key)
+        return
+    if item.ending is Ending.LOST:
+        ask_status(state, claim)
+        return
+    code = Code.DONE if item.ending is Ending.DONE else Code.BACKEND_FAILED
+    append_outcome(state, claim, code, item.body)
+
+
+def ask_status(state: GatewayState, claim: Claim) -> None:
+    """Ask every service that can tell what became of a claim.
+
+    Which one the work went to may be known only to a process that is
+    dead.
+    """
+    profile = state.profiles.in_force.get(claim.profile)
+    backend = claim.profile if profile is None else profile.backend
+    servers = [
+        name
+        for name in state.view.groups.get(backend, ())
+        if state.view.engines[name].cfg.answers_status
+        and state.view.engines[name].usable(state.now)
+    ]
+    if not servers:
+        append_outcome(state, claim, Code.OUTCOME_UNKNOWN, b"")
+        return
+    state.status_asked[claim.key] = len(servers)
+    state.metrics.retries.labels("status_asked").inc()
+    for server in servers:
+        state.emit(AskStatus(server, claim.key, claim.submission, claim.epoch))
+
+
+@handles(StatusAnswered)
+def take_status(state: GatewayState, item: StatusAnswered) -> None:
+    """State the outcome a service knows of, else that it is unknown."""
+    left = state.status_asked.get(item.key, 0) - 1
+    claim = state.claims.current(item.key, item.submission)
+    if claim is None or left < 0:
+        return
+    state.status_asked[item.key] = left
+    if item.known or left == 0:
+        del state.status_asked[item.key]
+    if item.known:
+        code = Code.DONE if item.succeeded else Code.BACKEND_FAILED
+        append_outcome(state, claim, code, item.body)
+    elif left == 0:
+        append_outcome(state, claim, Code.OUTCOME_UNKNOWN, b"")
+
+
+def append_outcome(
+    state: GatewayState, claim: Claim, code: Code, body: bytes
+) -> None:
+    """Append how a dispatched claim ended."""
+    append(
+        state,
+        CLAIM_STREAM,
+        Outcome(
+            claim.key,
+            claim.submission,
+            claim.epoch,
+            int(code),
+            body,
+            state.wall,
+        ),
+    )
--- a/src/magnoliaflow/draining.py
+++ b/src/magnoliaflow/draining.py
@@ -5,7 +5,6 @@
 from magnoliaflow.attempts import move
 from magnoliaflow.attempts import need_of
 from magnoliaflow.claims import ClaimState
-from magnoliaflow.claimwork import hand_over_claim
 from magnoliaflow.commands import Exit
 from magnoliaflow.custody import caught_up
 from magnoliaflow.custody import place_copy
@@ -24,6 +23,7 @@
 from magnoliaflow.requests import Role
 from magnoliaflow.state import GatewayState
 from magnoliaflow.state import Peer
+from magnoliaflow.succession import hand_over_claim
 from magnoliaflow.systems import handles
 from magnoliaflow.systems import on_timer
 from magnoliaflow.systems import receives
--- /dev/null
+++ b/src/magnoliaflow/location.py
@@ -0,0 +1,26 @@
+"""Who serves a request."""
+
+from magnoliaflow.messages import Find
+from magnoliaflow.messages import Found
+from magnoliaflow.requests import Role
+from magnoliaflow.state import GatewayState
+from magnoliaflow.systems import receives
+
+
+def serving_address(state: GatewayState, request_id: str) -> str:
+    """Return the caller address that serves a request, '' if unknown."""
+    req = state.requests.get(request_id)
+    if req is None:
+        return ""
+    if req.role is Role.OWNER:
+        return state.host.caller_address
+    peer = state.peers.get(req.owner)
+    return "" if peer is None else peer.caller_address
+
+
+@receives(Find)
+def answer_find(state: GatewayState, sender: str, msg: Find) -> None:
+    """Tell a peer who serves a request, if it is known here."""
+    address = serving_address(state, msg.request_id)
+    if address:
+        state.send(sender, Found(msg.request_id, address))
--- a/src/magnoliaflow/views.py
+++ b/src/magnoliaflow/views.py
@@ -4,9 +4,9 @@
 from json import loads
 from typing import Any
 
+from magnoliaflow.claimnames import ClaimName
 from magnoliaflow.claims import ClaimState
 from magnoliaflow.claimwork import claim_code
-from magnoliaflow.claimwork import ClaimName
 from magnoliaflow.codes import Code
 from magnoliaflow.membership import caller_addresses
 from magnoliaflow.profiles import Target
--- a/tests/test_late_reader.py
+++ b/tests/test_late_reader.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from checkers import violations
 from magnoliaflow.claims import ClaimBook
 from magnoliaflow.claims import ClaimState
 from magnoliaflow.claims import Verdict
@@ -14,6 +15,7 @@
 from magnoliaflow.records import Refuse
 from magnoliaflow.records import Restate
 from magnoliaflow.records import Takeover
+from magnoliaflow.state import CLAIM_STREAM
 
 WINDOW_S = 100.0
 START = 1000.0
@@ -133,3 +135,28 @@
     book.apply(0, Refuse(KEYS[1], "other", 3006, late))
     record = Accept(KEYS[0], "s", "o", "a", "p", b"", START)
     assert book.apply(1, record) is Verdict.VOID
+
+
+def test_claim_outlives_retention_and_a_late_reader_drives_it(make_world):
+    """Restates carry an open claim past retention; it runs once."""
+    world = make_world(11, timings={"retention_s": 40.0, "key_window_s": 15.0})
+    for service in world.services.values():
+        service.alive = False
+    call = world.call("voucher-booking", key="v", at="entry-1")
+    world.run(30.0)
+    world.log.keep = 4
+    world.run(30.0)
+    first = world.log.first[CLAIM_STREAM]
+    world.kill("entry-2")
+    world.run(1.0)
+    late = world.start("entry-2")
+    known = world.run_until(
+        lambda: f"{call.account}/{call.key}" in late.state.claims.claims,
+        limit=30.0,
+    )
+    for service in world.services.values():
+        service.alive = True
+    assert world.settle(limit=30.0)
+    assert first > 1 and known
+    assert call.code is Code.DONE
+    assert violations(world) == []
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -5,14 +5,15 @@
 from checkers import LEAVING_BOUND_S
 from checkers import violations
 from magnoliaflow import answers
-from magnoliaflow import claimwork
 from magnoliaflow.codes import Code
 from magnoliaflow import custody
+from magnoliaflow import dispatching
 from magnoliaflow import draining
 from magnoliaflow.inputs import DrainAsked
 from magnoliaflow.inputs import HostNoticed
 from magnoliaflow.membership import NOTICE_HOOKS
 from magnoliaflow.requests import Role
+from magnoliaflow import succession
 from magnoliaflow.systems import SYSTEMS
 from magnoliaflow.systems import TIMER_HANDLERS
 import world as world_module
@@ -20,7 +21,7 @@
 
 def send_again(monkeypatch):
     """Repeat dispatched work whose owner is dead."""
-    monkeypatch.setattr(claimwork, "ask_status", claimwork.send)
+    monkeypatch.setattr(succession, "ask_status", dispatching.send)
 
 
 def no_standby(monkeypatch):
--- a/tools/world.py
+++ b/tools/world.py
@@ -14,9 +14,9 @@
 from random import Random
 
 from magnoliaflow.callerapi import resume_offset
-from magnoliaflow.claimwork import body_digest
+from magnoliaflow.claimnames import body_digest
+from magnoliaflow.claimnames import ClaimName
 from magnoliaflow.claimwork import claim_code
-from magnoliaflow.claimwork import ClaimName
 from magnoliaflow.codes import Code
 from magnoliaflow.codes import SETTLED
 from magnoliaflow.commands import Append
@@ -30,7 +30,6 @@
 from magnoliaflow.commands import SendPeer
 from magnoliaflow.commands import StartAttempt
 from magnoliaflow.commands import WriteLog
-from magnoliaflow.custody import serving_address
 from magnoliaflow.draining import left_in_progress
 from magnoliaflow.eventlog import LogEvent
 from magnoliaflow.gatewaycore import open_core
@@ -50,6 +49,7 @@
 from magnoliaflow.inputs import StatusAnswered
 from magnoliaflow.inputs import StreamTrimmed
 from magnoliaflow.inputs import Submitted
+from magnoliaflow.location import serving_address
 from magnoliaflow.membership import make_heartbeat
 from magnoliaflow.ports import LoadReport
 from magnoliaflow.records import ProfileChange
