Learn forecast errors in shares of the target; gauge the crowd

Cause: a burst of 24 requests at one gateway was refused although 56 slots were free: what waited counted four times over (once for each gateway) and answers ahead counted although slots were free. Ruled out: reports (fresh) and the prefix index.

Change: the share of this gateway in all load comes from heartbeats; answers ahead count as far as they exceed free slots; the learnt error is the 90th percentile in shares of the latency target.

--- a/src/magnoliaflow/admission.py
+++ b/src/magnoliaflow/admission.py
@@ -82,7 +82,9 @@
 ) -> Outlook | None:
     """Return what to expect of a backend, None if no engine is usable.
 
-    The other gateways are taken to have as much waiting as this one.
+    What waits here stands for what waits at the other gateways too.  The
+    requests ahead delay the first token by their prefill, and by their
+    answers as far as they exceed the free slots.
     """
     engines = view.candidates(need, now)
     if not engines:
@@ -90,17 +92,20 @@
     best = min(
         view.wait_s(engine, view.uncached(engine, need)) for engine in engines
     )
-    scale = view.gateways * len(engines) / len(view.groups[need.backend])
+    scale = view.crowd * len(engines) / len(view.groups[need.backend])
     prefill = sum(engine.cfg.prefill_rate for engine in engines)
-    decode = sum(
-        engine.cfg.token_rate * min(engine.limit, engine.cfg.slots)
+    slots = sum(engine.full_speed_slots for engine in engines)
+    free = sum(
+        max(0.0, engine.full_speed_slots - engine.occupied())
         for engine in engines
     )
-    ahead = scale * max(
-        queued.prompt_tokens / prefill, queued.answer_tokens / decode
-    )
     token_rate = max(engine.cfg.token_rate for engine in engines)
-    return Outlook(best + ahead, need.answer_tokens / token_rate)
+    answer_s = need.answer_tokens / token_rate
+    excess = max(0.0, queued.requests * scale - free)
+    ahead = max(
+        queued.prompt_tokens * scale / prefill, excess * answer_s / slots
+    )
+    return Outlook(best + ahead, answer_s)
 
 
 def deadline_refusal(
--- a/src/magnoliaflow/attempts.py
+++ b/src/magnoliaflow/attempts.py
@@ -65,7 +65,6 @@
         req.request_id,
         due=req.accepted_at + target_s,
         prompt_tokens=state.view.least_uncached(need, state.now),
-        answer_tokens=need.answer_tokens,
     )
 
 
@@ -94,7 +93,7 @@
         state.view.engines[name].cfg.prefill_rate
         for name in state.view.groups.get(backend, ())
     )
-    waiting = queue.prompt_tokens * state.view.gateways
+    waiting = queue.prompt_tokens * state.view.crowd
     state.view.backlog_s = waiting / rate if rate else 0.0
 
 
--- a/src/magnoliaflow/callerapi.py
+++ b/src/magnoliaflow/callerapi.py
@@ -24,9 +24,10 @@
 from magnoliaflow.membership import caller_addresses
 from magnoliaflow.messages import Find
 from magnoliaflow.messages import Found
-from magnoliaflow.requests import Request
 from magnoliaflow.requests import Role
 from magnoliaflow.shell import Shell
+from magnoliaflow.streaming import Streams
+from magnoliaflow.streaming import StreamWriter
 from magnoliaflow.views import claim_view
 from magnoliaflow.views import code_view
 from magnoliaflow.views import explain_view
@@ -34,7 +35,6 @@
 from magnoliaflow.views import request_view
 from magnoliaflow.views import status_view
 
-KEEPALIVE_S = 0.5
 FIND_WAIT_S = 0.5
 WAIT_MOST_S = 60.0
 TEXT_LIMIT = 200
@@ -82,7 +82,13 @@
         self.tokens = tokens
         self.waiters = Waiters()
         self.found: dict[str, str] = {}
-        shell.on_changed = self.waiters.fire
+        self.streams = Streams()
+        shell.on_changed = self.on_changed
+
+    def on_changed(self, request_id: str) -> None:
+        """Pass a request's news on to streams and waiters."""
+        self.streams.push(request_id)
+        self.waiters.fire(request_id)
 
     def take_found(self, message: Found) -> None:
         """Note where a request is served, as a peer said."""
@@ -276,41 +282,12 @@
                 return claim_view(self.state, name)
             yield self.waiters.wait(name.full_key, limit - now + 0.001)
 
-    @inlineCallbacks
-    def _stream(self, request: Any, request_id: str, last: str) -> Any:
+    def _stream(
+        self, request: Any, request_id: str, last: str
+    ) -> "Deferred[bytes]":
         """Write server-sent events until the answer is whole."""
-        gone = []
-        request.notifyFinish().addBoth(lambda result: gone.append(result))
-        req = self.state.requests.rows[request_id]
-        start = resume_offset(req, last)
-        request.setHeader("Content-Type", "text/event-stream")
-        request.setHeader("X-Request-Id", request_id)
-        request.write(sse("accepted", "", {"request_id": request_id}))
-        if start < 0:
-            request.write(sse("reset", f"{_branch(req)}.0", {}))
-            start = 0
-        while not gone:
-            known = self.state.requests.get(request_id)
-            if known is None or known.role is not Role.OWNER:
-                address = serving_address(self.state, request_id)
-                request.write(sse("moved", "", {"addresses": [address]}))
-                break
-            req = known
-            if req.released > start:
-                tokens = req.tokens[start : req.released]
-                start = req.released
-                request.write(
-                    sse("", f"{_branch(req)}.{start}", {"tokens": tokens})
-                )
-            if req.settled:
-                request.write(sse("done", "", request_view(self.state, req)))
-                break
-            before = reactor.seconds()
-            yield self.waiters.wait(request_id, KEEPALIVE_S)
-            now = reactor.seconds()
-            if now - before >= KEEPALIVE_S and not gone:
-                request.write(b": alive\n\n")
-        return b""
+        writer = StreamWriter(self.state, request, request_id, last)
+        return self.streams.open(writer)
 
 
 def parse_submission(raw: bytes) -> dict[str, Any] | None:
@@ -341,33 +318,6 @@
     return content
 
 
-def resume_offset(req: Request, last: str) -> int:
-    """Return the offset to stream on from, -1 if a reset is due."""
-    if not last:
-        return 0
-    branch, _, offset = last.rpartition(".")
-    epoch, _, owner = branch.partition(".")
-    if not (epoch.isdigit() and offset.isdigit()):
-        return -1
-    if not req.knows(int(epoch), owner, int(offset)):
-        return -1
-    return int(offset)
-
-
-def sse(event: str, event_id: str, data: dict[str, Any]) -> bytes:
-    """Return one server-sent event."""
-    lines = [
-        f"event: {event}\n" if event else "",
-        f"id: {event_id}\n" if event_id else "",
-        f"data: {dumps(data)}\n\n",
-    ]
-    return "".join(lines).encode()
-
-
-def _branch(req: Request) -> str:
-    return f"{req.epoch}.{req.owner}"
-
-
 def _wait_argument(request: Any) -> float:
     values = request.args.get(b"wait_s", [b"0"])
     try:
--- a/src/magnoliaflow/custody.py
+++ b/src/magnoliaflow/custody.py
@@ -187,6 +187,7 @@
             state.forecast(req.profile.backend).note(
                 predicted_s=req.predicted_s,
                 actual_s=state.now - req.accepted_at,
+                target_s=req.profile.first_token_s,
             )
         metrics.first_token.labels(req.profile.name).observe(
             state.now - req.accepted_at
--- a/src/magnoliaflow/engines.py
+++ b/src/magnoliaflow/engines.py
@@ -50,6 +50,11 @@
         """Return the name of the backend server."""
         return self.cfg.name
 
+    @property
+    def full_speed_slots(self) -> float:
+        """Return how many requests run at once without slowing down."""
+        return min(self.limit, float(self.cfg.slots))
+
     def usable(self, now: float) -> bool:
         """Return whether new work may go there."""
         return self.leaving_at == inf and now >= self.shunned_until
--- a/src/magnoliaflow/fairness.py
+++ b/src/magnoliaflow/fairness.py
@@ -11,10 +11,10 @@
 
 @dataclass(slots=True)
 class Backlog:
-    """Tokens of requests that wait."""
+    """Requests that wait, and the prompt tokens they cost."""
 
+    requests: int = 0
     prompt_tokens: int = 0
-    answer_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -25,7 +25,6 @@
     number: int
     request_id: str
     prompt_tokens: int
-    answer_tokens: int
 
 
 class DueQueue:
@@ -40,19 +39,10 @@
         self._live: dict[str, Ticket] = {}
         self._number = 0
 
-    def push(
-        self,
-        request_id: str,
-        *,
-        due: float,
-        prompt_tokens: int,
-        answer_tokens: int,
-    ) -> None:
+    def push(self, request_id: str, *, due: float, prompt_tokens: int) -> None:
         """Add a request with the tokens it is expected to cost."""
         self._number += 1
-        self.push_back(
-            Ticket(due, self._number, request_id, prompt_tokens, answer_tokens)
-        )
+        self.push_back(Ticket(due, self._number, request_id, prompt_tokens))
 
     def push_back(self, ticket: Ticket) -> None:
         """Add a ticket, or return one that could not be served."""
@@ -61,7 +51,7 @@
         row = self._ahead.setdefault(int(ticket.due / BUCKET_S), Backlog())
         self.prompt_tokens += ticket.prompt_tokens
         row.prompt_tokens += ticket.prompt_tokens
-        row.answer_tokens += ticket.answer_tokens
+        row.requests += 1
         heappush(self._heap, ticket)
 
     def drop(self, request_id: str) -> None:
@@ -73,8 +63,8 @@
         row = self._ahead[bucket]
         self.prompt_tokens -= ticket.prompt_tokens
         row.prompt_tokens -= ticket.prompt_tokens
-        row.answer_tokens -= ticket.answer_tokens
-        if row.prompt_tokens <= 0 and row.answer_tokens <= 0:
+        row.requests -= 1
+        if row.requests == 0:
             del self._ahead[bucket]
 
     def take(self) -> Ticket | None:
@@ -92,8 +82,8 @@
         bucket = int(due / BUCKET_S)
         rows = [row for key, row in self._ahead.items() if key <= bucket]
         return Backlog(
+            sum(row.requests for row in rows),
             sum(row.prompt_tokens for row in rows),
-            sum(row.answer_tokens for row in rows),
         )
 
     def __len__(self) -> int:
--- a/src/magnoliaflow/forecast.py
+++ b/src/magnoliaflow/forecast.py
@@ -2,30 +2,39 @@
 
 from dataclasses import dataclass
 
-QUANTILE = 0.8
-STEP_S = 0.05
-MOST_S = 10.0
+QUANTILE = 0.9
+STEP = 0.05
+MOST = 2.0
 
 
 @dataclass(slots=True)
 class Forecast:
     """A quantile of how much later first tokens come than predicted.
 
-    The quantile is tracked by stochastic approximation (Robbins and
-    Monro, 1951): up by a step times the quantile when it was exceeded,
-    down by the rest of the step when not.
+    Errors count in shares of the latency target, so that profiles with
+    tight and with loose targets learn from each other.  The quantile is
+    tracked by stochastic approximation (Robbins and Monro, 1951): up by a
+    step times the quantile when it was exceeded, down by the rest of the
+    step when not.
 
     >>> forecast = Forecast()
-    >>> for _ in range(200): forecast.note(predicted_s=1.0, actual_s=1.5)
-    >>> 0.4 < forecast.error_s < 0.6
+    >>> for _ in range(200):
+    ...     forecast.note(predicted_s=1.0, actual_s=1.5, target_s=1.0)
+    >>> 0.4 < forecast.error_s(1.0) < 0.6
     True
     """
 
-    error_s: float = 0.0
+    error: float = 0.0
 
-    def note(self, *, predicted_s: float, actual_s: float) -> None:
+    def note(
+        self, *, predicted_s: float, actual_s: float, target_s: float
+    ) -> None:
         """Learn from one first token."""
-        if actual_s - predicted_s > self.error_s:
-            self.error_s = min(MOST_S, self.error_s + STEP_S * QUANTILE)
+        if (actual_s - predicted_s) / target_s > self.error:
+            self.error = min(MOST, self.error + STEP * QUANTILE)
             return
-        self.error_s = max(0.0, self.error_s - STEP_S * (1 - QUANTILE))
+        self.error = max(0.0, self.error - STEP * (1 - QUANTILE))
+
+    def error_s(self, target_s: float) -> float:
+        """Return the seconds to add to a prediction for a target."""
+        return self.error * target_s
--- a/src/magnoliaflow/membership.py
+++ b/src/magnoliaflow/membership.py
@@ -19,6 +19,7 @@
 from magnoliaflow.systems import system
 
 HEARTBEAT_FANOUT = 8
+CROWD_SMOOTHING = 0.5
 DeathHook = Callable[[GatewayState, str], None]
 NoticeHook = Callable[[GatewayState, str, float], None]
 DEATH_HOOKS: list[DeathHook] = []
@@ -172,6 +173,18 @@
         state.emit(SendAddress(address, heartbeat))
 
 
+@system(25)
+def gauge_crowd(state: GatewayState) -> None:
+    """Compare this gateway's load with that of all, from heartbeats."""
+    if not state.peers_due:
+        return
+    own = state.requests.count("role", (Role.OWNER, False))
+    others = sum(peer.in_flight for peer in serving_peers(state))
+    share = (own + others + 1) / (own + 1)
+    crowd = min(share, len(state.cfg.entry_hosts))
+    state.view.crowd += CROWD_SMOOTHING * (crowd - state.view.crowd)
+
+
 @system(30)
 def suspect_peers(state: GatewayState) -> None:
     """Probe silent peers over a new connection."""
--- a/src/magnoliaflow/routing.py
+++ b/src/magnoliaflow/routing.py
@@ -66,12 +66,16 @@
 
 
 class RoutingView:
-    """Engines and prefix knowledge of one gateway."""
+    """Engines and prefix knowledge of one gateway.
+
+    ``crowd`` is the load of all gateways in shares of this one's: what is
+    seen of own sends stands for that many times as much.
+    """
 
     __slots__ = (
         "backlog_s",
+        "crowd",
         "engines",
-        "gateways",
         "groups",
         "name",
         "prefixes",
@@ -81,13 +85,11 @@
         "weights",
     )
 
-    def __init__(
-        self, *, name: str, weights: Weights, rng: Random, gateways: int = 1
-    ) -> None:
+    def __init__(self, *, name: str, weights: Weights, rng: Random) -> None:
         self.name = name
         self.weights = weights
         self.rng = rng
-        self.gateways = gateways
+        self.crowd = 1.0
         self.engines: dict[str, Engine] = {}
         self.groups: dict[str, list[str]] = {}
         self.prefixes = PrefixIndex()
@@ -142,7 +144,7 @@
 
     def prefill_ahead_s(self, engine: Engine) -> float:
         """Return the prefill an engine has to do before new work."""
-        unseen = engine.recent_tokens * self.gateways
+        unseen = engine.recent_tokens * self.crowd
         return (engine.queued_tokens + unseen) / engine.cfg.prefill_rate
 
     def wait_s(self, engine: Engine, uncached: int) -> float:
--- a/src/magnoliaflow/state.py
+++ b/src/magnoliaflow/state.py
@@ -241,7 +241,6 @@
                 cfg.limits.recompute_weight, cfg.limits.latency_weight
             ),
             rng=rng,
-            gateways=len(cfg.entry_hosts),
         )
         for server in cfg.backend_servers:
             self.view.add(new_engine(server))
--- /dev/null
+++ b/src/magnoliaflow/streaming.py
@@ -0,0 +1,141 @@
+"""Server-sent events: an answer written as it is released."""
+
+from json import dumps
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from magnoliaflow.location import serving_address
+from magnoliaflow.requests import Request
+from magnoliaflow.requests import Role
+from magnoliaflow.state import GatewayState
+from magnoliaflow.views import request_view
+
+KEEPALIVE_S = 0.5
+
+
+class StreamWriter:
+    """Writes one answer to one connection until it ends or moves."""
+
+    __slots__ = ("conn", "ended", "offset", "quiet", "request_id", "state")
+
+    def __init__(
+        self, state: GatewayState, conn: Any, request_id: str, last: str
+    ) -> None:
+        self.state = state
+        self.conn = conn
+        self.request_id = request_id
+        self.quiet = False
+        self.ended: Deferred[bytes] = Deferred()
+        req = state.requests.rows[request_id]
+        self.offset = resume_offset(req, last)
+        conn.setHeader("Content-Type", "text/event-stream")
+        conn.setHeader("X-Request-Id", request_id)
+        conn.write(sse("accepted", "", {"request_id": request_id}))
+        if self.offset < 0:
+            conn.write(sse("reset", f"{branch_of(req)}.0", {}))
+            self.offset = 0
+
+    def push(self) -> None:
+        """Write what was released since the last call."""
+        if self.ended.called:
+            return
+        req = self.state.requests.get(self.request_id)
+        if req is None or req.role is not Role.OWNER:
+            address = serving_address(self.state, self.request_id)
+            self.conn.write(sse("moved", "", {"addresses": [address]}))
+            self.end()
+            return
+        if req.released > self.offset:
+            tokens = req.tokens[self.offset : req.released]
+            self.offset = req.released
+            event_id = f"{branch_of(req)}.{self.offset}"
+            self.conn.write(sse("", event_id, {"tokens": tokens}))
+            self.quiet = False
+        if req.settled:
+            view = request_view(self.state, req)
+            view.pop("tokens", None)
+            self.conn.write(sse("done", "", view))
+            self.end()
+
+    def beat(self) -> None:
+        """Write a comment if nothing was written since the last beat."""
+        if self.quiet and not self.ended.called:
+            self.conn.write(b": alive\n\n")
+        self.quiet = True
+
+    def end(self, reason: Any = None) -> None:
+        """End the stream, once."""
+        if not self.ended.called:
+            self.ended.callback(b"")
+
+
+class Streams:
+    """The streams of one gateway by request id."""
+
+    __slots__ = ("_beating", "_writers")
+
+    def __init__(self) -> None:
+        self._writers: dict[str, list[StreamWriter]] = {}
+        self._beating = LoopingCall(self._beat)
+
+    def open(self, writer: StreamWriter) -> "Deferred[bytes]":
+        """Follow a request until its stream ends."""
+        rows = self._writers.setdefault(writer.request_id, [])
+        rows.append(writer)
+        writer.conn.notifyFinish().addBoth(writer.end)
+        writer.ended.addBoth(self._close, writer)
+        if not self._beating.running:
+            self._beating.start(KEEPALIVE_S, now=False)
+        writer.push()
+        return writer.ended
+
+    def push(self, request_id: str) -> None:
+        """Write a request's news to all who read it."""
+        for writer in list(self._writers.get(request_id, ())):
+            writer.push()
+
+    def _close(self, result: bytes, writer: StreamWriter) -> bytes:
+        rows = self._writers[writer.request_id]
+        rows.remove(writer)
+        if not rows:
+            del self._writers[writer.request_id]
+        return result
+
+    def _beat(self) -> None:
+        for rows in list(self._writers.values()):
+            for writer in list(rows):
+                writer.beat()
+
+
+def resume_offset(req: Request, last: str) -> int:
+    """Return the offset to stream on from, -1 if a reset is due."""
+    if not last:
+        return 0
+    branch, _, offset = last.rpartition(".")
+    epoch, _, owner = branch.partition(".")
+    if not (epoch.isdigit() and offset.isdigit()):
+        return -1
+    if not req.knows(int(epoch), owner, int(offset)):
+        return -1
+    return int(offset)
+
+
+def sse(event: str, event_id: str, data: dict[str, Any]) -> bytes:
+    """Return one server-sent event.
+
+    >>> sse("done", "0.a.3", {})
+    b'event: done\\nid: 0.a.3\\ndata: {}\\n\\n'
+    """
+    lines = [
+        f"event: {event}\n" if event else "",
+        f"id: {event_id}\n" if event_id else "",
+        f"data: {dumps(data)}\n\n",
+    ]
+    return "".join(lines).encode()
+
+
+def branch_of(req: Request) -> str:
+    """Return the name of a request's branch as event ids carry it."""
+    return f"{req.epoch}.{req.owner}"
--- a/src/magnoliaflow/submission.py
+++ b/src/magnoliaflow/submission.py
@@ -47,7 +47,7 @@
     code = deadline_refusal(
         profile,
         seen,
-        error_s=forecast.error_s,
+        error_s=forecast.error_s(profile.first_token_s),
         allowance=state.shares.allowance(item.account, state.now),
     )
     if code is not None:
--- a/tools/world.py
+++ b/tools/world.py
@@ -13,7 +13,6 @@
 from json import dumps
 from random import Random
 
-from magnoliaflow.callerapi import resume_offset
 from magnoliaflow.claimnames import body_digest
 from magnoliaflow.claimnames import ClaimName
 from magnoliaflow.claimwork import claim_code
@@ -58,6 +57,7 @@
 from magnoliaflow.state import CLAIM_STREAM
 from magnoliaflow.state import GatewayState
 from magnoliaflow.state import PROFILE_STREAM
+from magnoliaflow.streaming import resume_offset
 from magnoliaflow.views import request_code
 from magnoliaflow_standins.tokens import next_digest
 from magnoliaflow_standins.tokens import next_token
