Remove what nothing uses; forget reclaims that are over

Read as a newcomer: inputs without a producer, fields that were only written and constants without a reader are gone. A controller remembered a reclaimed host for good, so that a host which came back under its name did not count as supply; it forgets one 30 s after its reclaim.

--- a/src/magnoliaflow/admission.py
+++ b/src/magnoliaflow/admission.py
@@ -16,7 +16,6 @@
 
 SHARE_SLACK = 2.0
 BUSY_FRACTION = 0.5
-QUEUE_PER_SLOT = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/claims.py
+++ b/src/magnoliaflow/claims.py
@@ -62,9 +62,7 @@
     state: ClaimState = ClaimState.OPEN
     code: int = int(Code.ACCEPTED)
     result: bytes = b""
-    stated_offset: int = 0
     stated_at: float = 0.0
-    changed_offset: int = 0
 
 
 def key_made_at(key: str) -> float:
@@ -153,10 +151,7 @@
         """Judge one record and keep it if its claim is not known."""
         self.horizon = max(self.horizon, record.written_at)
         verdict = self._judge(record, offset)
-        claim = self.claims.get(record.key)
-        if claim is not None and verdict is Verdict.APPLIED:
-            claim.changed_offset = offset
-        if claim is None and self.first_offset > 0:
+        if record.key not in self.claims and self.first_offset > 0:
             self.strays.setdefault(record.key, []).append(
                 Stray(offset, record)
             )
@@ -233,7 +228,6 @@
             record.account,
             record.profile,
             record.body,
-            stated_offset=offset,
             stated_at=record.written_at,
         )
         return Verdict.APPLIED
@@ -293,7 +287,6 @@
         claim = self.claims.get(record.key)
         if claim is not None:
             if claim.submission == record.submission:
-                claim.stated_offset = offset
                 claim.stated_at = record.written_at
             return Verdict.DUPLICATE
         if record.submission in self.voided:
@@ -311,7 +304,6 @@
             state=(
                 ClaimState.DISPATCHED if record.dispatched else ClaimState.OPEN
             ),
-            stated_offset=offset,
             stated_at=record.written_at,
         )
         for stray in self.strays.pop(record.key, []):
--- a/src/magnoliaflow/claimwork.py
+++ b/src/magnoliaflow/claimwork.py
@@ -252,6 +252,7 @@
     code = Code(rec.code)
     state.log(LogEvent.REQUEST_FINISHED, request=rec.key, code=rec.code)
     state.trail(rec.key, "settled", code=code.name)
+    state.sent_claims.discard(rec.submission)
     claim = state.claims.claims[rec.key]
     state.metrics.answers.labels(claim.profile, code.name).inc()
     job = find_job(state, rec.key)
@@ -262,7 +263,6 @@
 def _settle_job(state: GatewayState, job: ClaimJob, code: Code) -> None:
     """End a submission of this process without an outcome."""
     job.code = int(code)
-    job.settled_at = state.now
     state.set_timer(state.cfg.timings.finished_keep_s, "forget job", job.key)
     state.changed(job.key)
 
--- a/src/magnoliaflow/codec.py
+++ b/src/magnoliaflow/codec.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
-from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
 from thrift.transport.TTransport import TMemoryBuffer
 
 from magnoliaflow.errors import RecordError
@@ -13,8 +12,6 @@
 from magnoliaflow import records
 from magnoliaflow.wire import ttypes
 
-FACTORY = TCompactProtocolFactory()
-
 
 def snake_case(name: str) -> str:
     """Return the field name that carries a type of this name.
--- a/src/magnoliaflow/codes.py
+++ b/src/magnoliaflow/codes.py
@@ -147,8 +147,3 @@
 }
 
 SETTLED = frozenset(Code) - {Code.ACCEPTED, Code.PENDING, Code.MOVED}
-
-
-def not_run(code: Code) -> bool:
-    """Return whether the code promises that nothing was executed."""
-    return code.run is Run.NO
--- a/src/magnoliaflow/controller.py
+++ b/src/magnoliaflow/controller.py
@@ -41,6 +41,7 @@
 POLL_S = 0.25
 FLEET_S = 1.0
 UNKNOWN_NOTICE_S = 5.0
+NOTICE_KEPT_S = 30.0
 LEASE_STREAM = "leases"
 LEASE_NAME = "fleet"
 ADAPTER_MODULES = (httpports,)
@@ -69,7 +70,7 @@
             for server in self.models
         }
         self.links = PeerLinks(self.identity)
-        self.known: set[str] = set()
+        self.leaving: dict[str, float] = {}
         self.next_offset = 0
         self.held = False
         self.replacement = Replacement(fence=-1)
@@ -96,6 +97,7 @@
     @inlineCallbacks
     def poll(self) -> Any:
         """Pass every reclaim that the platform shows on to gateways."""
+        self.forget_notices()
         try:
             notices = yield self.cloud.notices()
         except MagnoliaflowError:
@@ -108,19 +110,28 @@
         except MagnoliaflowError:
             hosts = ()
         for listed in hosts:
-            if listed.leaving and listed.name not in self.known:
+            if listed.leaving and listed.name not in self.leaving:
                 self.pass_on(listed.name, UNKNOWN_NOTICE_S)
 
+    def forget_notices(self) -> None:
+        """Forget reclaims that are over: a host may have come back."""
+        oldest = monotonic() - NOTICE_KEPT_S
+        self.leaving = {
+            host: until
+            for host, until in self.leaving.items()
+            if until > oldest
+        }
+
     def pass_on(self, host: str, seconds_left: float) -> None:
         """Tell every gateway that a host leaves."""
-        if host not in self.known:
-            self.known.add(host)
+        if host not in self.leaving:
             log_event(
                 self.logger,
                 LogEvent.HOST_NOTICED,
                 host=host,
                 seconds_left=seconds_left,
             )
+        self.leaving[host] = monotonic() + seconds_left
         message = HostNotice(host, seconds_left)
         for entry in self.cfg.entry_hosts:
             self.links.send(entry.peer_address, message)
@@ -201,7 +212,7 @@
         supplies = tuple(
             Supply(server.zone, server.machine_class, 1, 0)
             for server in self.models
-            if server.name in reports and server.host not in self.known
+            if server.name in reports and server.host not in self.leaving
         ) + tuple(
             Supply(host.zone, host.machine_class, 0, 1) for host in listed
         )
--- a/src/magnoliaflow/custody.py
+++ b/src/magnoliaflow/custody.py
@@ -203,7 +203,6 @@
     if req.settled:
         return
     req.code = code
-    req.settled_at = state.now
     if req.profile.backend in state.queues:
         state.queue(req.profile.backend).drop(req.request_id)
     state.requests.touch(req.request_id)
--- a/src/magnoliaflow/draining.py
+++ b/src/magnoliaflow/draining.py
@@ -11,7 +11,6 @@
 from magnoliaflow.eventlog import LogEvent
 from magnoliaflow.inputs import DrainAsked
 from magnoliaflow.inputs import HostNoticed
-from magnoliaflow.inputs import HostReturned
 from magnoliaflow.lifecycle import Phase
 from magnoliaflow.membership import make_heartbeat
 from magnoliaflow.membership import notice_host
@@ -32,7 +31,6 @@
 SAFETY = 0.6
 NOTICE_KEPT_S = 30.0
 HANDOVER_RETRY_S = 0.3
-LINGER_S = 1.0
 
 
 @handles(HostNoticed)
@@ -54,18 +52,6 @@
         state.heartbeat_at = -inf
 
 
-@handles(HostReturned)
-def take_return(state: GatewayState, item: HostReturned) -> None:
-    """Give a host new work again after a reclaim that is over."""
-    until = state.noticed.get(item.host)
-    if until is not None and state.now < until + NOTICE_KEPT_S:
-        return
-    state.noticed.pop(item.host, None)
-    for engine in state.view.engines.values():
-        if engine.cfg.host == item.host:
-            engine.leaving_at = inf
-
-
 @on_notice
 def leave_engines(state: GatewayState, host: str, seconds_left: float) -> None:
     """Exclude a leaving host's engines and move what cannot end there."""
--- a/src/magnoliaflow/inputs.py
+++ b/src/magnoliaflow/inputs.py
@@ -106,13 +106,6 @@
     first_offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReadFailed:
-    """A read of a stream failed."""
-
-    stream: str
-
-
 @dataclass(frozen=True, slots=True)
 class AppendEnded:
     """An append returned; without success it may still take effect."""
@@ -168,13 +161,6 @@
     seconds_left: float
 
 
-@dataclass(frozen=True, slots=True)
-class HostReturned:
-    """A host of this name is live again after a reclaim."""
-
-    host: str
-
-
 @dataclass(frozen=True, slots=True)
 class DrainAsked:
     """This process must end; at once if its host is reclaimed."""
@@ -192,7 +178,6 @@
     | StatusAnswered
     | RecordsRead
     | StreamTrimmed
-    | ReadFailed
     | AppendEnded
     | MessageArrived
     | PeerProbed
@@ -200,6 +185,5 @@
     | CacheEventsArrived
     | EngineSilent
     | HostNoticed
-    | HostReturned
     | DrainAsked
 )
--- a/src/magnoliaflow/logsession.py
+++ b/src/magnoliaflow/logsession.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Callable
 from itertools import islice
-from math import inf
 
 from magnoliaflow.commands import Append
 from magnoliaflow.eventlog import LogEvent
 from magnoliaflow.inputs import AppendEnded
-from magnoliaflow.inputs import ReadFailed
 from magnoliaflow.inputs import RecordsRead
 from magnoliaflow.inputs import StreamTrimmed
 from magnoliaflow.records import Record
@@ -51,7 +49,6 @@
             continue
         for row in group:
             row.in_call = True
-            row.tried = True
         state.emit(Append(stream, tuple(row.record for row in group)))
 
 
@@ -73,7 +70,6 @@
     cursor = state.cursors[item.stream]
     if item.from_log:
         cursor.read_at = state.now
-        cursor.failing_since = inf
         if not state.log_up:
             state.log_up = True
             state.log(LogEvent.LOG_UP)
@@ -116,13 +112,6 @@
         )
 
 
-@handles(ReadFailed)
-def note_read_failure(state: GatewayState, item: ReadFailed) -> None:
-    """Take the log for down once reads have failed for a while."""
-    cursor = state.cursors[item.stream]
-    cursor.failing_since = min(cursor.failing_since, state.now)
-
-
 @system(40)
 def judge_log(state: GatewayState) -> None:
     """Take the log for down when a stream was not read for too long."""
--- a/src/magnoliaflow/requests.py
+++ b/src/magnoliaflow/requests.py
@@ -49,7 +49,6 @@
     released: int = 0
     complete: bool = False
     code: Code = Code.ACCEPTED
-    settled_at: float = 0.0
     attempt_id: str = ""
     attempts_made: int = 0
     failures: int = 0
@@ -61,7 +60,6 @@
     predicted_s: float = 0.0
     first_token_at: float = 0.0
     last_token_at: float = 0.0
-    cancelled: bool = False
 
     @property
     def settled(self) -> bool:
--- a/src/magnoliaflow/shell.py
+++ b/src/magnoliaflow/shell.py
@@ -39,7 +39,6 @@
 from magnoliaflow.inputs import Input
 from magnoliaflow.inputs import PeerProbed
 from magnoliaflow.inputs import PieceArrived
-from magnoliaflow.inputs import ReadFailed
 from magnoliaflow.inputs import ReadRecord
 from magnoliaflow.inputs import RecordsRead
 from magnoliaflow.inputs import ReportArrived
@@ -156,7 +155,6 @@
                 self.feed(StreamTrimmed(stream, exc.first_offset))
                 self.tick()
             except MagnoliaflowError:
-                self.feed(ReadFailed(stream))
                 yield sleep(READ_RETRY_S)
             else:
                 records = tuple(_decode(item) for item in page.records)
--- a/src/magnoliaflow/standby.py
+++ b/src/magnoliaflow/standby.py
@@ -135,7 +135,6 @@
         return
     if len(req.tokens) == msg.length and not req.settled:
         req.code = Code(msg.code)
-        req.settled_at = state.now
         req.complete = req.code is Code.DONE
         state.requests.touch(req.request_id)
         state.set_timer(
--- a/src/magnoliaflow/state.py
+++ b/src/magnoliaflow/state.py
@@ -70,7 +70,6 @@
     record: Record
     in_call: bool = False
     retry_at: float = 0.0
-    tried: bool = False
 
 
 @dataclass(slots=True)
@@ -80,7 +79,6 @@
     stream: str
     next_offset: int = 0
     read_at: float = -inf
-    failing_since: float = inf
     behind_since: float = inf
     news_asked_at: float = -inf
 
@@ -100,7 +98,6 @@
     started_at: float
     refuse_id: str = ""
     code: int = 0
-    settled_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/src/magnoliaflow/submission.py
+++ b/src/magnoliaflow/submission.py
@@ -102,7 +102,6 @@
         return
     if req.role is not Role.OWNER or req.settled:
         return
-    req.cancelled = True
     stop_attempt(state, req)
     settle(
         state,
--- a/src/magnoliaflow/views.py
+++ b/src/magnoliaflow/views.py
@@ -135,8 +135,3 @@
         "identity": state.identity,
         "steps": [asdict(step) for step in steps],
     }
-
-
-def is_serving(req: Request) -> bool:
-    """Return whether this process answers for a request."""
-    return req.role is Role.OWNER
--- a/tools/world.py
+++ b/tools/world.py
@@ -40,7 +40,6 @@
 from magnoliaflow.inputs import MessageArrived
 from magnoliaflow.inputs import PeerProbed
 from magnoliaflow.inputs import PieceArrived
-from magnoliaflow.inputs import ReadFailed
 from magnoliaflow.inputs import ReadRecord
 from magnoliaflow.inputs import RecordsRead
 from magnoliaflow.inputs import ReportArrived
@@ -242,7 +241,6 @@
         """Answer one read."""
         node.reading.discard(stream)
         if self.down or node.log_cut:
-            node.feed(ReadFailed(stream))
             return
         if node.frozen:
             return
