--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -379,3 +379,30 @@
     fleet.wait_until(lambda: lease_events(fleet, first)[-1:] == ["LEASE_LOST"])
     assert len(others) == 1
     assert holders() == others
+
+
+def test_cancelled_answer_stops_at_its_engine(fleet):
+    client = client_at(fleet, "entry-1")
+
+    @inlineCallbacks
+    def run():
+        answer = yield client.submit("claim-review", prompt=PROMPT)
+        return (yield client.cancel(answer))
+
+    answer = block(run)
+    assert answer.code in (Code.CANCELLED, Code.CANCELLED_NOT_RUN)
+    fleet.wait_until(
+        lambda: fleet.status("entry-1")["owned"] == 0, limit_s=5.0
+    )
+
+
+def test_addresses_leave_out_a_host_that_is_stopping(fleet):
+    gone = fleet.cfg.entry_host("entry-3").caller_address
+    client = fleet.client(ACCOUNT)
+    before = block(client.find_addresses)
+    terminate(fleet, "entry-3")
+    kept = block(client.find_addresses)
+    client.expires_at = 0.0
+    after = block(client.find_addresses)
+    assert gone in before and kept == before
+    assert gone not in after and len(after) == 3
