--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,6 +33,17 @@
 @pytest.fixture
 def make_world(cfg):
     """Return a function that starts a world with profiles in force."""
+    return world_maker(cfg)
+
+
+@pytest.fixture(scope="module")
+def new_world():
+    """Return the same for tests that run many examples."""
+    return world_maker(load_settings(EXAMPLES / "repair-office.yaml"))
+
+
+def world_maker(cfg):
+    """Return a function that starts worlds of some settings."""
     text = (EXAMPLES / "repair-profiles.yaml").read_text()
 
     def make(seed, *, limits=None, timings=None, nodes=4):
