Name the exporting engine by its address; count no import as recomputed

Cause: an engine was told the name of the one to import from, which only our stand-in could use, and the counter of recomputed tokens rose for moves whose state was imported.

--- a/src/magnoliaflow/attempts.py
+++ b/src/magnoliaflow/attempts.py
@@ -151,10 +151,10 @@
 def start(state: GatewayState, req: Request, pick: Pick) -> None:
     """Send a request to the engine that was chosen."""
     attempt_id = state.next_id("a")
-    source = req.export_from
+    source = state.view.engines.get(req.export_from)
     req.export_from = ""
     _add_attempt(state, req, attempt_id, pick.engine, pick.uncached_tokens)
-    if req.attempts_made:
+    if req.attempts_made and source is None:
         state.metrics.tokens_recomputed.labels(
             "moved" if req.moving else "retry"
         ).inc(pick.uncached_tokens)
@@ -178,7 +178,11 @@
         uncached_tokens=pick.uncached_tokens,
         prefix=len(req.tokens),
     )
-    call = _call(req, attempt_id, import_from=source)
+    call = _call(
+        req,
+        attempt_id,
+        import_from="" if source is None else source.cfg.address,
+    )
     state.emit(StartAttempt(pick.engine, call, req.body))
 
 
--- a/src/magnoliaflow/ports.py
+++ b/src/magnoliaflow/ports.py
@@ -94,7 +94,11 @@
 
 @dataclass(frozen=True, slots=True)
 class GenerateCall:
-    """What an engine needs to start or resume an attempt."""
+    """What an engine needs to start or resume an attempt.
+
+    ``import_from`` is the address of an engine that exports the attention
+    state of the same request, '' if there is none.
+    """
 
     request_id: str
     attempt_id: str
--- a/tools/workload.py
+++ b/tools/workload.py
@@ -194,8 +194,12 @@
         size = prompt_tokens(call.prompt) + len(call.prefix)
         work = size - hits * TOKENS_PER_BLOCK
         if call.import_from:
-            source = self.world.engines.get(call.import_from)
-            if source is not None and source.alive:
+            sources = [
+                engine
+                for engine in self.world.engines.values()
+                if engine.cfg.address == call.import_from and engine.alive
+            ]
+            if sources:
                 work = min(work, len(call.prompt) // 64)
         else:
             known = [
