--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,169 @@
+"""Contract of each port; any adapter must pass, here over HTTP."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from magnoliaflow.errors import NotStartedError
+from magnoliaflow.errors import PortError
+from magnoliaflow.errors import SettingsError
+from magnoliaflow.errors import StaleFenceError
+from magnoliaflow.errors import StartRefusedError
+from magnoliaflow.errors import TrimmedError
+from magnoliaflow.errors import UnknownOutcomeError
+from magnoliaflow import httpports
+from magnoliaflow.ports import EngineOrder
+from magnoliaflow.ports import GenerateCall
+from magnoliaflow.ports import Offer
+from magnoliaflow.ports import open_port
+from magnoliaflow_standins.fleet import block
+from magnoliaflow_standins.fleet import LocalFleet
+from magnoliaflow_standins.fleet import start_reactor
+from magnoliaflow_standins.fleet import write_settings
+from magnoliaflow_standins.tokens import is_answer
+
+ROOT = Path(__file__).parent.parent
+ADAPTERS = (httpports,)
+OFFER = Offer("gauteng-a", "small", 1.0, True)
+CALL = GenerateCall("r", "a-1", "prompt " * 200, (), 20, 1)
+
+
+@pytest.fixture(scope="module")
+def standins(tmp_path_factory):
+    """Run the platform's stand-ins, an engine and a service."""
+    path = write_settings(
+        ROOT / "examples/repair-office.yaml",
+        tmp_path_factory.mktemp("ports"),
+        engines=1,
+        services=1,
+    )
+    start_reactor()
+    fleet = LocalFleet(path)
+    try:
+        fleet.start_platform()
+        fleet.start_server("engine-1")
+        fleet.start_server("counter-1")
+        fleet.wait_for_ports()
+        yield fleet
+    finally:
+        fleet.stop_all()
+
+
+@pytest.fixture
+def port(standins):
+    """Return a function that opens a port at its stand-in."""
+
+    def make(kind, name):
+        return open_port("http", kind, standins.address_of(name))
+
+    return make
+
+
+def test_log(standins, port):
+    log = port("log", "log")
+    block(log.append, "s", (b"one", b"two"))
+    page = block(log.read, "s", 0)
+    assert [(row.offset, row.data) for row in page.records] == [
+        (0, b"one"),
+        (1, b"two"),
+    ]
+    assert page.end == 2
+    assert block(log.read, "s", 2).records == ()
+    standins.switch("log", lose_replies=1)
+    with pytest.raises(UnknownOutcomeError):
+        block(log.append, "s", (b"three",))
+    assert block(log.read, "s", 2).records[0].data == b"three"
+    standins.switch("log", outage=True)
+    with pytest.raises(PortError):
+        block(log.append, "s", (b"four",))
+    standins.switch("log", outage=False, keep=1)
+    block(log.append, "s", (b"five",))
+    with pytest.raises(TrimmedError) as caught:
+        block(log.read, "s", 0)
+    assert caught.value.first_offset == 3
+
+
+def test_cloud_and_host_list(standins, port):
+    cloud = port("cloud", "cloud")
+    standins.switch("cloud", offers=[_plain(OFFER)], refuse_starts=1)
+    assert block(cloud.offers) == (OFFER,)
+    with pytest.raises(StartRefusedError):
+        block(cloud.start, "t-1", OFFER)
+    started = block(cloud.start, "t-2", OFFER)
+    standins.switch("cloud", lose_replies=1)
+    with pytest.raises(UnknownOutcomeError):
+        block(cloud.start, "t-3", OFFER)
+    listed = block(cloud.started)
+    assert started in listed
+    assert [host.tag for host in listed] == ["t-2", "t-3"]
+    standins.switch("cloud", reclaim={"h": 5.0})
+    (notice,) = block(cloud.notices)
+    assert notice.host == "h" and 0 < notice.seconds_left <= 5.0
+    hosts = port("host_list", "host_list")
+    row = {"name": "h", "zone": "z"}
+    standins.switch("host_list", hosts=[row], reclaim={"h": 5.0})
+    assert [(item.name, item.leaving) for item in block(hosts.hosts)] == [
+        ("h", True)
+    ]
+
+
+def _plain(offer):
+    return {name: getattr(offer, name) for name in offer.__slots__}
+
+
+def test_weight_store(port):
+    weights = port("weight_store", "weight_store")
+    assert block(weights.reserve, "m") == pytest.approx(0.0, abs=0.01)
+    assert block(weights.reserve, "m") > 0.5
+
+
+def test_model_engine(standins, port):
+    engine = port("model_engine", "engine-1")
+    pieces = []
+    block(engine.generate, CALL, pieces.append)
+    tokens = [token for piece in pieces for token in piece.tokens]
+    assert pieces[-1].done and len(tokens) == CALL.max_tokens
+    assert is_answer(CALL.prompt, tokens, ["engine-1"])
+    rest = []
+    resumed = replace(CALL, prefix=tuple(tokens[:5]))
+    block(engine.resume, resumed, rest.append)
+    assert [t for piece in rest for t in piece.tokens] == tokens[5:]
+    block(engine.cancel, CALL.attempt_id)
+    with pytest.raises(NotStartedError):
+        block(engine.resume, resumed, rest.append)
+    assert block(engine.report).engine == "engine-1"
+    events = block(engine.cache_events, 0)
+    assert [event.number for event in events] == [
+        number + 1 for number in range(len(events))
+    ]
+    block(engine.order, EngineOrder(7, ("m",), "mixed"))
+    with pytest.raises(StaleFenceError):
+        block(engine.order, EngineOrder(6, ("n",), "mixed"))
+    assert block(engine.state) == EngineOrder(7, ("m",), "mixed")
+    standins.switch("engine-1", ignore_fence=True)
+    block(engine.order, EngineOrder(6, ("n",), "mixed"))
+    assert block(engine.state).models == ("n",)
+
+
+def test_service(standins, port):
+    service = port("service", "counter-1")
+    assert block(service.status, "k") is None
+    assert block(service.call_once, "op", "k", b"{}").succeeded
+    assert block(service.status, "k").succeeded
+    standins.switch("counter-1", refuse=True)
+    with pytest.raises(NotStartedError):
+        block(service.call_once, "op", "k2", b"{}")
+    assert block(service.status, "k2") is None
+    standins.switch("counter-1", refuse=False, lose_replies=1)
+    with pytest.raises(UnknownOutcomeError):
+        block(service.call_once, "op", "k3", b"{}")
+    assert block(service.status, "k3").succeeded
+    dead = open_port("http", "service", "127.0.0.9:1")
+    with pytest.raises(NotStartedError):
+        block(dead.call_once, "op", "k4", b"{}")
+
+
+def test_unknown_adapter_is_named():
+    with pytest.raises(SettingsError, match="allowed: http"):
+        open_port("smoke", "log", "127.0.0.1:1")
