--- /dev/null
+++ b/src/magnoliaflow/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports."""
--- a/src/magnoliaflow/httpports.py
+++ b/src/magnoliaflow/adapters/httpports.py
@@ -19,27 +19,27 @@
 from twisted.web.client import Agent
 from twisted.web.client import HTTPConnectionPool
 
-from magnoliaflow.errors import NotStartedError
-from magnoliaflow.errors import PortError
-from magnoliaflow.errors import StaleFenceError
-from magnoliaflow.errors import StartRefusedError
-from magnoliaflow.errors import TrimmedError
-from magnoliaflow.errors import UnknownOutcomeError
-from magnoliaflow.loop import reactor
-from magnoliaflow.loop import treq
-from magnoliaflow.messages import NewsRecord
-from magnoliaflow.ports import adapter
-from magnoliaflow.ports import CacheEvent
-from magnoliaflow.ports import EngineOrder
-from magnoliaflow.ports import GenerateCall
-from magnoliaflow.ports import ListedHost
-from magnoliaflow.ports import LoadReport
-from magnoliaflow.ports import LogPage
-from magnoliaflow.ports import Offer
-from magnoliaflow.ports import ReclaimNotice
-from magnoliaflow.ports import ServiceReply
-from magnoliaflow.ports import StartedHost
-from magnoliaflow.ports import TokenPiece
+from magnoliaflow.common.errors import NotStartedError
+from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.errors import StaleFenceError
+from magnoliaflow.common.errors import StartRefusedError
+from magnoliaflow.common.errors import TrimmedError
+from magnoliaflow.common.errors import UnknownOutcomeError
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.loop import treq
+from magnoliaflow.common.messages import NewsRecord
+from magnoliaflow.common.ports import adapter
+from magnoliaflow.common.ports import CacheEvent
+from magnoliaflow.common.ports import EngineOrder
+from magnoliaflow.common.ports import GenerateCall
+from magnoliaflow.common.ports import ListedHost
+from magnoliaflow.common.ports import LoadReport
+from magnoliaflow.common.ports import LogPage
+from magnoliaflow.common.ports import Offer
+from magnoliaflow.common.ports import ReclaimNotice
+from magnoliaflow.common.ports import ServiceReply
+from magnoliaflow.common.ports import StartedHost
+from magnoliaflow.common.ports import TokenPiece
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
--- a/src/magnoliaflow/cli.py
+++ b/src/magnoliaflow/cli.py
@@ -9,11 +9,13 @@
 
 from twisted.internet.defer import ensureDeferred
 
-from magnoliaflow.controller import run_controller
-from magnoliaflow.errors import MagnoliaflowError
-from magnoliaflow.errors import SettingsError
-from magnoliaflow.gateway import run_gateway
-from magnoliaflow.loop import reactor
+from magnoliaflow.common.errors import MagnoliaflowError
+from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.settings import load_settings
+from magnoliaflow.common.settings import Settings
+from magnoliaflow.daemons.controller import run_controller
+from magnoliaflow.daemons.gateway import run_gateway
 from magnoliaflow.operate import diff_profiles
 from magnoliaflow.operate import ExitCode
 from magnoliaflow.operate import explain_request
@@ -22,8 +24,6 @@
 from magnoliaflow.operate import profile_history
 from magnoliaflow.operate import publish_file
 from magnoliaflow.operate import show_status
-from magnoliaflow.settings import load_settings
-from magnoliaflow.settings import Settings
 
 Action = Callable[[Settings, Namespace], Any]
 
--- a/src/magnoliaflow/client.py
+++ b/src/magnoliaflow/client.py
@@ -16,17 +16,17 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from magnoliaflow.claimnames import body_digest
-from magnoliaflow.claimnames import ClaimName
-from magnoliaflow.codes import Code
-from magnoliaflow.codes import SETTLED
-from magnoliaflow.errors import CallError
-from magnoliaflow.errors import MagnoliaflowError
-from magnoliaflow.errors import NotStartedError
-from magnoliaflow.httpports import make_agent
-from magnoliaflow.httpports import NEVER_SENT
-from magnoliaflow.loop import reactor
-from magnoliaflow.loop import treq
+from magnoliaflow.adapters.httpports import make_agent
+from magnoliaflow.adapters.httpports import NEVER_SENT
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.codes import SETTLED
+from magnoliaflow.common.errors import CallError
+from magnoliaflow.common.errors import MagnoliaflowError
+from magnoliaflow.common.errors import NotStartedError
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.loop import treq
+from magnoliaflow.work.claimnames import body_digest
+from magnoliaflow.work.claimnames import ClaimName
 
 CALL_TIMEOUT_S = 5.0
 STREAM_SILENCE_S = 2.0
--- /dev/null
+++ b/src/magnoliaflow/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What processes agree on: leases, profiles, links between peers."""
--- a/src/magnoliaflow/leasekeeper.py
+++ b/src/magnoliaflow/cluster/leasekeeper.py
@@ -2,10 +2,10 @@
 
 from math import inf
 
-from magnoliaflow.leases import LeaseBook
-from magnoliaflow.records import LeaseClaim
-from magnoliaflow.records import LeaseRenew
-from magnoliaflow.records import Record
+from magnoliaflow.cluster.leases import LeaseBook
+from magnoliaflow.common.records import LeaseClaim
+from magnoliaflow.common.records import LeaseRenew
+from magnoliaflow.common.records import Record
 
 RENEW_FRACTION = 3.0
 
--- a/src/magnoliaflow/leases.py
+++ b/src/magnoliaflow/cluster/leases.py
@@ -4,8 +4,8 @@
 from dataclasses import field
 from typing import Any
 
-from magnoliaflow.records import LeaseClaim
-from magnoliaflow.records import LeaseRenew
+from magnoliaflow.common.records import LeaseClaim
+from magnoliaflow.common.records import LeaseRenew
 
 NO_FENCE = -1
 
--- a/src/magnoliaflow/peers.py
+++ b/src/magnoliaflow/cluster/peers.py
@@ -12,11 +12,11 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from zope.interface import implementer
 
-from magnoliaflow.codec import message_from_wire
-from magnoliaflow.codec import message_to_wire
-from magnoliaflow.errors import RecordError
-from magnoliaflow.loop import reactor
-from magnoliaflow.messages import Message
+from magnoliaflow.common.codec import message_from_wire
+from magnoliaflow.common.codec import message_to_wire
+from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.messages import Message
 from magnoliaflow.wire import Peer
 
 REPLY_TIMEOUT_S = 1.0
--- a/src/magnoliaflow/profiles.py
+++ b/src/magnoliaflow/cluster/profiles.py
@@ -10,10 +10,10 @@
 
 from jsonschema import Draft202012Validator
 
-from magnoliaflow.errors import SettingsError
-from magnoliaflow.records import ProfileChange
-from magnoliaflow.records import ProfileEntry
-from magnoliaflow.records import ProfileSnapshot
+from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.common.records import ProfileChange
+from magnoliaflow.common.records import ProfileEntry
+from magnoliaflow.common.records import ProfileSnapshot
 
 REMEMBERED_CHANGES = 4096
 
--- /dev/null
+++ b/src/magnoliaflow/common/__init__.py
@@ -0,0 +1,1 @@
+"""Types and tools that every other package uses."""
--- a/src/magnoliaflow/codec.py
+++ b/src/magnoliaflow/common/codec.py
@@ -7,9 +7,9 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from magnoliaflow.errors import RecordError
-from magnoliaflow import messages
-from magnoliaflow import records
+from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common import messages
+from magnoliaflow.common import records
 from magnoliaflow.wire import ttypes
 
 
--- a/src/magnoliaflow/ports.py
+++ b/src/magnoliaflow/common/ports.py
@@ -13,8 +13,8 @@
 
 from twisted.internet.defer import Deferred
 
-from magnoliaflow.errors import SettingsError
-from magnoliaflow.messages import NewsRecord
+from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.common.messages import NewsRecord
 
 T = TypeVar("T")
 
--- a/src/magnoliaflow/settings.py
+++ b/src/magnoliaflow/common/settings.py
@@ -10,7 +10,7 @@
 from yaml import safe_load
 from yaml import YAMLError
 
-from magnoliaflow.errors import SettingsError
+from magnoliaflow.common.errors import SettingsError
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/magnoliaflow/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decision core: state, inputs, commands, systems."""
--- a/src/magnoliaflow/commands.py
+++ b/src/magnoliaflow/core/commands.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.messages import Message
-from magnoliaflow.ports import GenerateCall
-from magnoliaflow.records import Record
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.messages import Message
+from magnoliaflow.common.ports import GenerateCall
+from magnoliaflow.common.records import Record
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/inputs.py
+++ b/src/magnoliaflow/core/inputs.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from magnoliaflow.messages import Message
-from magnoliaflow.ports import CacheEvent
-from magnoliaflow.ports import LoadReport
-from magnoliaflow.records import Record
+from magnoliaflow.common.messages import Message
+from magnoliaflow.common.ports import CacheEvent
+from magnoliaflow.common.ports import LoadReport
+from magnoliaflow.common.records import Record
 
 
 class Ending(Enum):
--- a/src/magnoliaflow/systems.py
+++ b/src/magnoliaflow/core/systems.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from magnoliaflow.commands import Command
-from magnoliaflow.inputs import Input
-from magnoliaflow.inputs import MessageArrived
-from magnoliaflow.state import GatewayState
+from magnoliaflow.core.commands import Command
+from magnoliaflow.core.inputs import Input
+from magnoliaflow.core.inputs import MessageArrived
+from magnoliaflow.core.state import GatewayState
 
 Handler = Callable[[GatewayState, Any], None]
 System = Callable[[GatewayState], None]
--- /dev/null
+++ b/src/magnoliaflow/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin processes around the library."""
--- a/src/magnoliaflow/gateway.py
+++ b/src/magnoliaflow/daemons/gateway.py
@@ -13,23 +13,23 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-from magnoliaflow.auth import Tokens
-from magnoliaflow.callerapi import CallerApi
-from magnoliaflow.eventlog import log_event
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.eventlog import open_log
-from magnoliaflow.gatewaycore import open_core
-from magnoliaflow import httpports
-from magnoliaflow.inputs import DrainAsked
-from magnoliaflow.inputs import MessageArrived
-from magnoliaflow.loop import reactor
-from magnoliaflow.messages import Found
-from magnoliaflow.messages import Message
-from magnoliaflow.peers import peer_factory
-from magnoliaflow.settings import EntryHost
-from magnoliaflow.settings import Settings
-from magnoliaflow.shell import Shell
-from magnoliaflow.state import GatewayState
+from magnoliaflow.adapters import httpports
+from magnoliaflow.cluster.peers import peer_factory
+from magnoliaflow.common.eventlog import log_event
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.eventlog import open_log
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.messages import Found
+from magnoliaflow.common.messages import Message
+from magnoliaflow.common.settings import EntryHost
+from magnoliaflow.common.settings import Settings
+from magnoliaflow.core.inputs import DrainAsked
+from magnoliaflow.core.inputs import MessageArrived
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.daemons.gatewaycore import open_core
+from magnoliaflow.daemons.shell import Shell
+from magnoliaflow.ingress.auth import Tokens
+from magnoliaflow.ingress.callerapi import CallerApi
 
 EXIT_LINGER_S = 0.5
 ADAPTER_MODULES = (httpports,)
--- a/src/magnoliaflow/publish.py
+++ b/src/magnoliaflow/daemons/publish.py
@@ -10,16 +10,16 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import inlineCallbacks
 
-from magnoliaflow.codec import decode_record
-from magnoliaflow.codec import encode_record
-from magnoliaflow.errors import MagnoliaflowError
-from magnoliaflow.errors import RecordError
-from magnoliaflow.errors import TrimmedError
-from magnoliaflow.profiles import Decision
-from magnoliaflow.profiles import ProfileBook
-from magnoliaflow.records import ProfileChange
-from magnoliaflow.records import Record
-from magnoliaflow.state import PROFILE_STREAM
+from magnoliaflow.cluster.profiles import Decision
+from magnoliaflow.cluster.profiles import ProfileBook
+from magnoliaflow.common.codec import decode_record
+from magnoliaflow.common.codec import encode_record
+from magnoliaflow.common.errors import MagnoliaflowError
+from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.errors import TrimmedError
+from magnoliaflow.common.records import ProfileChange
+from magnoliaflow.common.records import Record
+from magnoliaflow.core.state import PROFILE_STREAM
 
 Steps = Generator[Deferred[Any], Any, Any]
 
--- /dev/null
+++ b/src/magnoliaflow/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Front doors for callers."""
--- a/src/magnoliaflow/auth.py
+++ b/src/magnoliaflow/ingress/auth.py
@@ -2,7 +2,7 @@
 
 from hmac import compare_digest
 
-from magnoliaflow.settings import Settings
+from magnoliaflow.common.settings import Settings
 
 SCHEME = "Bearer "
 
--- a/src/magnoliaflow/callerapi.py
+++ b/src/magnoliaflow/ingress/callerapi.py
@@ -9,31 +9,31 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.defer import TimeoutError as DeferredTimeout
 
-from magnoliaflow.auth import Tokens
-from magnoliaflow.claimnames import body_digest
-from magnoliaflow.claimnames import CLAIM_PREFIX
-from magnoliaflow.claimnames import ClaimName
-from magnoliaflow.claimnames import parse_claim_id
-from magnoliaflow.claimwork import claim_code
-from magnoliaflow.codes import Code
-from magnoliaflow.codes import SETTLED
-from magnoliaflow.inputs import CancelAsked
-from magnoliaflow.inputs import Submitted
-from magnoliaflow.location import serving_address
-from magnoliaflow.loop import reactor
-from magnoliaflow.membership import caller_addresses
-from magnoliaflow.messages import Find
-from magnoliaflow.messages import Found
-from magnoliaflow.requests import Role
-from magnoliaflow.shell import Shell
-from magnoliaflow.streaming import Streams
-from magnoliaflow.streaming import StreamWriter
-from magnoliaflow.views import claim_view
-from magnoliaflow.views import code_view
-from magnoliaflow.views import explain_view
-from magnoliaflow.views import request_code
-from magnoliaflow.views import request_view
-from magnoliaflow.views import status_view
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.codes import SETTLED
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.messages import Find
+from magnoliaflow.common.messages import Found
+from magnoliaflow.core.inputs import CancelAsked
+from magnoliaflow.core.inputs import Submitted
+from magnoliaflow.daemons.shell import Shell
+from magnoliaflow.ingress.auth import Tokens
+from magnoliaflow.ingress.streaming import Streams
+from magnoliaflow.ingress.streaming import StreamWriter
+from magnoliaflow.ingress.views import claim_view
+from magnoliaflow.ingress.views import code_view
+from magnoliaflow.ingress.views import explain_view
+from magnoliaflow.ingress.views import request_code
+from magnoliaflow.ingress.views import request_view
+from magnoliaflow.ingress.views import status_view
+from magnoliaflow.serving.claimwork import claim_code
+from magnoliaflow.serving.location import serving_address
+from magnoliaflow.serving.membership import caller_addresses
+from magnoliaflow.work.claimnames import body_digest
+from magnoliaflow.work.claimnames import CLAIM_PREFIX
+from magnoliaflow.work.claimnames import ClaimName
+from magnoliaflow.work.claimnames import parse_claim_id
+from magnoliaflow.work.requests import Role
 
 FIND_WAIT_S = 0.5
 WAIT_MOST_S = 60.0
--- a/src/magnoliaflow/streaming.py
+++ b/src/magnoliaflow/ingress/streaming.py
@@ -6,11 +6,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from magnoliaflow.location import serving_address
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.views import request_view
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.ingress.views import request_view
+from magnoliaflow.serving.location import serving_address
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 KEEPALIVE_S = 0.5
 
--- a/src/magnoliaflow/views.py
+++ b/src/magnoliaflow/ingress/views.py
@@ -4,15 +4,15 @@
 from json import loads
 from typing import Any
 
-from magnoliaflow.claimnames import ClaimName
-from magnoliaflow.claims import ClaimState
-from magnoliaflow.claimwork import claim_code
-from magnoliaflow.codes import Code
-from magnoliaflow.membership import caller_addresses
-from magnoliaflow.profiles import Target
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
+from magnoliaflow.cluster.profiles import Target
+from magnoliaflow.common.codes import Code
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.serving.claimwork import claim_code
+from magnoliaflow.serving.membership import caller_addresses
+from magnoliaflow.work.claimnames import ClaimName
+from magnoliaflow.work.claims import ClaimState
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 RETRY_AFTER_S = {
     Code.ACCOUNT_OVER_SHARE: 2.0,
--- a/src/magnoliaflow/operate.py
+++ b/src/magnoliaflow/operate.py
@@ -14,19 +14,19 @@
 from twisted.internet.task import deferLater
 from yaml import safe_load
 
-from magnoliaflow.errors import MagnoliaflowError
-from magnoliaflow.errors import PortError
-from magnoliaflow import httpports
-from magnoliaflow.httpports import make_agent
-from magnoliaflow.loop import reactor
-from magnoliaflow.loop import treq
-from magnoliaflow.ports import open_port
-from magnoliaflow.profiles import Decision
-from magnoliaflow.profiles import parse_spec
-from magnoliaflow.publish import ProfileReader
-from magnoliaflow.publish import publish_change
-from magnoliaflow.settings import Settings
-from magnoliaflow.state import PROFILE_STREAM
+from magnoliaflow.adapters import httpports
+from magnoliaflow.adapters.httpports import make_agent
+from magnoliaflow.cluster.profiles import Decision
+from magnoliaflow.cluster.profiles import parse_spec
+from magnoliaflow.common.errors import MagnoliaflowError
+from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.loop import treq
+from magnoliaflow.common.ports import open_port
+from magnoliaflow.common.settings import Settings
+from magnoliaflow.core.state import PROFILE_STREAM
+from magnoliaflow.daemons.publish import ProfileReader
+from magnoliaflow.daemons.publish import publish_change
 
 Steps = Generator[Deferred[Any], Any, Any]
 ADAPTER_MODULES = (httpports,)
--- /dev/null
+++ b/src/magnoliaflow/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure code: no I/O, no clock."""
--- a/src/magnoliaflow/engines.py
+++ b/src/magnoliaflow/policy/engines.py
@@ -5,8 +5,8 @@
 from dataclasses import field
 from math import inf
 
-from magnoliaflow.ports import LoadReport
-from magnoliaflow.settings import BackendServer
+from magnoliaflow.common.ports import LoadReport
+from magnoliaflow.common.settings import BackendServer
 
 REPORT_LAG_S = 0.3
 LIMIT_FLOOR = 1.0
--- a/src/magnoliaflow/fleet.py
+++ b/src/magnoliaflow/policy/fleet.py
@@ -6,8 +6,8 @@
 from dataclasses import field
 from math import ceil
 
-from magnoliaflow.ports import EngineOrder
-from magnoliaflow.ports import Offer
+from magnoliaflow.common.ports import EngineOrder
+from magnoliaflow.common.ports import Offer
 
 BACKOFF_FIRST_S = 5.0
 BACKOFF_MOST_S = 300.0
--- a/src/magnoliaflow/ranges.py
+++ b/src/magnoliaflow/policy/ranges.py
@@ -7,10 +7,10 @@
 
 from bisect import bisect_right
 
-from magnoliaflow.engines import Engine
-from magnoliaflow.routing import Need
-from magnoliaflow.routing import policy
-from magnoliaflow.routing import RoutingView
+from magnoliaflow.policy.engines import Engine
+from magnoliaflow.policy.routing import Need
+from magnoliaflow.policy.routing import policy
+from magnoliaflow.policy.routing import RoutingView
 
 KEY_BLOCKS = 4
 BLOCK_BITS = 16
--- a/src/magnoliaflow/replacement.py
+++ b/src/magnoliaflow/policy/replacement.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from magnoliaflow.fleet import choose_offer
-from magnoliaflow.fleet import Market
-from magnoliaflow.fleet import missing_hosts
-from magnoliaflow.fleet import Supply
-from magnoliaflow.ports import Offer
-from magnoliaflow.ports import StartedHost
+from magnoliaflow.common.ports import Offer
+from magnoliaflow.common.ports import StartedHost
+from magnoliaflow.policy.fleet import choose_offer
+from magnoliaflow.policy.fleet import Market
+from magnoliaflow.policy.fleet import missing_hosts
+from magnoliaflow.policy.fleet import Supply
 
 LIST_SETTLE_S = 15.0
 
--- a/src/magnoliaflow/routing.py
+++ b/src/magnoliaflow/policy/routing.py
@@ -12,11 +12,11 @@
 
 from xxhash import xxh64_intdigest
 
-from magnoliaflow.blocks import TOKENS_PER_BLOCK
-from magnoliaflow.engines import Engine
-from magnoliaflow.errors import SettingsError
-from magnoliaflow.prefixes import PrefixIndex
-from magnoliaflow.settings import BackendServer
+from magnoliaflow.common.blocks import TOKENS_PER_BLOCK
+from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.common.settings import BackendServer
+from magnoliaflow.policy.engines import Engine
+from magnoliaflow.policy.prefixes import PrefixIndex
 
 CANDIDATES = 16
 HOLDERS = 4
--- /dev/null
+++ b/src/magnoliaflow/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Handlers and systems that serve requests on the core."""
--- a/src/magnoliaflow/admission.py
+++ b/src/magnoliaflow/serving/admission.py
@@ -3,16 +3,16 @@
 from dataclasses import dataclass
 from math import inf
 
-from magnoliaflow.codes import Code
-from magnoliaflow.fairness import Backlog
-from magnoliaflow.lifecycle import Phase
-from magnoliaflow.profiles import Profile
-from magnoliaflow.profiles import Target
-from magnoliaflow.requests import Role
-from magnoliaflow.routing import Need
-from magnoliaflow.routing import RoutingView
-from magnoliaflow.state import GatewayState
-from magnoliaflow.state import PROFILE_STREAM
+from magnoliaflow.cluster.profiles import Profile
+from magnoliaflow.cluster.profiles import Target
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.state import PROFILE_STREAM
+from magnoliaflow.policy.fairness import Backlog
+from magnoliaflow.policy.routing import Need
+from magnoliaflow.policy.routing import RoutingView
+from magnoliaflow.work.requests import Role
 
 SHARE_SLACK = 2.0
 BUSY_FRACTION = 0.5
--- a/src/magnoliaflow/answers.py
+++ b/src/magnoliaflow/serving/answers.py
@@ -1,25 +1,25 @@
 """Answers as they arrive: pieces, endings, retries and silence."""
 
-from magnoliaflow.attempts import drop_attempt
-from magnoliaflow.attempts import enqueue
-from magnoliaflow.attempts import read_on
-from magnoliaflow.attempts import shun
-from magnoliaflow.codes import Code
-from magnoliaflow.commands import CancelAttempt
-from magnoliaflow.custody import add_tokens
-from magnoliaflow.custody import finish_answer
-from magnoliaflow.custody import settle
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.inputs import AttemptEnded
-from magnoliaflow.inputs import Ending
-from magnoliaflow.inputs import PieceArrived
-from magnoliaflow.profiles import Target
-from magnoliaflow.requests import Attempt
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import handles
-from magnoliaflow.systems import on_timer
+from magnoliaflow.cluster.profiles import Target
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.core.commands import CancelAttempt
+from magnoliaflow.core.inputs import AttemptEnded
+from magnoliaflow.core.inputs import Ending
+from magnoliaflow.core.inputs import PieceArrived
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import handles
+from magnoliaflow.core.systems import on_timer
+from magnoliaflow.serving.attempts import drop_attempt
+from magnoliaflow.serving.attempts import enqueue
+from magnoliaflow.serving.attempts import read_on
+from magnoliaflow.serving.attempts import shun
+from magnoliaflow.serving.custody import add_tokens
+from magnoliaflow.serving.custody import finish_answer
+from magnoliaflow.serving.custody import settle
+from magnoliaflow.work.requests import Attempt
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 RETRY_DELAY_S = 0.2
 RETRY_DELAY_MOST_S = 5.0
--- a/src/magnoliaflow/attempts.py
+++ b/src/magnoliaflow/serving/attempts.py
@@ -2,27 +2,27 @@
 
 from math import inf
 
-from magnoliaflow.blocks import prompt_tokens
-from magnoliaflow.commands import CancelAttempt
-from magnoliaflow.commands import ResumeAttempt
-from magnoliaflow.commands import StartAttempt
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.fairness import DueQueue
-from magnoliaflow.fairness import Ticket
-from magnoliaflow.inputs import CacheEventsArrived
-from magnoliaflow.inputs import EngineSilent
-from magnoliaflow.inputs import ReportArrived
-from magnoliaflow.ports import GenerateCall
-from magnoliaflow.profiles import Target
-from magnoliaflow.requests import Attempt
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.routing import choose
-from magnoliaflow.routing import Need
-from magnoliaflow.routing import Pick
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import handles
-from magnoliaflow.systems import system
+from magnoliaflow.cluster.profiles import Target
+from magnoliaflow.common.blocks import prompt_tokens
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.ports import GenerateCall
+from magnoliaflow.core.commands import CancelAttempt
+from magnoliaflow.core.commands import ResumeAttempt
+from magnoliaflow.core.commands import StartAttempt
+from magnoliaflow.core.inputs import CacheEventsArrived
+from magnoliaflow.core.inputs import EngineSilent
+from magnoliaflow.core.inputs import ReportArrived
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import handles
+from magnoliaflow.core.systems import system
+from magnoliaflow.policy.fairness import DueQueue
+from magnoliaflow.policy.fairness import Ticket
+from magnoliaflow.policy.routing import choose
+from magnoliaflow.policy.routing import Need
+from magnoliaflow.policy.routing import Pick
+from magnoliaflow.work.requests import Attempt
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 SHUN_S = 2.0
 MOVED_TARGET_S = 0.5
--- a/src/magnoliaflow/branches.py
+++ b/src/magnoliaflow/serving/branches.py
@@ -1,11 +1,11 @@
 """Meeting branches of one answer: the higher name goes on."""
 
-from magnoliaflow.attempts import stop_attempt
-from magnoliaflow.messages import Stop
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import receives
+from magnoliaflow.common.messages import Stop
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import receives
+from magnoliaflow.serving.attempts import stop_attempt
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 MOVED_KEPT_S = 120.0
 
--- a/src/magnoliaflow/custody.py
+++ b/src/magnoliaflow/serving/custody.py
@@ -4,22 +4,22 @@
 was accepted, and releases a token only when the standby holds it.
 """
 
-from magnoliaflow.codes import Code
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.membership import pick_standby
-from magnoliaflow.membership import serving_peers
-from magnoliaflow.messages import Drop
-from magnoliaflow.messages import Extend
-from magnoliaflow.messages import Finish
-from magnoliaflow.messages import Hold
-from magnoliaflow.messages import HoldAck
-from magnoliaflow.profiles import profile_spec
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import on_timer
-from magnoliaflow.systems import receives
-from magnoliaflow.systems import system
+from magnoliaflow.cluster.profiles import profile_spec
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.messages import Drop
+from magnoliaflow.common.messages import Extend
+from magnoliaflow.common.messages import Finish
+from magnoliaflow.common.messages import Hold
+from magnoliaflow.common.messages import HoldAck
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import on_timer
+from magnoliaflow.core.systems import receives
+from magnoliaflow.core.systems import system
+from magnoliaflow.serving.membership import pick_standby
+from magnoliaflow.serving.membership import serving_peers
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 RESEND_S = 0.5
 
--- a/src/magnoliaflow/dispatching.py
+++ b/src/magnoliaflow/serving/dispatching.py
@@ -1,21 +1,21 @@
 """Sending the work of a dispatched claim, once, and stating its outcome."""
 
-from magnoliaflow.claims import Claim
-from magnoliaflow.claims import ClaimState
-from magnoliaflow.codes import Code
-from magnoliaflow.commands import AskStatus
-from magnoliaflow.commands import CallService
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.inputs import Ending
-from magnoliaflow.inputs import ServiceAnswered
-from magnoliaflow.inputs import StatusAnswered
-from magnoliaflow.logsession import append
-from magnoliaflow.membership import hash_rank
-from magnoliaflow.records import Outcome
-from magnoliaflow.state import CLAIM_STREAM
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import handles
-from magnoliaflow.systems import on_timer
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.records import Outcome
+from magnoliaflow.core.commands import AskStatus
+from magnoliaflow.core.commands import CallService
+from magnoliaflow.core.inputs import Ending
+from magnoliaflow.core.inputs import ServiceAnswered
+from magnoliaflow.core.inputs import StatusAnswered
+from magnoliaflow.core.state import CLAIM_STREAM
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import handles
+from magnoliaflow.core.systems import on_timer
+from magnoliaflow.serving.logsession import append
+from magnoliaflow.serving.membership import hash_rank
+from magnoliaflow.work.claims import Claim
+from magnoliaflow.work.claims import ClaimState
 
 SEND_RETRY_S = 0.5
 
--- a/src/magnoliaflow/draining.py
+++ b/src/magnoliaflow/serving/draining.py
@@ -2,31 +2,31 @@
 
 from math import inf
 
-from magnoliaflow.attempts import move
-from magnoliaflow.attempts import need_of
-from magnoliaflow.claims import ClaimState
-from magnoliaflow.commands import Exit
-from magnoliaflow.custody import caught_up
-from magnoliaflow.custody import place_copy
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.inputs import DrainAsked
-from magnoliaflow.inputs import HostNoticed
-from magnoliaflow.lifecycle import Phase
-from magnoliaflow.membership import make_heartbeat
-from magnoliaflow.membership import notice_host
-from magnoliaflow.membership import on_notice
-from magnoliaflow.membership import serving_peers
-from magnoliaflow.messages import Handover
-from magnoliaflow.messages import HostNotice
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.state import Peer
-from magnoliaflow.succession import hand_over_claim
-from magnoliaflow.systems import handles
-from magnoliaflow.systems import on_timer
-from magnoliaflow.systems import receives
-from magnoliaflow.systems import system
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.messages import Handover
+from magnoliaflow.common.messages import HostNotice
+from magnoliaflow.core.commands import Exit
+from magnoliaflow.core.inputs import DrainAsked
+from magnoliaflow.core.inputs import HostNoticed
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.state import Peer
+from magnoliaflow.core.systems import handles
+from magnoliaflow.core.systems import on_timer
+from magnoliaflow.core.systems import receives
+from magnoliaflow.core.systems import system
+from magnoliaflow.serving.attempts import move
+from magnoliaflow.serving.attempts import need_of
+from magnoliaflow.serving.custody import caught_up
+from magnoliaflow.serving.custody import place_copy
+from magnoliaflow.serving.membership import make_heartbeat
+from magnoliaflow.serving.membership import notice_host
+from magnoliaflow.serving.membership import on_notice
+from magnoliaflow.serving.membership import serving_peers
+from magnoliaflow.serving.succession import hand_over_claim
+from magnoliaflow.work.claims import ClaimState
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 SAFETY = 0.6
 NOTICE_KEPT_S = 30.0
--- a/src/magnoliaflow/location.py
+++ b/src/magnoliaflow/serving/location.py
@@ -1,10 +1,10 @@
 """Who serves a request."""
 
-from magnoliaflow.messages import Find
-from magnoliaflow.messages import Found
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import receives
+from magnoliaflow.common.messages import Find
+from magnoliaflow.common.messages import Found
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import receives
+from magnoliaflow.work.requests import Role
 
 
 def serving_address(state: GatewayState, request_id: str) -> str:
--- a/src/magnoliaflow/logsession.py
+++ b/src/magnoliaflow/serving/logsession.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable
 from itertools import islice
 
-from magnoliaflow.commands import Append
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.inputs import AppendEnded
-from magnoliaflow.inputs import RecordsRead
-from magnoliaflow.inputs import StreamTrimmed
-from magnoliaflow.records import Record
-from magnoliaflow.records import RecordBody
-from magnoliaflow.state import GatewayState
-from magnoliaflow.state import PendingAppend
-from magnoliaflow.state import PROFILE_STREAM
-from magnoliaflow.systems import handles
-from magnoliaflow.systems import system
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.records import Record
+from magnoliaflow.common.records import RecordBody
+from magnoliaflow.core.commands import Append
+from magnoliaflow.core.inputs import AppendEnded
+from magnoliaflow.core.inputs import RecordsRead
+from magnoliaflow.core.inputs import StreamTrimmed
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.state import PendingAppend
+from magnoliaflow.core.state import PROFILE_STREAM
+from magnoliaflow.core.systems import handles
+from magnoliaflow.core.systems import system
 
 GROUP_COMMIT_RECORDS = 256
 APPEND_RETRY_S = 0.5
--- a/src/magnoliaflow/membership.py
+++ b/src/magnoliaflow/serving/membership.py
@@ -4,19 +4,19 @@
 
 from xxhash import xxh64_intdigest
 
-from magnoliaflow.commands import ProbePeer
-from magnoliaflow.commands import SendAddress
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.inputs import PeerProbed
-from magnoliaflow.lifecycle import Phase
-from magnoliaflow.messages import Heartbeat
-from magnoliaflow.messages import HostNotice
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.state import Peer
-from magnoliaflow.systems import handles
-from magnoliaflow.systems import receives
-from magnoliaflow.systems import system
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.messages import Heartbeat
+from magnoliaflow.common.messages import HostNotice
+from magnoliaflow.core.commands import ProbePeer
+from magnoliaflow.core.commands import SendAddress
+from magnoliaflow.core.inputs import PeerProbed
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.state import Peer
+from magnoliaflow.core.systems import handles
+from magnoliaflow.core.systems import receives
+from magnoliaflow.core.systems import system
+from magnoliaflow.work.requests import Role
 
 HEARTBEAT_FANOUT = 8
 CROWD_SMOOTHING = 0.5
--- a/src/magnoliaflow/profilework.py
+++ b/src/magnoliaflow/serving/profilework.py
@@ -2,21 +2,21 @@
 
 from math import inf
 
-from magnoliaflow.codec import decode_record
-from magnoliaflow.codec import encode_record
-from magnoliaflow.errors import RecordError
-from magnoliaflow.logsession import append
-from magnoliaflow.membership import successor_of
-from magnoliaflow.messages import News
-from magnoliaflow.messages import NewsRecord
-from magnoliaflow.messages import NewsRequest
-from magnoliaflow.records import ProfileSnapshot
-from magnoliaflow.records import Record
-from magnoliaflow.state import GatewayState
-from magnoliaflow.state import PROFILE_STREAM
-from magnoliaflow.systems import on_timer
-from magnoliaflow.systems import receives
-from magnoliaflow.systems import system
+from magnoliaflow.common.codec import decode_record
+from magnoliaflow.common.codec import encode_record
+from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.messages import News
+from magnoliaflow.common.messages import NewsRecord
+from magnoliaflow.common.messages import NewsRequest
+from magnoliaflow.common.records import ProfileSnapshot
+from magnoliaflow.common.records import Record
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.state import PROFILE_STREAM
+from magnoliaflow.core.systems import on_timer
+from magnoliaflow.core.systems import receives
+from magnoliaflow.core.systems import system
+from magnoliaflow.serving.logsession import append
+from magnoliaflow.serving.membership import successor_of
 
 NEWS_PERIOD_S = 0.5
 SNAPSHOT_CHECK_S = 2.0
--- a/src/magnoliaflow/standby.py
+++ b/src/magnoliaflow/serving/standby.py
@@ -6,29 +6,29 @@
 
 from json import loads
 
-from magnoliaflow.attempts import enqueue
-from magnoliaflow.blocks import prefix_blocks
-from magnoliaflow.branches import other_branch
-from magnoliaflow.codes import Code
-from magnoliaflow.custody import place_copy
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.lifecycle import Phase
-from magnoliaflow.membership import on_death
-from magnoliaflow.messages import Drop
-from magnoliaflow.messages import Extend
-from magnoliaflow.messages import Finish
-from magnoliaflow.messages import Handover
-from magnoliaflow.messages import Hold
-from magnoliaflow.messages import HoldAck
-from magnoliaflow.messages import Parting
-from magnoliaflow.messages import Stop
-from magnoliaflow.profiles import parse_spec
-from magnoliaflow.profiles import Target
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import on_timer
-from magnoliaflow.systems import receives
+from magnoliaflow.cluster.profiles import parse_spec
+from magnoliaflow.cluster.profiles import Target
+from magnoliaflow.common.blocks import prefix_blocks
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.messages import Drop
+from magnoliaflow.common.messages import Extend
+from magnoliaflow.common.messages import Finish
+from magnoliaflow.common.messages import Handover
+from magnoliaflow.common.messages import Hold
+from magnoliaflow.common.messages import HoldAck
+from magnoliaflow.common.messages import Parting
+from magnoliaflow.common.messages import Stop
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import on_timer
+from magnoliaflow.core.systems import receives
+from magnoliaflow.serving.attempts import enqueue
+from magnoliaflow.serving.branches import other_branch
+from magnoliaflow.serving.custody import place_copy
+from magnoliaflow.serving.membership import on_death
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 COPY_CHECK_S = 30.0
 
--- a/src/magnoliaflow/submission.py
+++ b/src/magnoliaflow/serving/submission.py
@@ -1,24 +1,24 @@
 """What a gateway does with a new request or a cancellation."""
 
-from magnoliaflow.admission import deadline_refusal
-from magnoliaflow.admission import outlook
-from magnoliaflow.admission import refusal
-from magnoliaflow.attempts import enqueue
-from magnoliaflow.attempts import need_of
-from magnoliaflow.attempts import stop_attempt
-from magnoliaflow.blocks import prefix_blocks
-from magnoliaflow.claimwork import cancel_claim
-from magnoliaflow.claimwork import submit_claim
-from magnoliaflow.codes import Code
-from magnoliaflow.custody import place_copy
-from magnoliaflow.custody import settle
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.inputs import CancelAsked
-from magnoliaflow.inputs import Submitted
-from magnoliaflow.requests import Request
-from magnoliaflow.requests import Role
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import handles
+from magnoliaflow.common.blocks import prefix_blocks
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.core.inputs import CancelAsked
+from magnoliaflow.core.inputs import Submitted
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import handles
+from magnoliaflow.serving.admission import deadline_refusal
+from magnoliaflow.serving.admission import outlook
+from magnoliaflow.serving.admission import refusal
+from magnoliaflow.serving.attempts import enqueue
+from magnoliaflow.serving.attempts import need_of
+from magnoliaflow.serving.attempts import stop_attempt
+from magnoliaflow.serving.claimwork import cancel_claim
+from magnoliaflow.serving.claimwork import submit_claim
+from magnoliaflow.serving.custody import place_copy
+from magnoliaflow.serving.custody import settle
+from magnoliaflow.work.requests import Request
+from magnoliaflow.work.requests import Role
 
 
 @handles(Submitted)
--- a/src/magnoliaflow/succession.py
+++ b/src/magnoliaflow/serving/succession.py
@@ -1,20 +1,20 @@
 """Claims whose owner leaves or is dead, and records about to age out."""
 
-from magnoliaflow.claims import Claim
-from magnoliaflow.claims import ClaimState
-from magnoliaflow.dispatching import ask_status
-from magnoliaflow.lifecycle import Phase
-from magnoliaflow.logsession import append
-from magnoliaflow.membership import is_live
-from magnoliaflow.membership import successor_of
-from magnoliaflow.messages import ClaimHandover
-from magnoliaflow.records import Mark
-from magnoliaflow.records import Restate
-from magnoliaflow.records import Takeover
-from magnoliaflow.state import CLAIM_STREAM
-from magnoliaflow.state import GatewayState
-from magnoliaflow.systems import on_timer
-from magnoliaflow.systems import receives
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.messages import ClaimHandover
+from magnoliaflow.common.records import Mark
+from magnoliaflow.common.records import Restate
+from magnoliaflow.common.records import Takeover
+from magnoliaflow.core.state import CLAIM_STREAM
+from magnoliaflow.core.state import GatewayState
+from magnoliaflow.core.systems import on_timer
+from magnoliaflow.core.systems import receives
+from magnoliaflow.serving.dispatching import ask_status
+from magnoliaflow.serving.logsession import append
+from magnoliaflow.serving.membership import is_live
+from magnoliaflow.serving.membership import successor_of
+from magnoliaflow.work.claims import Claim
+from magnoliaflow.work.claims import ClaimState
 
 SWEEP_S = 1.0
 HISTORY_WAIT_S = 5.0
--- /dev/null
+++ b/src/magnoliaflow/work/__init__.py
@@ -0,0 +1,1 @@
+"""Rows and rules of requests and claims."""
--- a/src/magnoliaflow/claims.py
+++ b/src/magnoliaflow/work/claims.py
@@ -18,15 +18,15 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from magnoliaflow.codes import Code
-from magnoliaflow.errors import KeyFormatError
-from magnoliaflow.records import Accept
-from magnoliaflow.records import Dispatch
-from magnoliaflow.records import Mark
-from magnoliaflow.records import Outcome
-from magnoliaflow.records import Refuse
-from magnoliaflow.records import Restate
-from magnoliaflow.records import Takeover
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.errors import KeyFormatError
+from magnoliaflow.common.records import Accept
+from magnoliaflow.common.records import Dispatch
+from magnoliaflow.common.records import Mark
+from magnoliaflow.common.records import Outcome
+from magnoliaflow.common.records import Refuse
+from magnoliaflow.common.records import Restate
+from magnoliaflow.common.records import Takeover
 
 DEFAULT_WINDOW_S = 3600.0
 
--- a/src/magnoliaflow/requests.py
+++ b/src/magnoliaflow/work/requests.py
@@ -4,9 +4,9 @@
 from dataclasses import field
 from enum import Enum
 
-from magnoliaflow.codes import Code
-from magnoliaflow.messages import Parting
-from magnoliaflow.profiles import Profile
+from magnoliaflow.cluster.profiles import Profile
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.messages import Parting
 
 
 class Role(Enum):
--- a/src/magnoliaflow_standins/base.py
+++ b/src/magnoliaflow_standins/base.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import deferLater
 from twisted.web.server import Site
 
-from magnoliaflow.loop import reactor
+from magnoliaflow.common.loop import reactor
 
 
 class Standin:
--- a/src/magnoliaflow_standins/engine.py
+++ b/src/magnoliaflow_standins/engine.py
@@ -7,9 +7,9 @@
 from klein import Klein
 from twisted.internet.task import LoopingCall
 
-from magnoliaflow.blocks import prefix_blocks
-from magnoliaflow.blocks import prompt_tokens
-from magnoliaflow.blocks import TOKENS_PER_BLOCK
+from magnoliaflow.common.blocks import prefix_blocks
+from magnoliaflow.common.blocks import prompt_tokens
+from magnoliaflow.common.blocks import TOKENS_PER_BLOCK
 from magnoliaflow_standins.base import add_control
 from magnoliaflow_standins.base import content_of
 from magnoliaflow_standins.base import now
--- a/src/magnoliaflow_standins/fleet.py
+++ b/src/magnoliaflow_standins/fleet.py
@@ -23,9 +23,9 @@
 from yaml import safe_load
 
 from magnoliaflow.client import Client
-from magnoliaflow.loop import reactor
-from magnoliaflow.settings import load_settings
-from magnoliaflow.settings import Settings
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.settings import load_settings
+from magnoliaflow.common.settings import Settings
 
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 40.0
--- a/src/magnoliaflow_standins/log.py
+++ b/src/magnoliaflow_standins/log.py
@@ -5,7 +5,7 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 
-from magnoliaflow.loop import reactor
+from magnoliaflow.common.loop import reactor
 from magnoliaflow_standins.base import add_control
 from magnoliaflow_standins.base import content_of
 from magnoliaflow_standins.base import parser
--- a/tests/checkers.py
+++ b/tests/checkers.py
@@ -1,7 +1,7 @@
 """Checkers of histories: each returns the violations that it sees."""
 
-from magnoliaflow.codes import Code
-from magnoliaflow.codes import Run
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.codes import Run
 from magnoliaflow_standins.tokens import is_answer
 
 CHECKERS = {}
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -6,8 +6,8 @@
 import pytest
 
 from checkers import CHECKERS
-from magnoliaflow.codes import Code
-from magnoliaflow.records import ProfileEntry
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.records import ProfileEntry
 from magnoliaflow_standins.tokens import next_digest
 from magnoliaflow_standins.tokens import next_token
 from magnoliaflow_standins.tokens import start_digest
--- a/tests/test_claim_model.py
+++ b/tests/test_claim_model.py
@@ -12,13 +12,13 @@
 
 import pytest
 
-from magnoliaflow.claims import ClaimBook
-from magnoliaflow.claims import ClaimState
-from magnoliaflow.claims import Verdict
-from magnoliaflow.records import Accept
-from magnoliaflow.records import Dispatch
-from magnoliaflow.records import Refuse
-from magnoliaflow.records import Takeover
+from magnoliaflow.common.records import Accept
+from magnoliaflow.common.records import Dispatch
+from magnoliaflow.common.records import Refuse
+from magnoliaflow.common.records import Takeover
+from magnoliaflow.work.claims import ClaimBook
+from magnoliaflow.work.claims import ClaimState
+from magnoliaflow.work.claims import Verdict
 
 KEY = "a/1000-k"
 STATES_MOST = 400_000
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,18 +4,18 @@
 from hypothesis import strategies as st
 import pytest
 
-from magnoliaflow.codec import decode_record
-from magnoliaflow.codec import encode_record
-from magnoliaflow.codec import message_from_wire
-from magnoliaflow.codec import message_to_wire
-from magnoliaflow.errors import RecordError
-from magnoliaflow.messages import HostNotice
-from magnoliaflow.messages import Message
-from magnoliaflow.messages import NewsRecord
-from magnoliaflow.messages import Parting
-from magnoliaflow.records import ProfileEntry
-from magnoliaflow.records import Record
-from magnoliaflow.records import RecordBody
+from magnoliaflow.common.codec import decode_record
+from magnoliaflow.common.codec import encode_record
+from magnoliaflow.common.codec import message_from_wire
+from magnoliaflow.common.codec import message_to_wire
+from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.messages import HostNotice
+from magnoliaflow.common.messages import Message
+from magnoliaflow.common.messages import NewsRecord
+from magnoliaflow.common.messages import Parting
+from magnoliaflow.common.records import ProfileEntry
+from magnoliaflow.common.records import Record
+from magnoliaflow.common.records import RecordBody
 
 SAMPLES = {
     str: st.text(max_size=20),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from magnoliaflow.fleet import choose_offer
-from magnoliaflow.fleet import Market
-from magnoliaflow.fleet import order_needed
-from magnoliaflow.fleet import Supply
-from magnoliaflow.ports import EngineOrder
-from magnoliaflow.ports import Offer
-from magnoliaflow.ports import StartedHost
-from magnoliaflow.replacement import Replacement
+from magnoliaflow.common.ports import EngineOrder
+from magnoliaflow.common.ports import Offer
+from magnoliaflow.common.ports import StartedHost
+from magnoliaflow.policy.fleet import choose_offer
+from magnoliaflow.policy.fleet import Market
+from magnoliaflow.policy.fleet import order_needed
+from magnoliaflow.policy.fleet import Supply
+from magnoliaflow.policy.replacement import Replacement
 
 CHEAP = Offer("a", "small", 1.0, True)
 DEAR = Offer("b", "small", 1.5, True)
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -8,7 +8,7 @@
 import pytest
 
 from checkers import violations
-from magnoliaflow.codes import Code
+from magnoliaflow.common.codes import Code
 
 SEEDS = (1, 2, 3)
 MOMENTS_S = (0.0, 0.004, 0.012, 0.03, 0.3)
--- a/tests/test_late_reader.py
+++ b/tests/test_late_reader.py
@@ -4,18 +4,18 @@
 from hypothesis import strategies as st
 
 from checkers import violations
-from magnoliaflow.claims import ClaimBook
-from magnoliaflow.claims import ClaimState
-from magnoliaflow.claims import Verdict
-from magnoliaflow.codes import Code
-from magnoliaflow.records import Accept
-from magnoliaflow.records import Dispatch
-from magnoliaflow.records import Mark
-from magnoliaflow.records import Outcome
-from magnoliaflow.records import Refuse
-from magnoliaflow.records import Restate
-from magnoliaflow.records import Takeover
-from magnoliaflow.state import CLAIM_STREAM
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.records import Accept
+from magnoliaflow.common.records import Dispatch
+from magnoliaflow.common.records import Mark
+from magnoliaflow.common.records import Outcome
+from magnoliaflow.common.records import Refuse
+from magnoliaflow.common.records import Restate
+from magnoliaflow.common.records import Takeover
+from magnoliaflow.core.state import CLAIM_STREAM
+from magnoliaflow.work.claims import ClaimBook
+from magnoliaflow.work.claims import ClaimState
+from magnoliaflow.work.claims import Verdict
 
 WINDOW_S = 100.0
 START = 1000.0
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from magnoliaflow.leasekeeper import LeaseKeeper
+from magnoliaflow.cluster.leasekeeper import LeaseKeeper
 
 TTL_S = 6.0
 MARGIN_S = 1.0
@@ -114,7 +114,7 @@
 def test_without_the_margin_two_may_act(monkeypatch):
     """A reader that claims without waiting overlaps the paused holder."""
     monkeypatch.setattr(
-        "magnoliaflow.leases.LeaseBook.may_claim", lambda *a: True
+        "magnoliaflow.cluster.leases.LeaseBook.may_claim", lambda *a: True
     )
     world = LeaseWorld("ab")
     world.run(10.0)
--- a/tests/test_long_run.py
+++ b/tests/test_long_run.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 
 from checkers import violations
-from magnoliaflow.codes import Code
-from magnoliaflow.codes import Run
-from magnoliaflow.profiles import Decision
+from magnoliaflow.cluster.profiles import Decision
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.codes import Run
 
 REQUESTS = 10_500
 RATE = 70.0
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -4,18 +4,18 @@
 
 from checkers import LEAVING_BOUND_S
 from checkers import violations
-from magnoliaflow import answers
-from magnoliaflow.codes import Code
-from magnoliaflow import custody
-from magnoliaflow import dispatching
-from magnoliaflow import draining
-from magnoliaflow.inputs import DrainAsked
-from magnoliaflow.inputs import HostNoticed
-from magnoliaflow.membership import NOTICE_HOOKS
-from magnoliaflow.requests import Role
-from magnoliaflow import succession
-from magnoliaflow.systems import SYSTEMS
-from magnoliaflow.systems import TIMER_HANDLERS
+from magnoliaflow.common.codes import Code
+from magnoliaflow.core.inputs import DrainAsked
+from magnoliaflow.core.inputs import HostNoticed
+from magnoliaflow.core.systems import SYSTEMS
+from magnoliaflow.core.systems import TIMER_HANDLERS
+from magnoliaflow.serving import answers
+from magnoliaflow.serving import custody
+from magnoliaflow.serving import dispatching
+from magnoliaflow.serving import draining
+from magnoliaflow.serving.membership import NOTICE_HOOKS
+from magnoliaflow.serving import succession
+from magnoliaflow.work.requests import Role
 import world as world_module
 
 
@@ -64,7 +64,7 @@
 def no_notices(monkeypatch):
     """Do nothing about engines on leaving hosts."""
     monkeypatch.setattr(
-        "magnoliaflow.membership.NOTICE_HOOKS",
+        "magnoliaflow.serving.membership.NOTICE_HOOKS",
         [hook for hook in NOTICE_HOOKS if hook is not draining.leave_engines],
     )
 
@@ -94,7 +94,7 @@
         (order, name, leave if name == "exit_when_done" else function)
         for order, name, function in systems
     ]
-    monkeypatch.setattr("magnoliaflow.systems.SYSTEMS", rows)
+    monkeypatch.setattr("magnoliaflow.core.systems.SYSTEMS", rows)
 
 
 def owner_dies(world):
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -5,11 +5,11 @@
 from prometheus_client.metrics import MetricWrapperBase
 import pytest
 
-from magnoliaflow.codes import Code
-from magnoliaflow.codes import DETAILS
-from magnoliaflow.eventlog import EXPLANATIONS
-from magnoliaflow.eventlog import LogEvent
-from magnoliaflow.metrics import Metrics
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.codes import DETAILS
+from magnoliaflow.common.eventlog import EXPLANATIONS
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.metrics import Metrics
 
 DOCS = Path(__file__).parent.parent / "docs"
 
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -5,18 +5,18 @@
 
 import pytest
 
-from magnoliaflow.errors import NotStartedError
-from magnoliaflow.errors import PortError
-from magnoliaflow.errors import SettingsError
-from magnoliaflow.errors import StaleFenceError
-from magnoliaflow.errors import StartRefusedError
-from magnoliaflow.errors import TrimmedError
-from magnoliaflow.errors import UnknownOutcomeError
-from magnoliaflow import httpports
-from magnoliaflow.ports import EngineOrder
-from magnoliaflow.ports import GenerateCall
-from magnoliaflow.ports import Offer
-from magnoliaflow.ports import open_port
+from magnoliaflow.adapters import httpports
+from magnoliaflow.common.errors import NotStartedError
+from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.common.errors import StaleFenceError
+from magnoliaflow.common.errors import StartRefusedError
+from magnoliaflow.common.errors import TrimmedError
+from magnoliaflow.common.errors import UnknownOutcomeError
+from magnoliaflow.common.ports import EngineOrder
+from magnoliaflow.common.ports import GenerateCall
+from magnoliaflow.common.ports import Offer
+from magnoliaflow.common.ports import open_port
 from magnoliaflow_standins.fleet import block
 from magnoliaflow_standins.fleet import LocalFleet
 from magnoliaflow_standins.fleet import start_reactor
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from magnoliaflow.client import make_key
-from magnoliaflow.codes import Code
+from magnoliaflow.common.codes import Code
 from magnoliaflow_standins.fleet import block
 from magnoliaflow_standins.fleet import LocalFleet
 from magnoliaflow_standins.fleet import start_reactor
--- a/tests/test_profiles.py
+++ b/tests/test_profiles.py
@@ -8,16 +8,16 @@
 
 from checkers import PROFILE_BOUND_S
 from checkers import violations
-from magnoliaflow.codes import Code
-from magnoliaflow.errors import SettingsError
-from magnoliaflow.profiles import Decision
-from magnoliaflow.profiles import parse_spec
-from magnoliaflow.profiles import profile_spec
-from magnoliaflow.profiles import ProfileBook
-from magnoliaflow.records import ProfileChange
-from magnoliaflow.records import ProfileSnapshot
-from magnoliaflow.records import Record
-from magnoliaflow.state import PROFILE_STREAM
+from magnoliaflow.cluster.profiles import Decision
+from magnoliaflow.cluster.profiles import parse_spec
+from magnoliaflow.cluster.profiles import profile_spec
+from magnoliaflow.cluster.profiles import ProfileBook
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.common.records import ProfileChange
+from magnoliaflow.common.records import ProfileSnapshot
+from magnoliaflow.common.records import Record
+from magnoliaflow.core.state import PROFILE_STREAM
 
 SPEC = {
     "target": "model",
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -3,10 +3,10 @@
 import pytest
 
 from checkers import violations
-from magnoliaflow.codes import Code
-from magnoliaflow.codes import Run
-from magnoliaflow.inputs import CancelAsked
-from magnoliaflow.inputs import DrainAsked
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.codes import Run
+from magnoliaflow.core.inputs import CancelAsked
+from magnoliaflow.core.inputs import DrainAsked
 
 AT_THE_HTTP_DOOR = {
     Code.BAD_REQUEST,
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from checkers import violations
-from magnoliaflow.codes import Code
+from magnoliaflow.common.codes import Code
 
 GAP_S = 4.0
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -16,10 +16,10 @@
 
 from yaml import safe_load
 
-from magnoliaflow.codes import Code
-from magnoliaflow.inputs import Submitted
-from magnoliaflow.requests import Role
-from magnoliaflow.settings import load_settings
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.settings import load_settings
+from magnoliaflow.core.inputs import Submitted
+from magnoliaflow.work.requests import Role
 from workload import capacity
 from workload import MeasuredEngine
 from workload import requests
--- a/tools/workload.py
+++ b/tools/workload.py
@@ -4,17 +4,17 @@
 from dataclasses import dataclass
 from random import Random
 
-from magnoliaflow.blocks import BLOCK_CHARS
-from magnoliaflow.blocks import prefix_blocks
-from magnoliaflow.blocks import prompt_tokens
-from magnoliaflow.blocks import TOKENS_PER_BLOCK
-from magnoliaflow.inputs import AttemptEnded
-from magnoliaflow.inputs import CacheEventsArrived
-from magnoliaflow.inputs import Ending
-from magnoliaflow.inputs import PieceArrived
-from magnoliaflow.inputs import ReportArrived
-from magnoliaflow.ports import CacheEvent
-from magnoliaflow.ports import LoadReport
+from magnoliaflow.common.blocks import BLOCK_CHARS
+from magnoliaflow.common.blocks import prefix_blocks
+from magnoliaflow.common.blocks import prompt_tokens
+from magnoliaflow.common.blocks import TOKENS_PER_BLOCK
+from magnoliaflow.common.ports import CacheEvent
+from magnoliaflow.common.ports import LoadReport
+from magnoliaflow.core.inputs import AttemptEnded
+from magnoliaflow.core.inputs import CacheEventsArrived
+from magnoliaflow.core.inputs import Ending
+from magnoliaflow.core.inputs import PieceArrived
+from magnoliaflow.core.inputs import ReportArrived
 from world import FakeEngine
 
 STEP_S = 0.1
