--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,11 @@
+"""Starts the entry process from a checkout."""
+
+from pathlib import Path
+import sys
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from magnoliaflow.entry.main import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -44,6 +44,11 @@
   1: string name, 2: string holder, 3: i64 fence, 4: double written_at
 }
 struct Mark { 1: i64 as_of, 2: double horizon, 3: double written_at }
+struct AccountCount { 1: string account, 2: i64 window, 3: i32 count }
+struct UsageReport {
+  1: i64 fence, 2: i64 window, 3: list<AccountCount> counts,
+  4: double written_at
+}
 struct Record {
   1: string record_id,
   2: optional Accept accept, 3: optional Dispatch dispatch,
@@ -52,7 +57,7 @@
   8: optional ProfileChange profile_change,
   9: optional ProfileSnapshot profile_snapshot,
   10: optional LeaseClaim lease_claim, 11: optional LeaseRenew lease_renew,
-  12: optional Mark mark
+  12: optional Mark mark, 13: optional UsageReport usage_report
 }
 
 struct HostNotice { 1: string host, 2: double seconds_left }
@@ -89,6 +94,27 @@
 struct NewsRequest { 1: string stream, 2: i64 first_offset }
 struct NewsRecord { 1: i64 offset, 2: binary data }
 struct News { 1: string stream, 2: list<NewsRecord> records }
+struct AccountDemand { 1: string account, 2: double rate }
+struct UsageCount { 1: string account, 2: i64 window, 3: i32 count }
+struct EngineLoad { 1: string engine, 2: i32 running, 3: i32 unread_tokens }
+struct ServiceLoad {
+  1: string backend, 2: double tokens_rate, 3: i32 running
+}
+struct EngineEntry {
+  1: string engine, 2: string backend, 3: string address, 4: string zone,
+  5: i32 slots, 6: bool leaving, 7: double leaves_s, 8: bool spot,
+  9: i64 born, 10: bool gone, 11: i64 offset
+}
+struct Beat {
+  1: string identity, 2: string host, 3: string zone,
+  4: string caller_address, 5: string peer_address, 6: bool ready,
+  7: bool leaving, 8: double true_time, 9: i64 version,
+  10: double config_age, 11: i64 fleet_end, 12: double fleet_age,
+  13: i64 lease_fence, 14: list<string> peers,
+  15: list<AccountDemand> demands, 16: list<UsageCount> usage,
+  17: list<EngineLoad> engines, 18: list<ServiceLoad> services,
+  19: list<EngineEntry> entries, 20: binary document
+}
 struct PeerMessage {
   1: optional Heartbeat heartbeat, 2: optional Hold hold,
   3: optional HoldAck hold_ack, 4: optional Extend extend,
@@ -96,7 +122,7 @@
   7: optional Stop stop, 8: optional ClaimHandover claim_handover,
   9: optional NewsRequest news_request, 10: optional News news,
   11: optional Drop drop, 12: optional Find find, 13: optional Found found,
-  14: optional HostNotice host_notice
+  14: optional HostNotice host_notice, 15: optional Beat beat
 }
 service Peer {
   void deliver(1: string sender, 2: list<PeerMessage> messages)
--- a/src/magnoliaflow/adapters/httpports.py
+++ b/src/magnoliaflow/adapters/httpports.py
@@ -26,7 +26,6 @@
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.common.errors import UnknownOutcomeError
 from magnoliaflow.common.loop import reactor
-from magnoliaflow.common.loop import treq
 from magnoliaflow.common.messages import NewsRecord
 from magnoliaflow.common.ports import adapter
 from magnoliaflow.common.ports import CacheEvent
@@ -40,6 +39,7 @@
 from magnoliaflow.common.ports import ServiceReply
 from magnoliaflow.common.ports import StartedHost
 from magnoliaflow.common.ports import TokenPiece
+from magnoliaflow.common.webclient import treq
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
--- a/src/magnoliaflow/cli.py
+++ b/src/magnoliaflow/cli.py
@@ -12,8 +12,8 @@
 from magnoliaflow.common.errors import MagnoliaflowError
 from magnoliaflow.common.errors import SettingsError
 from magnoliaflow.common.loop import reactor
-from magnoliaflow.common.settings import load_settings
 from magnoliaflow.common.settings import Settings
+from magnoliaflow.common.settingsfile import load_settings
 from magnoliaflow.daemons.controller import run_controller
 from magnoliaflow.daemons.gateway import run_gateway
 from magnoliaflow.operate import diff_profiles
--- a/src/magnoliaflow/client.py
+++ b/src/magnoliaflow/client.py
@@ -24,7 +24,7 @@
 from magnoliaflow.common.errors import MagnoliaflowError
 from magnoliaflow.common.errors import NotStartedError
 from magnoliaflow.common.loop import reactor
-from magnoliaflow.common.loop import treq
+from magnoliaflow.common.webclient import treq
 from magnoliaflow.work.claimnames import body_digest
 from magnoliaflow.work.claimnames import ClaimName
 
--- a/src/magnoliaflow/cluster/leasekeeper.py
+++ b/src/magnoliaflow/cluster/leasekeeper.py
@@ -10,6 +10,15 @@
 RENEW_FRACTION = 3.0
 
 
+def host_of(identity: str) -> str:
+    """Return the host of a process whose identity is HOST-RUN.
+
+    >>> host_of("edge-a-1-5f3c")
+    'edge-a-1'
+    """
+    return identity.rpartition("-")[0] or identity
+
+
 class LeaseKeeper:
     """One process's part in a lease.
 
@@ -29,11 +38,19 @@
     )
 
     def __init__(
-        self, *, name: str, holder: str, ttl_s: float, margin_s: float
+        self,
+        *,
+        name: str,
+        holder: str,
+        ttl_s: float,
+        margin_s: float,
+        conditional: bool = False,
     ) -> None:
         self.name = name
         self.holder = holder
-        self.book = LeaseBook(ttl_s=ttl_s, margin_s=margin_s)
+        self.book = LeaseBook(
+            ttl_s=ttl_s, margin_s=margin_s, conditional=conditional
+        )
         self.serial = 0
         self.waiting_id = ""
         self.waiting_until = -inf
@@ -69,7 +86,7 @@
             body: LeaseClaim | LeaseRenew = LeaseRenew(
                 self.name, self.holder, self.fence, wall
             )
-        elif mine or self.book.may_claim(self.name, now):
+        elif self.is_own() or self.book.may_claim(self.name, now):
             body = LeaseClaim(self.name, self.holder, self.fence, wall)
         else:
             return None
@@ -80,6 +97,16 @@
         self.book.append_started(record.record_id, now)
         return record
 
+    def is_own(self) -> bool:
+        """Return whether this host's process, now or before, holds it.
+
+        A former run on this host is dead, so its lease need not lapse.
+        """
+        lease = self.book.leases.get(self.name)
+        return lease is not None and host_of(lease.holder) == host_of(
+            self.holder
+        )
+
     def read(self, offset: int, record: Record, now: float) -> None:
         """Apply a record of the lease stream, read at ``now``."""
         before = self.fence
--- a/src/magnoliaflow/cluster/leases.py
+++ b/src/magnoliaflow/cluster/leases.py
@@ -30,6 +30,10 @@
     Offsets decide who holds a lease.  Time only decides when its holder
     must stop (counted from before its append) and when others may claim
     (counted from after they read it), so the former comes first.
+
+    ``conditional``: each append is made only where its writer had read the
+    log to its end, so every record that stands on the log is valid, also
+    for a reader who lacks the log's beginning.
     """
 
     ttl_s: float
@@ -38,6 +42,7 @@
     started: dict[str, float] = field(default_factory=dict)
     valid_from: dict[str, float] = field(default_factory=dict)
     applied: int = -1
+    conditional: bool = False
 
     def apply(self, offset: int, record: Any, now: float) -> bool:
         """Apply the record at an offset, read at monotonic ``now``."""
@@ -47,19 +52,29 @@
         lease = self.leases.get(record.name)
         fence = NO_FENCE if lease is None else lease.fence
         if isinstance(record, LeaseClaim):
-            if record.replaces != fence:
+            if record.replaces != fence and not self.conditional:
                 return False
             self.leases[record.name] = Lease(
                 record.name, record.holder, offset, now
             )
             return True
         if isinstance(record, LeaseRenew):
+            if self.conditional:
+                self.note_holder(record.name, record.holder, record.fence, now)
+                return True
             if lease is None or record.fence != fence:
                 return False
             lease.seen_at = now
             return True
         return False
 
+    def note_holder(
+        self, name: str, holder: str, fence: int, now: float
+    ) -> None:
+        """Note a holder whose renewal stood on the log before ``now``."""
+        if fence >= self.fence(name):
+            self.leases[name] = Lease(name, holder, fence, now)
+
     def append_started(self, record_id: str, now: float) -> None:
         """Note when this process began to append its own record."""
         self.started[record_id] = now
--- /dev/null
+++ b/src/magnoliaflow/cluster/registry.py
@@ -0,0 +1,78 @@
+"""Engines as the platform's store lists them, in the order of its log."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """One engine's entry; ``gone`` marks one that was removed.
+
+    ``leaves_s`` counts from when the entry was read; ``born`` tells two
+    runs under one id apart; ``offset`` is where the entry last changed.
+    """
+
+    engine_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    leaves_s: float = 0.0
+    spot: bool = False
+    born: int = 0
+    gone: bool = False
+    offset: int = -1
+
+
+class Registry:
+    """Entries by engine id, with the log offset that each changed at.
+
+    ``end`` is the offset read up to.  Peers at a lower one are sent the
+    rows that changed since.
+    """
+
+    __slots__ = ("end", "rows")
+
+    def __init__(self) -> None:
+        self.end = 0
+        self.rows: dict[str, Registration] = {}
+
+    def apply(
+        self, engine_id: str, row: Registration | None, offset: int
+    ) -> Registration | None:
+        """Apply an entry, None for a removal; return the row if it changed.
+
+        An unreadable entry of a known engine counts as a removal.
+        """
+        known = self.rows.get(engine_id)
+        if known is not None and offset <= known.offset:
+            return None
+        if row is None:
+            if known is None or known.gone:
+                return None
+            row = replace(known, gone=True)
+        if known is not None and _same(known, row):
+            return None
+        self.rows[engine_id] = replace(row, offset=offset)
+        return self.rows[engine_id]
+
+    def advance(self, end: int) -> None:
+        """Note that every entry before ``end`` was applied."""
+        self.end = max(self.end, end)
+
+    def changed_since(self, offset: int) -> tuple[Registration, ...]:
+        """Return the rows that changed at or after an offset."""
+        return tuple(row for row in self.rows.values() if row.offset >= offset)
+
+    def missing(self, listed: set[str]) -> list[str]:
+        """Return the engines present here that a full listing lacks."""
+        return [
+            name
+            for name, row in self.rows.items()
+            if not row.gone and name not in listed
+        ]
+
+
+def _same(known: Registration, row: Registration) -> bool:
+    return replace(row, offset=known.offset, leaves_s=known.leaves_s) == known
--- /dev/null
+++ b/src/magnoliaflow/cluster/site.py
@@ -0,0 +1,35 @@
+"""What one entry process learns from its settings."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """Names, addresses (``IP:PORT``) and agreed bounds, in seconds."""
+
+    host: str
+    zone: str
+    region: str
+    zones: dict[str, str]
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    directory_address: str
+    seeds: tuple[str, ...]
+    store_address: str
+    cloud_address: str
+    reports_usage: bool
+    orders_engines: bool
+    drain_s: float
+    grace_s: float
+    revocation_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_extra: float
+    cap_window_s: float
+    cap_overage: float
+    cap_tolerance: float
+    lease_s: float
+    usage_window_s: float
+    usage_delay_s: float
+    directory_ttl_s: float
--- a/src/magnoliaflow/common/codes.py
+++ b/src/magnoliaflow/common/codes.py
@@ -31,6 +31,7 @@
     KEY_EXPIRED = 2005
     KEY_CONFLICT = 2006
     NOT_FOUND = 2007
+    NO_ROUTE = 2008
     ACCOUNT_OVER_SHARE = 3000
     DEADLINE_UNREACHABLE = 3001
     DRAINING = 3003
@@ -108,6 +109,9 @@
     Code.NOT_FOUND: Detail(
         Run.UNKNOWN, 404, "No entry host in reach knows this request id."
     ),
+    Code.NO_ROUTE: Detail(
+        Run.NO, 404, "No route of the configuration begins this path."
+    ),
     Code.ACCOUNT_OVER_SHARE: Detail(
         Run.NO, 429, "The client account is over its share."
     ),
--- a/src/magnoliaflow/common/errors.py
+++ b/src/magnoliaflow/common/errors.py
@@ -25,6 +25,10 @@
     """The far end confirmed that it did not start the work."""
 
 
+class NotSentError(PortError):
+    """No connection could be made, so the far end never saw the call."""
+
+
 class UnknownOutcomeError(PortError):
     """The call was sent; whether it took effect is not known."""
 
@@ -48,6 +52,10 @@
         self.first_offset = first_offset
 
 
+class FormatError(PortError):
+    """A document of the platform cannot be read or lacks a field."""
+
+
 class CallError(MagnoliaflowError):
     """A caller's request was refused or failed with a result code."""
 
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -18,6 +18,7 @@
     PROCESS_DRAINING = 101
     PROCESS_STOPPED = 102
     SYSTEM_FAILED = 103
+    SETTINGS_RELOADED = 104
     PEER_ALIVE = 200
     PEER_DEAD = 201
     HOST_NOTICED = 202
@@ -41,6 +42,13 @@
     HOST_START_REFUSED = 611
     ORDER_SENT = 612
     ORDER_FENCED = 613
+    ENGINE_CHANGED = 620
+    ENGINES_ORDERED = 621
+    USAGE_REPORTED = 622
+    DUTY_FAILED = 623
+    CALL_PLACED = 630
+    CALL_ENDED = 631
+    CALL_REJECTED = 632
 
 
 EXPLANATIONS = {
@@ -48,6 +56,7 @@
     LogEvent.PROCESS_DRAINING: "A daemon takes no new work and finishes.",
     LogEvent.PROCESS_STOPPED: "A daemon has ended; nothing was in progress.",
     LogEvent.SYSTEM_FAILED: "A fault in the daemon; report it as a defect.",
+    LogEvent.SETTINGS_RELOADED: "The settings were read again.",
     LogEvent.PEER_ALIVE: "A peer process was heard for the first time.",
     LogEvent.PEER_DEAD: "A peer was silent beyond the limit or replaced.",
     LogEvent.HOST_NOTICED: "A host is to be taken back.",
@@ -71,6 +80,13 @@
     LogEvent.HOST_START_REFUSED: "The cloud refused to start a host.",
     LogEvent.ORDER_SENT: "An order was sent to a model engine.",
     LogEvent.ORDER_FENCED: "An engine refused an old fencing number.",
+    LogEvent.ENGINE_CHANGED: "An engine's registration changed.",
+    LogEvent.ENGINES_ORDERED: "A number of engines was ordered for a zone.",
+    LogEvent.USAGE_REPORTED: "The usage of a window was reported.",
+    LogEvent.DUTY_FAILED: "A call for a duty failed; it is tried again.",
+    LogEvent.CALL_PLACED: "A request was sent to an engine.",
+    LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
+    LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
 }
 
 
@@ -91,6 +107,11 @@
     return logger
 
 
+def write_event(logger: Logger, event: LogEvent, **details: Any) -> None:
+    """Write one numbered event with its details, to a bounded log."""
+    log_event(logger, event, **details)
+
+
 def log_event(logger: Logger, event: LogEvent, **details: Any) -> None:
     """Write one numbered event with its details."""
     logger.info(
--- a/src/magnoliaflow/common/loop.py
+++ b/src/magnoliaflow/common/loop.py
@@ -1,9 +1,7 @@
-"""The reactor and treq, typed loosely: their stubs are too narrow."""
+"""The reactor, typed loosely: its stubs are too narrow."""
 
 from typing import Any
 
-import treq as installed_treq
 from twisted.internet import reactor as installed_reactor
 
 reactor: Any = installed_reactor
-treq: Any = installed_treq
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -166,6 +166,90 @@
     records: tuple[NewsRecord, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AccountDemand:
+    """What an account asks of a host, in its cap's unit a second."""
+
+    account: str
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class UsageCount:
+    """Requests of an account that a window began, counted by one run."""
+
+    account: str
+    window: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """A host's open requests at an engine, and their unread tokens."""
+
+    engine: str
+    running: int
+    unread_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Prompt tokens a second that a host must have read for a service."""
+
+    backend: str
+    tokens_rate: float
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEntry:
+    """An engine's registration at the log offset where it changed."""
+
+    engine: str
+    backend: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    leaves_s: float
+    spot: bool
+    born: int
+    gone: bool
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """A sign of life of an entry process, with what others need of it.
+
+    Ages are in seconds at the time of sending: ``config_age`` since the
+    version was last confirmed as the newest, ``fleet_age`` since the
+    registrations up to ``fleet_end`` were.  ``lease_fence`` is -1 where
+    the sender holds no lease.  ``true_time`` is the sender's estimate.
+    """
+
+    identity: str
+    host: str
+    zone: str
+    caller_address: str
+    peer_address: str
+    ready: bool
+    leaving: bool
+    true_time: float
+    version: int
+    config_age: float
+    fleet_end: int
+    fleet_age: float
+    lease_fence: int
+    peers: tuple[str, ...]
+    demands: tuple[AccountDemand, ...]
+    usage: tuple[UsageCount, ...]
+    engines: tuple[EngineLoad, ...]
+    services: tuple[ServiceLoad, ...]
+    entries: tuple[EngineEntry, ...]
+    document: bytes
+
+
 Message = Union[
     Heartbeat,
     HostNotice,
@@ -181,4 +265,5 @@
     Found,
     NewsRequest,
     News,
+    Beat,
 ]
--- a/src/magnoliaflow/common/records.py
+++ b/src/magnoliaflow/common/records.py
@@ -143,6 +143,25 @@
     written_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class AccountCount:
+    """How many requests of a client account a window began."""
+
+    account: str
+    window: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """Fix what is reported for a window, before it is reported."""
+
+    fence: int
+    window: int
+    counts: tuple[AccountCount, ...]
+    written_at: float
+
+
 RecordBody = Union[
     Accept,
     Dispatch,
@@ -155,6 +174,7 @@
     ProfileSnapshot,
     LeaseClaim,
     LeaseRenew,
+    UsageReport,
 ]
 
 
--- a/src/magnoliaflow/core/systems.py
+++ b/src/magnoliaflow/core/systems.py
@@ -3,19 +3,21 @@
 from collections.abc import Callable
 from typing import Any
 
+from magnoliaflow.common.ticking import registrar
+from magnoliaflow.common.ticking import SystemRow
 from magnoliaflow.core.commands import Command
 from magnoliaflow.core.inputs import Input
 from magnoliaflow.core.inputs import MessageArrived
 from magnoliaflow.core.state import GatewayState
 
 Handler = Callable[[GatewayState, Any], None]
-System = Callable[[GatewayState], None]
 MessageHandler = Callable[[GatewayState, str, Any], None]
 
 HANDLERS: dict[type, Handler] = {}
 MESSAGE_HANDLERS: dict[type, MessageHandler] = {}
 TIMER_HANDLERS: dict[str, Handler] = {}
-SYSTEMS: list[tuple[int, str, System]] = []
+SYSTEMS: list[SystemRow] = []
+system = registrar(SYSTEMS)
 
 
 def handles(kind: type) -> Callable[[Handler], Handler]:
@@ -48,17 +50,6 @@
     return register
 
 
-def system(order: int) -> Callable[[System], System]:
-    """Register a system; systems run in order in each tick."""
-
-    def register(function: System) -> System:
-        SYSTEMS.append((order, function.__name__, function))
-        SYSTEMS.sort(key=lambda item: item[:2])
-        return function
-
-    return register
-
-
 class Core:
     """Decisions of one gateway: inputs in, commands out.
 
--- /dev/null
+++ b/src/magnoliaflow/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process on the users' platform: its state and systems."""
--- /dev/null
+++ b/src/magnoliaflow/entry/apply.py
@@ -0,0 +1,123 @@
+"""Applying a configuration or a registration to what serves requests."""
+
+from math import inf
+
+from magnoliaflow.cluster.registry import Registration
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.settings import BackendServer
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.policy.caps import Bucket
+from magnoliaflow.policy.caps import START_FILL
+from magnoliaflow.policy.engines import new_engine
+from magnoliaflow.policy.routes import Account
+from magnoliaflow.policy.routes import RouteBook
+
+# Prompt tokens a second of an engine until its answers teach better.
+USUAL_PREFILL_RATE = 30_000.0
+# Part of what the bound tolerates beyond a cap that is granted, so that
+# uneven shares do not refuse what an account may ask.
+OVERAGE_SHARE = 0.4
+
+
+def apply_document(state: EntryState, book: RouteBook, data: bytes) -> bool:
+    """Put a configuration in force unless one as new already is."""
+    if state.book is not None and book.version <= state.book.version:
+        return False
+    now = boot_time()
+    state.book = book
+    state.book_data = data
+    state.book_at = now
+    accounts = book.accounts.values()
+    state.buckets = {
+        row.name: _bucket(state, row, now) for row in accounts if row.rate > 0
+    }
+    if state.phase is Phase.STARTING:
+        state.life.ready()
+    state.log(
+        LogEvent.PROFILE_IN_FORCE,
+        version=book.version,
+        routes=len(book.routes),
+        accounts=len(book.accounts),
+    )
+    return True
+
+
+def _bucket(state: EntryState, account: Account, now: float) -> Bucket:
+    """Return an account's bucket, with what is left in the one before."""
+    site = state.site
+    tolerated = site.cap_tolerance * OVERAGE_SHARE if account.by_tokens else 0
+    rate = account.rate * (1 + site.cap_overage * OVERAGE_SHARE)
+    burst = account.burst + tolerated
+    known = state.buckets.get(account.name)
+    if known is None:
+        share = 1.0 / (1 + len(state.hosts))
+        level = burst * share * START_FILL
+        return Bucket(rate, burst, share=share, level=level, at=now)
+    known.refill(now)
+    level = min(known.level, burst * known.share)
+    return Bucket(rate, burst, share=known.share, level=level, at=now)
+
+
+def apply_registration(
+    state: EntryState, name: str, row: Registration | None, offset: int
+) -> None:
+    """Bring an engine's row in line with its entry."""
+    known = state.registry.rows.get(name)
+    changed = state.registry.apply(name, row, offset)
+    if changed is None:
+        return
+    state.log(
+        LogEvent.ENGINE_CHANGED,
+        engine=name,
+        backend=changed.service,
+        zone=changed.zone,
+        leaving=changed.leaving,
+        gone=changed.gone,
+        leaves_s=changed.leaves_s,
+        offset=offset,
+    )
+    reborn = known is not None and known.born != changed.born
+    engine = state.view.engines.get(name)
+    if engine is not None and (reborn or _moved(known, changed)):
+        state.view.remove(name)
+        engine = None
+    if changed.gone:
+        state.view.remove(name)
+        return
+    if changed.leaving:
+        if engine is not None and engine.leaving_at == inf:
+            engine.leaving_at = boot_time()
+        return
+    if engine is None or engine.leaving_at < inf:
+        state.view.remove(name)
+        state.view.add(new_engine(_server(state, changed)))
+    for notify in list(state.fleet_changed):
+        notify()
+
+
+def _moved(known: Registration | None, row: Registration) -> bool:
+    return known is not None and (known.address, known.service) != (
+        row.address,
+        row.service,
+    )
+
+
+def _server(state: EntryState, row: Registration) -> BackendServer:
+    """Return the registered engine as the backend server it is."""
+    service = (
+        None if state.book is None else state.book.services.get(row.service)
+    )
+    return BackendServer(
+        name=row.engine_id,
+        kind="model" if service is not None and service.model else "service",
+        host=row.engine_id,
+        zone=row.zone,
+        address=row.address,
+        backend=row.service,
+        checks_fencing=False,
+        reclaimable=row.spot,
+        slots=max(1, row.slots),
+        prefill_rate=USUAL_PREFILL_RATE,
+    )
--- /dev/null
+++ b/src/magnoliaflow/entry/beats.py
@@ -0,0 +1,247 @@
+"""Beats between entry hosts: signs of life with what others need."""
+
+from magnoliaflow.cluster.peers import PeerLinks
+from magnoliaflow.cluster.registry import Registration
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.messages import AccountDemand
+from magnoliaflow.common.messages import Beat
+from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.common.messages import EngineLoad
+from magnoliaflow.common.messages import Message
+from magnoliaflow.common.messages import ServiceLoad
+from magnoliaflow.common.messages import UsageCount
+from magnoliaflow.entry.apply import apply_document
+from magnoliaflow.entry.apply import apply_registration
+from magnoliaflow.entry.state import DUTY_LEASE
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.state import Host
+from magnoliaflow.platform.document import decode_document
+
+# Beats of a small deployment; each further host stretches the period, so
+# that a host's messages a second stay bounded.
+PERIOD_S = 0.25
+PERIOD_EACH_S = 0.03
+# A host that was silent this long is forgotten: longer than any partition
+# that a platform's bounds name.
+FORGET_S = 30.0
+# Addresses that never answered are asked this much less often.
+COLD_FACTOR = 8
+# Part of the difference between clocks that one beat corrects.
+CLOCK_STEP = 0.5
+SMALL_CLOCK_GAP_S = 0.02
+
+
+class BeatSender:
+    """Sends this host's beats."""
+
+    __slots__ = ("due_at", "links", "round", "state")
+
+    def __init__(self, state: EntryState) -> None:
+        self.state = state
+        self.links = PeerLinks(state.identity)
+        self.due_at = 0.0
+        self.round = 0
+
+    def step(self, now: float) -> None:
+        """Send a round of beats when it is due."""
+        if now < self.due_at:
+            return
+        hosts = len(self.state.hosts)
+        self.due_at = now + max(PERIOD_S, PERIOD_EACH_S * hosts)
+        self.send_round(now)
+
+    def send_round(self, now: float) -> None:
+        """Send a beat to every host that is known."""
+        state = self.state
+        self.round += 1
+        _forget(state, now)
+        state.told_demands = {
+            name: row.current(now) for name, row in state.demands.items()
+        }
+        warm = {row.beat.peer_address: row for row in state.hosts}
+        for address, host in warm.items():
+            self.links.send(address, make_beat(state, now, host))
+        if self.round % COLD_FACTOR == 1:
+            own = state.site.peer_address
+            for address in state.peer_addresses:
+                if address not in warm and address != own:
+                    self.links.send(address, make_beat(state, now, None))
+
+
+def _forget(state: EntryState, now: float) -> None:
+    """Drop hosts that were silent for long."""
+    for row in list(state.hosts):
+        if now - row.heard_at > FORGET_S:
+            state.hosts.drop(row.name)
+            state.log(LogEvent.PEER_DEAD, host=row.name)
+
+
+def make_beat(state: EntryState, now: float, host: Host | None) -> Beat:
+    """Return this host's beat; what ``host`` has already is left out."""
+    known = -1 if host is None else host.beat.fleet_end
+    version = -1 if host is None else host.beat.version
+    book = state.book
+    newer = book is not None and book.version > version
+    usage = state.usage.rows_of(state.identity)
+    return Beat(
+        identity=state.identity,
+        host=state.site.host,
+        zone=state.site.zone,
+        caller_address=state.site.caller_address,
+        peer_address=state.site.peer_address,
+        ready=state.ready(now),
+        leaving=state.phase >= Phase.DRAINING,
+        true_time=state.true_time(now),
+        version=-1 if book is None else book.version,
+        config_age=min(1e6, state.config_age(now)),
+        fleet_end=state.registry.end,
+        fleet_age=min(1e6, now - state.fleet_at),
+        lease_fence=(state.keeper.fence if state.keeper.holds(now) else -1),
+        peers=tuple(row.beat.peer_address for row in state.hosts),
+        demands=tuple(
+            AccountDemand(name, rate)
+            for name, rate in state.told_demands.items()
+            if rate > 0.01
+        ),
+        usage=tuple(
+            UsageCount(account, window, count)
+            for window, account, count in usage
+        ),
+        engines=tuple(
+            EngineLoad(row.name, row.own_running, row.unread_tokens)
+            for row in state.view.engines.values()
+            if row.own_running
+        ),
+        services=tuple(
+            ServiceLoad(name, flow.demand.current(now), flow.running)
+            for name, flow in state.flows.items()
+        ),
+        entries=tuple(
+            _entry(row) for row in state.registry.changed_since(known)
+        ),
+        document=state.book_data if newer else b"",
+    )
+
+
+def take_message(state: EntryState, sender: str, message: Message) -> None:
+    """Take in a peer's message; entry hosts send beats only."""
+    if not isinstance(message, Beat) or message.host == state.site.host:
+        return
+    now = boot_time()
+    known = state.hosts.get(message.host)
+    if known is None or known.beat.identity != message.identity:
+        state.log(
+            LogEvent.PEER_ALIVE, host=message.host, identity=message.identity
+        )
+    state.hosts.put(message.host, Host(message.host, message, now))
+    state.peer_addresses[message.peer_address] = now
+    for address in message.peers:
+        state.peer_addresses.setdefault(address, now)
+    _take_config(state, message, now)
+    _take_fleet(state, message, now)
+    for row in message.usage:
+        state.usage.take(message.identity, row.account, row.window, row.count)
+    if message.lease_fence >= 0:
+        state.keeper.book.note_holder(
+            DUTY_LEASE, message.identity, message.lease_fence, now
+        )
+    _sum_loads(state, now)
+    _set_clock(state, now)
+
+
+def _take_config(state: EntryState, beat: Beat, now: float) -> None:
+    """Take over a newer configuration, or its confirmation."""
+    version = -1 if state.book is None else state.book.version
+    if beat.document and beat.version > version:
+        try:
+            book = decode_document(beat.document)
+        except PortError as exc:
+            state.log(LogEvent.RECORD_UNREADABLE, reason=str(exc))
+            return
+        apply_document(state, book, beat.document)
+        version = book.version
+    if beat.version == version:
+        confirmed = now - beat.config_age
+        state.confirmed_at = max(state.confirmed_at, confirmed)
+
+
+def _take_fleet(state: EntryState, beat: Beat, now: float) -> None:
+    """Take over engines' entries that are newer than those known."""
+    if not state.registry.rows and not beat.entries:
+        return
+    for row in beat.entries:
+        apply_registration(
+            state,
+            row.engine,
+            None if row.gone else _registration(row),
+            row.offset,
+        )
+    if beat.fleet_end >= state.registry.end:
+        state.registry.advance(beat.fleet_end)
+        state.fleet_at = max(state.fleet_at, now - beat.fleet_age)
+
+
+def _sum_loads(state: EntryState, now: float) -> None:
+    """Add up what the other hosts have open at each engine."""
+    engines = state.view.engines
+    for engine in engines.values():
+        engine.peer_running = 0
+        engine.peer_unread_tokens = 0
+    for host in state.heard_hosts(now):
+        for load in host.beat.engines:
+            found = engines.get(load.engine)
+            if found is not None:
+                found.peer_running += load.running
+                found.peer_unread_tokens += load.unread_tokens
+
+
+def _set_clock(state: EntryState, now: float) -> None:
+    """Move this host's estimate of true time to the median of all.
+
+    A clock that jumped, here or elsewhere, is outvoted.
+    """
+    gaps = sorted(
+        [0.0]
+        + [
+            row.beat.true_time - state.true_time(row.heard_at)
+            for row in state.heard_hosts(now)
+        ]
+    )
+    gap = gaps[len(gaps) // 2]
+    if len(gaps) > 2 and abs(gap) > SMALL_CLOCK_GAP_S:
+        state.clock_offset += gap * CLOCK_STEP
+
+
+def _entry(row: Registration) -> EngineEntry:
+    return EngineEntry(
+        engine=row.engine_id,
+        backend=row.service,
+        address=row.address,
+        zone=row.zone,
+        slots=row.slots,
+        leaving=row.leaving,
+        leaves_s=row.leaves_s,
+        spot=row.spot,
+        born=row.born,
+        gone=row.gone,
+        offset=row.offset,
+    )
+
+
+def _registration(row: EngineEntry) -> Registration:
+    return Registration(
+        engine_id=row.engine,
+        service=row.backend,
+        address=row.address,
+        zone=row.zone,
+        slots=row.slots,
+        leaving=row.leaving,
+        leaves_s=row.leaves_s,
+        spot=row.spot,
+        born=row.born,
+        gone=row.gone,
+        offset=row.offset,
+    )
--- /dev/null
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -0,0 +1,79 @@
+"""Metrics of an entry process, exposed by prometheus_client."""
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 15.0)
+
+
+class EntryMetrics:
+    """Counters, gauges and histograms in a registry of their own."""
+
+    __slots__ = (
+        "answers",
+        "config_age",
+        "engines",
+        "first_byte",
+        "in_flight",
+        "lease_held",
+        "refusals",
+        "registry",
+        "retries",
+        "store_errors",
+    )
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self.registry = registry
+        self.answers = Counter(
+            "magnoliaflow_entry_answers",
+            "Answers by route and status.",
+            ["route", "status"],
+            registry=registry,
+        )
+        self.refusals = Counter(
+            "magnoliaflow_entry_refusals",
+            "Refused requests by result code.",
+            ["code"],
+            registry=registry,
+        )
+        self.retries = Counter(
+            "magnoliaflow_entry_retries",
+            "Sends after the first, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+        self.first_byte = Histogram(
+            "magnoliaflow_entry_first_byte_seconds",
+            "Time from a request to the first byte of its answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.in_flight = Gauge(
+            "magnoliaflow_entry_in_flight",
+            "Requests in progress.",
+            registry=registry,
+        )
+        self.config_age = Gauge(
+            "magnoliaflow_entry_config_age_seconds",
+            "Time since the configuration was confirmed as the newest.",
+            registry=registry,
+        )
+        self.engines = Gauge(
+            "magnoliaflow_entry_engines",
+            "Engines that take new work.",
+            registry=registry,
+        )
+        self.lease_held = Gauge(
+            "magnoliaflow_entry_lease_held",
+            "1 while this host holds the duties.",
+            registry=registry,
+        )
+        self.store_errors = Counter(
+            "magnoliaflow_entry_store_errors",
+            "Failed calls to the platform's store.",
+            registry=registry,
+        )
--- /dev/null
+++ b/src/magnoliaflow/entry/orders.py
@@ -0,0 +1,209 @@
+"""Duty of the host that orders engines for every scaled service."""
+
+from dataclasses import dataclass
+from math import inf
+from typing import Any
+
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.errors import StartRefusedError
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.entry.apply import USUAL_PREFILL_RATE
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.platform.cloud import CloudClient
+from magnoliaflow.policy.routes import Scaling
+from magnoliaflow.policy.routes import Service
+from magnoliaflow.policy.scaling import Load
+from magnoliaflow.policy.scaling import plan_engines
+from magnoliaflow.policy.scaling import PLANNED_USE
+from magnoliaflow.policy.scaling import Wanted
+from magnoliaflow.policy.scaling import ZoneSupply
+
+PERIOD_S = 0.25
+# A peak is planned for this long after it was seen: half of the period of
+# the daily wave as it is played.
+PEAK_S = 15.0
+# What stands is kept until this long after traffic was first seen, since
+# a process that has just started knows no load.
+UNKNOWN_S = 6.0
+# Time beyond the boot time after which an order that shows no effect is
+# sent again, and pause after a refusal.
+REPEAT_S = 2.0
+REFUSED_PAUSE_S = 2.0
+FAILED_PAUSE_S = 0.5
+
+
+@dataclass(slots=True)
+class Order:
+    """The last order for one kind of engine in a zone."""
+
+    count: int
+    at: float
+    busy: bool = False
+    pause_until: float = -inf
+
+
+class OrderDuty:
+    """Keeps the number of engines at what the load needs."""
+
+    __slots__ = (
+        "cloud",
+        "due_at",
+        "first_load_at",
+        "held",
+        "orders",
+        "peaks",
+        "state",
+    )
+
+    def __init__(self, state: EntryState, cloud: CloudClient) -> None:
+        self.state = state
+        self.cloud = cloud
+        self.due_at = -inf
+        self.first_load_at = inf
+        self.held = False
+        self.orders: dict[tuple[str, str, bool], Order] = {}
+        self.peaks: dict[str, list[tuple[float, Load]]] = {}
+
+    def step(self, now: float) -> None:
+        """Look at every scaled service."""
+        if now < self.due_at or self.state.book is None:
+            return
+        self.due_at = now + PERIOD_S
+        services = self.state.book.services.values()
+        scaled = [row for row in services if row.scaling is not None]
+        loads = {row.name: self._load(row.name, now) for row in scaled}
+        if not self.state.keeper.holds(now):
+            self.held = False
+            return
+        if not self.held:
+            # Orders of the holder before are not known here.
+            self.held = True
+            self.orders.clear()
+        for service in scaled:
+            self._plan(service, loads[service.name], now)
+
+    def _load(self, name: str, now: float) -> Load:
+        """Return the highest load of the last while, over all hosts."""
+        flow = self.state.flows[name]
+        rows = [(flow.demand.current(now), flow.running)] + [
+            (row.tokens_rate, row.running)
+            for host in self.state.heard_hosts(now)
+            for row in host.beat.services
+            if row.backend == name
+        ]
+        load = Load(
+            sum(rate for rate, _ in rows), sum(count for _, count in rows)
+        )
+        if load.tokens_per_s > 0 and self.first_load_at == inf:
+            self.first_load_at = now
+        peaks = self.peaks.setdefault(name, [])
+        peaks.append((now, load))
+        while peaks and peaks[0][0] < now - PEAK_S:
+            peaks.pop(0)
+        return Load(
+            max(row.tokens_per_s for _, row in peaks),
+            max(row.running for _, row in peaks),
+        )
+
+    def _plan(self, service: Service, load: Load, now: float) -> None:
+        scaling = service.scaling
+        assert scaling is not None
+        supplies = self._supplies(service, now)
+        if now < self.first_load_at + UNKNOWN_S:
+            standing = sum(row.on_demand + row.spot for row in supplies)
+            rate = standing * USUAL_PREFILL_RATE * PLANNED_USE
+            load = Load(max(load.tokens_per_s, rate), load.running)
+        for row in plan_engines(scaling, supplies, load, USUAL_PREFILL_RATE):
+            supply = next(item for item in supplies if item.zone == row.zone)
+            self._order(service, scaling, row, supply, now)
+
+    def _supplies(self, service: Service, now: float) -> list[ZoneSupply]:
+        rows = [
+            row
+            for row in self.state.registry.rows.values()
+            if row.service == service.name and not row.gone and not row.leaving
+        ]
+        zones = self._zones(service)
+        return [
+            ZoneSupply(
+                zone,
+                sum(1 for row in rows if row.zone == zone and not row.spot),
+                sum(1 for row in rows if row.zone == zone and row.spot),
+                self._open(service.name, zone, now),
+            )
+            for zone in zones
+        ]
+
+    def _zones(self, service: Service) -> list[str]:
+        """Return the zones in which a service was ever seen to run."""
+        assert service.scaling is not None
+        seen = {
+            row.zone
+            for row in self.state.registry.rows.values()
+            if row.service == service.name
+        }
+        return sorted(seen)
+
+    def _open(self, service: str, zone: str, now: float) -> bool:
+        order = self.orders.get((service, zone, True))
+        return order is None or now >= order.pause_until
+
+    def _order(
+        self,
+        service: Service,
+        scaling: Scaling,
+        wanted: Wanted,
+        supply: ZoneSupply,
+        now: float,
+    ) -> None:
+        """Send what is wanted of each kind where it is not on its way."""
+        kinds = (
+            (False, wanted.on_demand, supply.on_demand),
+            (True, wanted.spot, supply.spot),
+        )
+        for spot, count, standing in kinds:
+            key = (service.name, wanted.zone, spot)
+            order = self.orders.get(key)
+            if order is not None:
+                if order.busy or now < order.pause_until:
+                    continue
+                late = now > order.at + scaling.boot_s + REPEAT_S
+                if order.count == count and (standing == count or not late):
+                    continue
+            self._send(key, count, now)
+
+    def _send(
+        self, key: tuple[str, str, bool], count: int, now: float
+    ) -> None:
+        service, zone, spot = key
+        order = Order(count, now, busy=True)
+        self.orders[key] = order
+        self.state.log(
+            LogEvent.ENGINES_ORDERED,
+            backend=service,
+            zone=zone,
+            spot=spot,
+            count=count,
+        )
+
+        def done(result: Any) -> None:
+            order.busy = False
+
+        def failed(failure: Any) -> None:
+            order.busy = False
+            order.count = -1
+            refused = failure.check(StartRefusedError) is not None
+            pause = REFUSED_PAUSE_S if refused else FAILED_PAUSE_S
+            order.pause_until = boot_time() + pause
+            self.state.log(
+                LogEvent.DUTY_FAILED,
+                duty="engines",
+                zone=zone,
+                spot=spot,
+                count=count,
+                reason=failure.getErrorMessage(),
+            )
+
+        self.cloud.order_engines(
+            service, zone, count, spot=spot, fence=self.state.keeper.fence + 1
+        ).addCallbacks(done, failed)
--- /dev/null
+++ b/src/magnoliaflow/entry/upkeep.py
@@ -0,0 +1,45 @@
+"""Small systems of the entry process: budgets, waiting requests, gauges."""
+
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.ticks import system
+from magnoliaflow.policy.budget import RetryBudget
+
+# Part of the agreed budget that is used: hosts count alone, and a run that
+# was killed may have used its own burst up.
+BUDGET_USE = 0.7
+
+
+@system(30)
+def keep_budgets(state: EntryState) -> None:
+    """Keep a retry budget for each service: this host's even share."""
+    if state.book is None:
+        return
+    hosts = 1 + len(state.hosts)
+    burst = max(1, int(state.site.retry_extra * BUDGET_USE / hosts))
+    for name in state.book.services:
+        budget = state.budgets.get(name)
+        if budget is None:
+            ratio = state.site.retry_ratio * BUDGET_USE
+            state.budgets[name] = RetryBudget(ratio=ratio, burst=burst)
+        else:
+            budget.burst = burst
+            budget.balance = min(budget.balance, float(burst))
+
+
+@system(40)
+def serve_waiting(state: EntryState) -> None:
+    """Look for engines for the requests that wait for one."""
+    for run in list(state.waiting.values()):
+        run.dispatch()
+
+
+@system(90)
+def set_gauges(state: EntryState) -> None:
+    """Bring the gauges up to date."""
+    now = boot_time()
+    state.metrics.in_flight.set(len(state.calls))
+    state.metrics.config_age.set(min(1e6, state.config_age(now)))
+    state.metrics.engines.set(
+        sum(1 for row in state.view.engines.values() if row.usable(now))
+    )
--- a/src/magnoliaflow/operate.py
+++ b/src/magnoliaflow/operate.py
@@ -21,9 +21,9 @@
 from magnoliaflow.common.errors import MagnoliaflowError
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.loop import reactor
-from magnoliaflow.common.loop import treq
 from magnoliaflow.common.ports import open_port
 from magnoliaflow.common.settings import Settings
+from magnoliaflow.common.webclient import treq
 from magnoliaflow.core.state import PROFILE_STREAM
 from magnoliaflow.daemons.publish import ProfileReader
 from magnoliaflow.daemons.publish import publish_change
--- /dev/null
+++ b/src/magnoliaflow/platform/boot.py
@@ -0,0 +1,87 @@
+"""The settings file that the platform gives a process."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+from magnoliaflow.cluster.site import Site
+from magnoliaflow.common.errors import SettingsError
+
+PATH_VARIABLE = "MAGNOLIAFLOW_NODE_FILE"
+MS = 1000.0
+
+
+def read_site(path: Path) -> Site:
+    """Return the settings in a file; raises SettingsError.
+
+    Every fault is named, one a line.
+    """
+    try:
+        return decode_site(path.read_text())
+    except OSError as exc:
+        raise SettingsError(f"{path}: {exc.strerror}") from exc
+    except SettingsError as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+
+
+def decode_site(text: str) -> Site:
+    """Return the settings in the text; raises SettingsError."""
+    rows = [line.partition("=") for line in text.splitlines() if "=" in line]
+    values = {key.strip(): value.strip() for key, _, value in rows}
+    faults: list[str] = []
+
+    def get(key: str, convert: Callable[[str], float], usual: float) -> float:
+        value = values.get(key, "")
+        if not value:
+            return usual
+        try:
+            return convert(value)
+        except ValueError:
+            faults.append(f"{key}: {value!r} is no number; correct it")
+            return usual
+
+    def need(key: str) -> str:
+        if not values.get(key):
+            faults.append(f"{key}: missing; add the line {key}=...")
+        return values.get(key, "")
+
+    zones = {
+        key.removeprefix("zones."): region
+        for key, region in values.items()
+        if key.startswith("zones.")
+    }
+    # "dutyPerS" of the platform's API; its duties are named in a list.
+    duties = values.get("cloudApi.duties", "").split(",")
+    site = Site(
+        host=need("nodeName"),
+        zone=need("zone"),
+        region=values.get("region", ""),
+        zones=zones,
+        caller_address=need("listenAddresses.frontend"),
+        ready_address=values.get("listenAddresses.ready", ""),
+        peer_address=need("listenAddresses.controlPlane"),
+        directory_address=values.get("listenAddresses.directoryService", ""),
+        seeds=tuple(
+            part for part in values.get("seedNodes", "").split(",") if part
+        ),
+        store_address=need("platform.address"),
+        cloud_address=values.get("cloudApi.address", ""),
+        reports_usage="usage_reporting" in duties,
+        orders_engines="autoscaling" in duties,
+        drain_s=get("bounds.drainTimeoutMs", float, 2000) / MS,
+        grace_s=get("bounds.gracePeriodS", float, 8),
+        revocation_s=get("bounds.revocationMs", float, 5000) / MS,
+        retry_ratio=get("bounds.retryBudgetRatio", float, 0.2),
+        retry_window_s=get("bounds.budgetWindowS", float, 10),
+        # Retries allowed in a window beyond the ratio, over all hosts.
+        retry_extra=get("bounds.retryBudgetExtra", float, 0),
+        cap_window_s=get("bounds.quotaWindowS", float, 8),
+        cap_overage=get("bounds.quotaOverage", float, 0.1),
+        cap_tolerance=get("bounds.quotaTolerance", float, 0),
+        lease_s=get("bounds.leaseDurationMs", float, 3000) / MS,
+        usage_window_s=get("bounds.usageWindowS", float, 5),
+        usage_delay_s=get("bounds.usageDelayS", float, 10),
+        directory_ttl_s=get("bounds.ttl_max_s", float, 5),
+    )
+    if faults:
+        raise SettingsError("; ".join(faults))
+    return site
--- /dev/null
+++ b/src/magnoliaflow/platform/document.py
@@ -0,0 +1,123 @@
+"""The platform's configuration document, decoded into a RouteBook."""
+
+from json import loads
+from typing import Any
+
+from magnoliaflow.common.errors import FormatError
+from magnoliaflow.policy.routes import Account
+from magnoliaflow.policy.routes import CallerLimits
+from magnoliaflow.policy.routes import Kind
+from magnoliaflow.policy.routes import Route
+from magnoliaflow.policy.routes import RouteBook
+from magnoliaflow.policy.routes import Scaling
+from magnoliaflow.policy.routes import Service
+from magnoliaflow.policy.routes import Share
+
+KINDS = {
+    "idempotent": Kind.IDEMPOTENT,
+    "non_idempotent": Kind.NON_IDEMPOTENT,
+    "streaming": Kind.STREAM,
+}
+MS = 1000.0
+TOKENS_UNIT = "token_count"
+
+
+def decode_document(data: bytes) -> RouteBook:
+    """Return the configuration in the bytes; raises FormatError."""
+    try:
+        values = loads(data)
+        return RouteBook(
+            version=int(values["version"]),
+            routes=tuple(_route(item) for item in values["routes"]),
+            services={
+                item["name"]: _service(item) for item in values["services"]
+            },
+            accounts={
+                item["name"]: _account(item)
+                for item in values.get("tenants") or ()
+            },
+            keys={
+                key: item["name"]
+                for item in values.get("tenants") or ()
+                for key in item.get("apiKeys") or ()
+            },
+            limits=_limits(values.get("limits") or {}),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise FormatError(
+            f"configuration of {len(data)} bytes: {exc!r}; the version in "
+            "force is kept"
+        ) from exc
+
+
+def _route(item: dict[str, Any]) -> Route:
+    split = item.get("trafficSplit")
+    shares = (
+        tuple(Share(row["service"], float(row["weight"])) for row in split)
+        if split
+        else (Share(item["service"], 1.0),)
+    )
+    return Route(
+        name=item["name"],
+        host=item["host"],
+        prefix=item["pathPrefix"],
+        kind=KINDS[item["kind"]],
+        shares=shares,
+        timeout_s=item["timeoutMs"] / MS,
+        target_s=item.get("targetLatencyMs", item["timeoutMs"]) / MS,
+        priority=int(item.get("priority") or 0),
+        most_engines=max(1, int(item.get("maxAttempts") or 1)),
+        anonymous=bool(item.get("anonymous")),
+        resumable=bool(item.get("streamResumption")),
+    )
+
+
+def _service(item: dict[str, Any]) -> Service:
+    # "engineId" holds the properties of a model engine, not an id.
+    engine = item.get("engineId")
+    return Service(
+        name=item["name"],
+        model=engine is not None,
+        most_connections=int(item.get("connectionLimit") or 0),
+        memory_tokens=int((engine or {}).get("kvCapacityTokens") or 0),
+        scaling=_scaling(item.get("scaling")),
+    )
+
+
+def _scaling(item: dict[str, Any] | None) -> Scaling | None:
+    if item is None:
+        return None
+    return Scaling(
+        least=int(item["minimum"]),
+        most=int(item["maximum"]),
+        boot_s=float(item.get("bootTimeS") or 0.0),
+        # Share of the usual price that a reclaimable engine costs.
+        spot_price=float(item.get("spotPrice") or 1.0),
+        zone_prices={
+            zone: float(price)
+            for zone, price in (item.get("zonePrices") or {}).items()
+        },
+    )
+
+
+def _account(item: dict[str, Any]) -> Account:
+    priority = item.get("priority")
+    return Account(
+        name=item["name"],
+        priority=None if priority is None else int(priority),
+        rate=float(item.get("ratePerS") or 0.0),
+        burst=float(item.get("burst") or 0.0),
+        by_tokens=item.get("unit") == TOKENS_UNIT,
+        # Tokens of a request whose head names none.
+        default_tokens=int(item.get("uncachedTokens") or 1),
+    )
+
+
+def _limits(item: dict[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        head_bytes=int(item.get("maxHeaderBytes") or usual.head_bytes),
+        body_bytes=int(item.get("maxBodyBytes") or usual.body_bytes),
+        head_s=(item.get("headerTimeoutMs") or usual.head_s * MS) / MS,
+        idle_s=(item.get("idleTimeoutMs") or usual.idle_s * MS) / MS,
+    )
--- /dev/null
+++ b/src/magnoliaflow/platform/headers.py
@@ -0,0 +1,172 @@
+"""Headers of requests and answers, decoded and encoded."""
+
+from json import dumps
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+from magnoliaflow.transport.client import Headers
+from magnoliaflow.transport.server import Inbound
+from magnoliaflow.work.calls import Call
+from magnoliaflow.work.calls import EngineHead
+from magnoliaflow.work.calls import Forward
+from magnoliaflow.work.calls import Lookup
+
+READINESS = "/magnoliaflow/readiness"
+RESOLUTION = "/magnoliaflow/resolution"
+MS = 1000.0
+
+# Of one connection only (RFC 9110, 7.6.1), or set by this system.
+OWN_OR_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+        b"x-credential",
+        b"x-tenant",
+        b"x-deadline-ms",
+        b"x-expected-instance",
+        b"x-expected-version",
+        b"x-request-priority",
+        b"x-hold-duration",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    )
+)
+ANSWER_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+
+
+def decode_call(inbound: Inbound) -> Call:
+    """Return the request that a caller sent, decoded once."""
+    first: dict[bytes, bytes] = {}
+    for name, value in inbound.headers:
+        first.setdefault(name, value)
+
+    def text(name: bytes) -> str:
+        return first.get(name, b"").decode("latin-1").strip()
+
+    target = inbound.target.decode("latin-1")
+    tokens = [_whole(part) for part in text(b"x-token-usage").split(",")]
+    sized = len(tokens) == 2 and None not in tokens
+    deadline = _whole(text(b"x-deadline-ms"))
+    dropped = OWN_OR_HOP | {
+        part.strip().lower().encode("latin-1")
+        for part in text(b"connection").split(",")
+    }
+    return Call(
+        request_id=text(b"x-attempt-id"),
+        host=text(b"host").partition(":")[0].lower(),
+        path=target.partition("?")[0],
+        credential=text(b"x-credential"),
+        deadline_s=None if deadline is None else deadline / MS,
+        prompt_tokens=(tokens[0] or 0) if sized else 0,
+        answer_tokens=(tokens[1] or 0) if sized else 0,
+        sized=sized,
+        parts=_parts(text(b"x-prompt-prefix")),
+        resume_after=text(b"last-event-id"),
+        method=inbound.method,
+        target=inbound.target,
+        headers=[row for row in inbound.headers if row[0] not in dropped],
+        body=inbound.body,
+    )
+
+
+def encode_forward(call: Call, forward: Forward) -> Headers:
+    """Return the headers for an engine."""
+    rows = [
+        row
+        for row in call.headers
+        if not (forward.resume_after and row[0] == b"last-event-id")
+    ]
+    rows.append((b"x-expected-instance", forward.engine.encode()))
+    left_ms = max(1, int(forward.left_s * MS))
+    rows.append((b"x-deadline-ms", str(left_ms).encode()))
+    if forward.account:
+        rows.append((b"x-tenant", forward.account.encode()))
+    if forward.priority is not None:
+        rows.append((b"x-request-priority", str(forward.priority).encode()))
+    if forward.resume_after:
+        rows.append((b"last-event-id", forward.resume_after.encode()))
+    if call.body or call.method not in (b"GET", b"HEAD"):
+        rows.append((b"content-length", str(len(call.body)).encode()))
+    return rows
+
+
+def decode_engine_head(status: int, headers: Headers) -> EngineHead:
+    """Return what the head of an engine's answer says."""
+    first: dict[bytes, bytes] = {}
+    for name, value in headers:
+        first.setdefault(name, value)
+    return EngineHead(
+        status=status,
+        request_id=first.get(b"x-attempt-id", b"").decode("latin-1"),
+        signed=b"x-response-signature" in first,
+        not_run=b"x-not-executed" in first or status == 421,
+        events=first.get(b"content-type", b"").startswith(
+            b"text/event-stream"
+        ),
+        headers=[row for row in headers if row[0] not in ANSWER_HOP],
+    )
+
+
+def refusal_headers(retry_after_s: float | None) -> Headers:
+    """Return the headers of an answer of our own."""
+    rows = [(b"Content-Type", b"application/json")]
+    if retry_after_s is not None:
+        rows.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
+    return rows
+
+
+def decode_lookup(inbound: Inbound) -> Lookup | None:
+    """Return what a caller asks the directory, None for another path."""
+    target = urlsplit(inbound.target.decode("latin-1"))
+    if target.path != RESOLUTION:
+        return None
+    query = parse_qs(target.query)
+    return Lookup(
+        region=query.get("region", [""])[0], zone=query.get("zone", [""])[0]
+    )
+
+
+def is_readiness(inbound: Inbound) -> bool:
+    """Return whether the platform asks if this host is ready."""
+    return inbound.target.partition(b"?")[0].decode("latin-1") == READINESS
+
+
+def encode_addresses(addresses: list[str], ttl_s: float) -> bytes:
+    """Return the directory's answer."""
+    return dumps({"addresses": addresses, "ttlS": ttl_s}).encode()
+
+
+def _parts(text: str) -> tuple[tuple[int, int], ...]:
+    """Return the prompt's parts as (id, tokens); none if malformed."""
+    rows = []
+    for item in filter(None, (part.strip() for part in text.split(","))):
+        name, _, tokens = item.partition(":")
+        try:
+            rows.append((int(name, 16), int(tokens)))
+        except ValueError:
+            return ()
+    return tuple(rows)
+
+
+def _whole(text: str) -> int | None:
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdigit() else None
--- /dev/null
+++ b/src/magnoliaflow/platform/registrations.py
@@ -0,0 +1,57 @@
+"""Engines' entries in the platform's store, decoded into rows."""
+
+from json import loads
+from typing import Any
+
+from magnoliaflow.cluster.registry import Registration
+
+
+def decode_registration(engine_id: str, data: bytes) -> Registration | None:
+    """Return the row in an entry, None if it names no usable engine.
+
+    Anyone may have written the entry: whatever is missing or mistyped
+    makes it unusable, and never harms another entry.
+    """
+    try:
+        item = loads(data)
+    except ValueError:
+        return None
+    if not isinstance(item, dict):
+        return None
+    texts = [item.get(name) for name in ("service", "address", "zone")]
+    if not all(isinstance(text, str) and text for text in texts):
+        return None
+    state = item.get("state")
+    if state not in ("ready", "draining") or not _is_address(texts[1]):
+        return None
+    return Registration(
+        engine_id=engine_id,
+        service=str(texts[0]),
+        address=str(texts[1]),
+        zone=str(texts[2]),
+        slots=_whole(item.get("slots"), 1),
+        leaving=state == "draining",
+        # Seconds until an announced reclaim, 0 when none is named.
+        leaves_s=_whole(item.get("leaves_ms"), 0) / 1000.0,
+        # Reclaimable: the whole zone's may be taken back at once.
+        spot=item.get("isSpot") is True,
+        # Start of this run of the engine; a new one knows nothing.
+        born=_whole(item.get("born"), 0),
+    )
+
+
+def _whole(value: Any, usual: int) -> int:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return usual
+    return int(value)
+
+
+def _is_address(text: Any) -> bool:
+    host, _, port = str(text).rpartition(":")
+    parts = host.split(".")
+    return (
+        port.isdigit()
+        and 0 < int(port) < 65536
+        and len(parts) == 4
+        and all(part.isdigit() and int(part) < 256 for part in parts)
+    )
--- /dev/null
+++ b/src/magnoliaflow/platform/store.py
@@ -0,0 +1,197 @@
+"""Client of the platform's store: a log with partitions and offsets."""
+
+from base64 import b64decode
+from dataclasses import dataclass
+from json import loads
+from struct import Struct
+from typing import Any
+from urllib.parse import urlencode
+
+from twisted.internet.defer import inlineCallbacks
+
+from magnoliaflow.common.errors import FormatError
+from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.errors import TrimmedError
+from magnoliaflow.transport.client import fetch
+from magnoliaflow.transport.client import Reply
+
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+ENGINES_TOPIC = "keyed.servers"
+DUTY_TOPIC = "duty"
+HOSTS_TOPIC = "keyed.hosts"
+
+LENGTH = Struct(">I")
+READ_HEAD = Struct(">QQ")
+PART = "0"
+
+
+class ConflictError(PortError):
+    """A conditional append found the log at another end."""
+
+    def __init__(self, end: int) -> None:
+        super().__init__(f"the log ends at {end}; read on to there first")
+        self.end = end
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One record at its offset; ``key`` is empty in plain topics.
+
+    ``value`` is None where a keyed record was removed.
+    """
+
+    offset: int
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Entries read, and the offset at which the log ends."""
+
+    entries: tuple[Entry, ...]
+    end: int
+
+
+class StoreClient:
+    """Calls to the store; each fails with PortError."""
+
+    __slots__ = ("address", "calls", "timeout_s")
+
+    def __init__(self, address: str, *, timeout_s: float) -> None:
+        self.address = address
+        self.timeout_s = timeout_s
+        self.calls = 0
+
+    @inlineCallbacks
+    def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> Any:
+        """Return a Page from an offset on, waiting a while for news.
+
+        Raises TrimmedError where records before it are gone.
+        """
+        query = {"topic": topic, "part": PART, "source": offset}
+        if wait_s:
+            query["waitTimeoutMs"] = int(wait_s * 1000)
+        reply = yield self._call(
+            b"GET", "log-read", query, timeout_s=self.timeout_s + wait_s
+        )
+        if reply.status == 410:
+            raise TrimmedError(int(_json(reply)["firstOffset"]))
+        _check(reply)
+        return decode_page(topic, offset, reply.body)
+
+    @inlineCallbacks
+    def newest(self, topic: str) -> Any:
+        """Return a Page with the newest entry of each key."""
+        entries: list[Entry] = []
+        query: dict[str, Any] = {"topic": topic, "part": PART}
+        end = -1
+        while True:
+            reply = yield self._call(
+                b"GET", "log-newest", query, timeout_s=self.timeout_s
+            )
+            _check(reply)
+            values = _json(reply)
+            page = [_newest_entry(item) for item in values["items"]]
+            entries.extend(page)
+            # Pages are no snapshot: what changed since the first is read
+            # from its end on.
+            end = int(values["endOffset"]) if end < 0 else end
+            if not values.get("hasMore") or not page:
+                return Page(tuple(entries), end)
+            query["after"] = page[-1].key
+
+    @inlineCallbacks
+    def append(self, topic: str, data: bytes, *, at: int | None = None) -> Any:
+        """Append one record and return its offset.
+
+        With ``at``, only where the log ends there, else ConflictError.
+        Without an answer it may have been done, or be done later.
+        """
+        query: dict[str, Any] = {"topic": topic, "part": PART}
+        if at is not None:
+            query["at"] = at
+        reply = yield self._call(
+            b"POST",
+            "log-append",
+            query,
+            body=LENGTH.pack(len(data)) + data,
+            timeout_s=self.timeout_s,
+        )
+        if reply.status == 412:
+            raise ConflictError(int(_json(reply)["endOffset"]))
+        _check(reply)
+        return int(_json(reply)["offset"])
+
+    def put(self, topic: str, key: str, value: bytes) -> Any:
+        """Append the newest value of a key; returns its offset."""
+        name = key.encode()
+        return self.append(topic, bytes((len(name),)) + name + value)
+
+    def _call(
+        self,
+        method: bytes,
+        name: str,
+        query: dict[str, Any],
+        *,
+        body: bytes = b"",
+        timeout_s: float,
+    ) -> Any:
+        self.calls += 1
+        target = f"/magnoliaflow/{name}?{urlencode(query)}".encode()
+        return fetch(
+            self.address, method, target, body=body, timeout_s=timeout_s
+        )
+
+
+def decode_page(topic: str, offset: int, data: bytes) -> Page:
+    """Return the entries in the answer to a read; raises FormatError."""
+    if len(data) < READ_HEAD.size:
+        raise FormatError(f"{topic}: answer of {len(data)} bytes has no head")
+    end, _ = READ_HEAD.unpack_from(data)
+    place = READ_HEAD.size
+    entries = []
+    while place + LENGTH.size <= len(data):
+        (length,) = LENGTH.unpack_from(data, place)
+        place += LENGTH.size
+        record = data[place : place + length]
+        if len(record) < length:
+            raise FormatError(f"{topic}: record at {offset} is cut short")
+        entries.append(_entry(topic, offset, record))
+        place += length
+        offset += 1
+    return Page(tuple(entries), end)
+
+
+def _entry(topic: str, offset: int, record: bytes) -> Entry:
+    if not topic.startswith("keyed."):
+        return Entry(offset, "", record)
+    if not record:
+        return Entry(offset, "", None)
+    size = record[0]
+    key = record[1 : 1 + size].decode("utf-8", "replace")
+    return Entry(offset, key, record[1 + size :] or None)
+
+
+def _newest_entry(item: dict[str, Any]) -> Entry:
+    try:
+        value = b64decode(item["value"])
+        return Entry(int(item["offset"]), str(item["key"]), value or None)
+    except (KeyError, TypeError, ValueError) as exc:
+        raise FormatError(f"listed record: {exc!r}") from exc
+
+
+def _json(reply: Reply) -> Any:
+    try:
+        return loads(reply.body)
+    except ValueError as exc:
+        raise FormatError(
+            f"store answered {reply.status} with {len(reply.body)} bytes "
+            "that are no JSON"
+        ) from exc
+
+
+def _check(reply: Reply) -> None:
+    if reply.status != 200:
+        raise PortError(f"store answered {reply.status}")
--- /dev/null
+++ b/src/magnoliaflow/policy/caps.py
@@ -0,0 +1,89 @@
+"""Usage caps that hold over all hosts, without asking for each request.
+
+The load it answers: one account sends many times its usual, through every
+host at once, while others stay within their caps.
+"""
+
+from dataclasses import dataclass
+
+DEMAND_S = 2.0
+# Part of a cap that is dealt by demand; the rest is dealt evenly, so that a
+# host on which an account turns up can serve its first requests.
+BY_DEMAND = 0.85
+# Fill of a new bucket: the run of this host that was killed may just have
+# used its own up.
+START_FILL = 0.4
+
+
+@dataclass(slots=True)
+class Demand:
+    """What an account asked for lately, as a rate a second."""
+
+    rate: float = 0.0
+    at: float = 0.0
+
+    def note(self, amount: float, now: float) -> None:
+        """Count what was asked for, granted or not."""
+        self.rate = self.current(now) + amount / DEMAND_S
+        self.at = now
+
+    def current(self, now: float) -> float:
+        """Return the rate, which decays while nothing is asked for."""
+        return self.rate * 0.5 ** ((now - self.at) / DEMAND_S)
+
+
+@dataclass(slots=True)
+class Bucket:
+    """This host's share of one account's cap, as a token bucket."""
+
+    rate: float
+    burst: float
+    share: float = 1.0
+    level: float = 0.0
+    at: float = 0.0
+
+    def refill(self, now: float) -> None:
+        """Add what has come in since the last look."""
+        most = self.burst * self.share
+        gained = self.rate * self.share * max(0.0, now - self.at)
+        self.level = min(most, self.level + gained)
+        self.at = now
+
+    def take(self, amount: float, now: float) -> float:
+        """Take an amount; return 0, or the seconds until it is there.
+
+        A request larger than the bucket goes when it is full; its debt
+        delays what follows.
+        """
+        self.refill(now)
+        needed = min(amount, self.burst * self.share)
+        if self.level >= needed:
+            self.level -= amount
+            return 0.0
+        pace = self.rate * self.share
+        return (needed - self.level) / pace if pace > 0 else 1.0
+
+    def give_back(self, amount: float) -> None:
+        """Return what a request that did not run had taken."""
+        self.level = min(self.burst * self.share, self.level + amount)
+
+
+def share_of(own: float, others: list[float], unheard: int) -> float:
+    """Return this host's share of a cap.
+
+    ``own`` and ``others`` are the rates last told to each other.  Each
+    host not heard of keeps an even share; with nobody heard, an even
+    share is all this host takes.
+
+    >>> share_of(3.0, [1.0], 0)
+    0.7125
+    >>> share_of(3.0, [], 3)
+    0.25
+    """
+    heard = 1 + len(others)
+    hosts = heard + unheard
+    dealt = heard / hosts
+    even = 1.0 / heard
+    total = own + sum(others)
+    fair = own / total if total > 0 else even
+    return dealt * (BY_DEMAND * fair + (1 - BY_DEMAND) * even)
--- a/src/magnoliaflow/policy/engines.py
+++ b/src/magnoliaflow/policy/engines.py
@@ -13,6 +13,10 @@
 LIMIT_CUT = 0.9
 LIMIT_STEP = 0.5
 GAP_SMOOTHING = 0.2
+# Shares of the forecast that one first token may teach, and its weight.
+SLOWNESS_LEAST = 0.5
+SLOWNESS_MOST = 8.0
+SLOWNESS_SMOOTHING = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +32,10 @@
     """A backend server, its last report, and what was sent since.
 
     ``limit`` is the learnt number of requests at once; ``gap_s`` the
-    smoothed time between tokens.
+    smoothed time between tokens.  ``unread_tokens`` are prompt tokens of
+    own sends whose first token has not come; the ``peer`` counts are what
+    other entry hosts told.  ``slowness`` is how much longer first tokens
+    took lately than predicted, ``failures`` how many calls in a row failed.
     """
 
     cfg: BackendServer
@@ -44,6 +51,11 @@
     leaving_at: float = inf
     shunned_until: float = -inf
     adjusted_at: float = -inf
+    unread_tokens: int = 0
+    peer_running: int = 0
+    peer_unread_tokens: int = 0
+    slowness: float = 1.0
+    failures: int = 0
 
     @property
     def name(self) -> str:
@@ -94,6 +106,20 @@
         """Count the end of an own attempt."""
         self.own_running = max(0, self.own_running - 1)
 
+    def note_prompt(self, tokens: int) -> None:
+        """Count the prompt of an own send as not read yet."""
+        self.own_running += 1
+        self.unread_tokens += tokens
+
+    def note_read(self, tokens: int) -> None:
+        """Count the prompt of an own send as read."""
+        self.unread_tokens = max(0, self.unread_tokens - tokens)
+
+    def note_slowness(self, factor: float) -> None:
+        """Learn from a first token that took ``factor`` x its forecast."""
+        bounded = min(SLOWNESS_MOST, max(SLOWNESS_LEAST, factor))
+        self.slowness += SLOWNESS_SMOOTHING * (bounded - self.slowness)
+
     def note_gap(self, gap_s: float, target_s: float, now: float) -> None:
         """Learn the limit from the time between two tokens.
 
--- a/src/magnoliaflow/policy/prefixes.py
+++ b/src/magnoliaflow/policy/prefixes.py
@@ -1,6 +1,7 @@
 """Knowledge of which engine has which prompt prefix in its cache."""
 
 from collections import OrderedDict
+from itertools import zip_longest
 from math import inf
 
 DEFAULT_BLOCKS_PER_ENGINE = 4096
@@ -13,7 +14,8 @@
     """Cached blocks by engine, from own sends and cache events.
 
     A gap in an engine's events lowers the trust in what is known of it;
-    it does not clear it.  Memory is bounded by blocks per engine.
+    it does not clear it.  Memory is bounded by blocks per engine, or by
+    their sizes where these are given.
     """
 
     __slots__ = (
@@ -21,6 +23,8 @@
         "_evicted_age",
         "_holders",
         "_last_event",
+        "_sizes",
+        "_totals",
         "_trust",
         "capacity",
     )
@@ -31,20 +35,35 @@
         self._evicted_age: dict[str, float] = {}
         self._holders: dict[int, tuple[str, ...]] = {}
         self._last_event: dict[str, int] = {}
+        self._sizes: dict[int, int] = {}
+        self._totals: dict[str, int] = {}
         self._trust: dict[str, float] = {}
 
-    def add(self, engine: str, blocks: tuple[int, ...], now: float) -> None:
+    def add(
+        self,
+        engine: str,
+        blocks: tuple[int, ...],
+        now: float,
+        *,
+        sizes: tuple[int, ...] = (),
+    ) -> None:
         """Note that the engine holds the blocks, used at ``now``."""
         known = self._blocks.setdefault(engine, OrderedDict())
-        for block in blocks:
+        total = self._totals.get(engine, 0)
+        for block, size in zip_longest(blocks, sizes, fillvalue=1):
+            if block not in known:
+                self._sizes.setdefault(block, size)
+                total += self._sizes[block]
             known[block] = now
             known.move_to_end(block)
             holders = self._holders.get(block, ())
             if engine not in holders:
                 self._holders[block] = (*holders, engine)
-        while len(known) > self.capacity:
+        while total > self.capacity and len(known) > 1:
             oldest, _ = known.popitem(last=False)
+            total -= self._sizes[oldest]
             self._unhold(engine, oldest)
+        self._totals[engine] = total
 
     def remove(self, engine: str, block: int, now: float) -> None:
         """Note that the engine evicted the block."""
@@ -54,6 +73,7 @@
         age = now - known.pop(block)
         before = self._evicted_age.get(engine, age)
         self._evicted_age[engine] = before + AGE_SMOOTHING * (age - before)
+        self._totals[engine] -= self._sizes[block]
         self._unhold(engine, block)
 
     def evicted_age(self, engine: str) -> float:
@@ -91,6 +111,7 @@
             self._unhold(engine, block)
         self._last_event.pop(engine, None)
         self._trust.pop(engine, None)
+        self._totals.pop(engine, None)
         self._evicted_age.pop(engine, None)
 
     def matched(self, engine: str, blocks: tuple[int, ...]) -> float:
@@ -127,3 +148,4 @@
             self._holders[block] = left
             return
         self._holders.pop(block, None)
+        self._sizes.pop(block, None)
--- /dev/null
+++ b/src/magnoliaflow/policy/routes.py
@@ -0,0 +1,152 @@
+"""Routes, services and client accounts of one configuration version."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+
+from xxhash import xxh64_intdigest
+
+
+class Kind(Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A service and its weight among those of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """How requests under a host and path prefix are treated.
+
+    Times are in seconds: ``timeout_s`` is the longest a caller is kept
+    waiting, ``target_s`` the latency objective up to the first byte.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    shares: tuple[Share, ...]
+    timeout_s: float
+    target_s: float
+    priority: int
+    most_engines: int
+    anonymous: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is Kind.IDEMPOTENT or self.resumable
+
+    def service_for(self, request_id: str) -> str:
+        """Return the service for a request, by the routes' weights."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        total = sum(share.weight for share in self.shares)
+        draw = xxh64_intdigest(request_id.encode()) / 2.0**64 * total
+        for share in self.shares:
+            draw -= share.weight
+            if draw < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+@dataclass(frozen=True, slots=True)
+class Scaling:
+    """Bounds and prices for engines of a service, by availability zone."""
+
+    least: int
+    most: int
+    boot_s: float
+    spot_price: float
+    zone_prices: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service behind the routes; ``model`` tells engines from others."""
+
+    name: str
+    model: bool
+    most_connections: int
+    memory_tokens: int = 0
+    scaling: Scaling | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A client account and its usage cap, 0 meaning none.
+
+    ``by_tokens``: the cap counts tokens, else requests; a request that
+    names no tokens counts as ``default_tokens``.
+    """
+
+    name: str
+    priority: int | None
+    rate: float
+    burst: float
+    by_tokens: bool
+    default_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    head_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    head_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass(slots=True)
+class RouteBook:
+    """One version of the configuration, with its look-ups."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: dict[str, Service] = field(default_factory=dict)
+    accounts: dict[str, Account] = field(default_factory=dict)
+    keys: dict[str, str] = field(default_factory=dict)
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    _places: dict[tuple[str, str], Route] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._places = {(row.host, row.prefix): row for row in self.routes}
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of the longest prefix that begins the path.
+
+        >>> row = Route(
+        ...     "r", "h", "/a/", Kind.STREAM, (), 1, 1, 0, 1, True, False
+        ... )
+        >>> RouteBook(1, (row,)).find("h", "/a/b/c").name
+        'r'
+        >>> RouteBook(1, (row,)).find("h", "/ab") is None
+        True
+        """
+        end = path.rfind("/")
+        while end >= 0:
+            route = self._places.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def routes_to(self, service: str) -> list[Route]:
+        """Return the routes that may send to a service."""
+        return [
+            route
+            for route in self.routes
+            if any(share.service == service for share in route.shares)
+        ]
--- a/src/magnoliaflow/policy/routing.py
+++ b/src/magnoliaflow/policy/routing.py
@@ -32,7 +32,8 @@
     """What a request asks of an engine.
 
     ``first_token_s`` is what is left of the latency target ``target_s``;
-    ``value`` is what an answer in time may cost.
+    ``value`` is what an answer in time may cost.  ``sizes`` are the tokens
+    of each block where blocks differ in size.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     target_s: float = 1.8
     value: float = 0.1
     avoid: frozenset[str] = frozenset()
+    sizes: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +134,8 @@
     def uncached(self, engine: Engine, need: Need) -> int:
         """Return the prompt tokens the engine would compute."""
         matched = self.prefixes.matched(engine.name, need.blocks)
+        if need.sizes:
+            return max(1, need.prompt_tokens - sum(need.sizes[: int(matched)]))
         return max(1, need.prompt_tokens - int(matched * TOKENS_PER_BLOCK))
 
     def least_uncached(self, need: Need, now: float) -> int:
--- /dev/null
+++ b/src/magnoliaflow/policy/scaling.py
@@ -0,0 +1,115 @@
+"""How many engines of each kind to order in each availability zone.
+
+The load it answers: a wave of prompts whose engines, all the reclaimable
+ones of a zone, are taken back with less notice than a new one takes to
+start, while no other reclaimable ones are to be had for a while.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import ceil
+
+from magnoliaflow.policy.routes import Scaling
+
+# Share of an engine's prefill rate that is planned with; the rest absorbs
+# clumps, which double the rate for a second or two.
+PLANNED_USE = 0.6
+# Share that may be used for the seconds after a zone was lost.
+STRAINED_USE = 0.85
+# Requests at once at which an engine's tokens still come in good time.
+PLANNED_RUNNING = 28
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneSupply:
+    """Engines of one service that stand in a zone.
+
+    ``spot_open``: the zone may have reclaimable ones to offer now.
+    """
+
+    zone: str
+    on_demand: int
+    spot: int
+    spot_open: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Prompt tokens a second to read, and requests that run at once."""
+
+    tokens_per_s: float
+    running: float
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """Numbers of engines to have in a zone."""
+
+    zone: str
+    on_demand: int
+    spot: int
+
+
+def engines_for(load: Load, prefill_rate: float, use: float) -> float:
+    """Return how many engines a load takes at a share of their rate."""
+    reading = load.tokens_per_s / (prefill_rate * use)
+    return max(1.0, reading, load.running / PLANNED_RUNNING)
+
+
+def plan_engines(
+    scaling: Scaling,
+    supplies: Iterable[ZoneSupply],
+    load: Load,
+    prefill_rate: float,
+) -> list[Wanted]:
+    """Return what to have in each zone.
+
+    Reclaimable engines carry the load, so many that it stands the loss of
+    any zone's.  On-demand ones fill in where the reclaimable ones that
+    stand, less those of the fullest zone, would not do.
+    """
+    rows = sorted(
+        supplies,
+        key=lambda row: (scaling.zone_prices.get(row.zone, 1.0), row.zone),
+    )
+    if not rows:
+        return []
+    spots = _deal(
+        len(rows),
+        _spot_total(load, prefill_rate, len(rows)),
+        scaling.least,
+        scaling.most,
+    )
+    strained = ceil(engines_for(load, prefill_rate, STRAINED_USE))
+    standing = [min(row.spot, spot) for row, spot in zip(rows, spots)]
+    left = sum(standing) - max(standing)
+    missing = max(0, strained - left)
+    wanted = []
+    for row, spot in zip(rows, spots):
+        room = scaling.most - min(row.spot, spot)
+        extra = min(missing, max(0, room))
+        missing -= extra
+        wanted.append(Wanted(row.zone, extra, min(spot, scaling.most - extra)))
+    return wanted
+
+
+def _spot_total(load: Load, prefill_rate: float, zones: int) -> int:
+    """Return how many reclaimable engines carry a load."""
+    usual = engines_for(load, prefill_rate, PLANNED_USE)
+    strained = engines_for(load, prefill_rate, STRAINED_USE)
+    if zones > 1:
+        strained *= zones / (zones - 1)
+    return ceil(max(usual, strained))
+
+
+def _deal(zones: int, total: int, least: int, most: int) -> list[int]:
+    """Return counts by zone, the first (cheapest) zones taking the rest.
+
+    >>> _deal(3, 4, 1, 6)
+    [2, 1, 1]
+    """
+    even, rest = divmod(total, zones)
+    return [
+        max(least, min(most, even + (number < rest)))
+        for number in range(zones)
+    ]
--- /dev/null
+++ b/src/magnoliaflow/transport/client.py
@@ -0,0 +1,269 @@
+"""One HTTP request over one new connection, parsed strictly by h11.
+
+A connection carries a single exchange: bytes that follow a complete answer
+belong to no request and are dropped with the connection.
+"""
+
+from socket import IPPROTO_TCP
+from socket import SO_KEEPALIVE
+from socket import SOL_SOCKET
+from socket import TCP_KEEPCNT
+from socket import TCP_KEEPIDLE
+from socket import TCP_KEEPINTVL
+from socket import TCP_USER_TIMEOUT
+from typing import Any
+from typing import Protocol as Interface
+
+import h11
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory
+from twisted.internet.protocol import Protocol
+
+from magnoliaflow.common.errors import NotSentError
+from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.loop import reactor
+
+# A path that acknowledges nothing for this long is given up; twice the
+# longest round trip between regions would do, the rest covers lost packets.
+SILENT_PATH_MS = 1500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PROBES = 2
+MOST_HEAD_BYTES = 65536
+MOST_REPLY_BYTES = 64 * 1024 * 1024
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Sink(Interface):
+    """Receives what an exchange yields, in this order."""
+
+    def on_open(self) -> None:
+        """Take note that the connection stands; the request goes out."""
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Take the status and headers of the answer."""
+
+    def on_data(self, data: bytes) -> None:
+        """Take a piece of the answer's body."""
+
+    def on_end(self) -> None:
+        """Take note that the answer is complete."""
+
+    def on_broken(self, reason: str, *, sent: bool) -> None:
+        """Take note of a failure; ``sent``: bytes may have arrived."""
+
+
+class Exchange(Protocol):
+    """One request and its answer."""
+
+    transport: Any
+
+    def __init__(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        self.request = h11.Request(
+            method=method, target=target, headers=headers
+        )
+        self.body = body
+        self.sink: Any = None
+        self.conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MOST_HEAD_BYTES
+        )
+        self.opened = False
+        self.over = False
+        self.connector: Any = None
+
+    def connectionMade(self) -> None:
+        """Send the request as a whole."""
+        if self.over:
+            self.transport.abortConnection()
+            return
+        self.opened = True
+        set_socket_limits(self.transport)
+        self.sink.on_open()
+        if self.over:
+            return
+        data = self.conn.send(self.request)
+        if self.body:
+            data += self.conn.send(h11.Data(data=self.body))
+        data += self.conn.send(h11.EndOfMessage())
+        self.transport.write(data)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass on what the bytes complete."""
+        if self.over:
+            return
+        try:
+            self.conn.receive_data(data)
+            self._drain()
+        except h11.RemoteProtocolError as exc:
+            self._broken(f"garbled answer: {exc}")
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Settle an answer that ends with its connection, or its loss."""
+        if self.over:
+            return
+        if not reason.check(ConnectionDone):
+            self._broken("connection reset")
+            return
+        try:
+            self.conn.receive_data(b"")
+            self._drain()
+        except h11.RemoteProtocolError:
+            pass
+        if not self.over:
+            self._broken("connection closed before the answer's end")
+
+    def cancel(self) -> None:
+        """Drop the connection at once; no callback follows."""
+        if self.over:
+            return
+        self.over = True
+        if self.opened:
+            self.transport.abortConnection()
+        elif self.connector is not None:
+            self.connector.stopConnecting()
+
+    def _drain(self) -> None:
+        while not self.over:
+            event = self.conn.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self.sink.on_head(event.status_code, list(event.headers))
+            elif isinstance(event, h11.Data):
+                self.sink.on_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.over = True
+                self.transport.abortConnection()
+                self.sink.on_end()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _broken(self, reason: str) -> None:
+        self.over = True
+        if self.opened:
+            self.transport.abortConnection()
+        self.sink.on_broken(reason, sent=self.opened)
+
+
+class ExchangeFactory(ClientFactory):
+    """Makes the connection of one exchange."""
+
+    noisy = False
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+
+    def buildProtocol(self, addr: Any) -> Exchange:
+        """Return the exchange that waits for the connection."""
+        return self.exchange
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        """Tell the exchange that nothing was sent."""
+        if self.exchange.over:
+            return
+        self.exchange.over = True
+        self.exchange.sink.on_broken(
+            f"no connection: {reason.getErrorMessage()}", sent=False
+        )
+
+
+def set_socket_limits(transport: Any) -> None:
+    """Let the kernel end a connection whose path went silent."""
+    transport.setTcpNoDelay(True)
+    sock = transport.getHandle()
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, SILENT_PATH_MS)
+
+
+def open_exchange(
+    address: str, exchange: Exchange, sink: Sink, *, connect_s: float
+) -> Exchange:
+    """Start an exchange with ``IP:PORT``; outcomes go to the sink."""
+    exchange.sink = sink
+    host, _, port = address.rpartition(":")
+    exchange.connector = reactor.connectTCP(
+        host, int(port), ExchangeFactory(exchange), timeout=connect_s
+    )
+    return exchange
+
+
+class Reply:
+    """A whole answer."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self.body = b""
+
+
+class _Collector:
+    """Collects an answer for ``fetch``."""
+
+    __slots__ = ("fut", "parts", "reply", "size")
+
+    def __init__(self, fut: "Deferred[Reply]") -> None:
+        self.fut = fut
+        self.reply = Reply()
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    def on_open(self) -> None:
+        """Nothing to do before the head."""
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Keep the head."""
+        self.reply.status = status
+        self.reply.headers = headers
+
+    def on_data(self, data: bytes) -> None:
+        """Keep a piece, up to the most an answer may hold."""
+        self.size += len(data)
+        if self.size <= MOST_REPLY_BYTES:
+            self.parts.append(data)
+
+    def on_end(self) -> None:
+        """Hand the whole answer over."""
+        self.reply.body = b"".join(self.parts)
+        self.fut.callback(self.reply)
+
+    def on_broken(self, reason: str, *, sent: bool) -> None:
+        """Report the failure as an error of the port."""
+        kind = PortError if sent else NotSentError
+        self.fut.errback(kind(reason))
+
+
+def fetch(
+    address: str,
+    method: bytes,
+    target: bytes,
+    *,
+    body: bytes = b"",
+    headers: Headers | None = None,
+    timeout_s: float,
+) -> "Deferred[Reply]":
+    """Return the whole answer to one call; fails with PortError.
+
+    NotSentError says that the call cannot have been executed.
+    """
+    lines = [(b"Host", address.encode()), *(headers or [])]
+    if body or method != b"GET":
+        lines.append((b"Content-Length", str(len(body)).encode()))
+    exchange = Exchange(method, target, lines, body)
+    fut: Deferred[Reply] = Deferred(lambda _: exchange.cancel())
+    open_exchange(
+        address, exchange, _Collector(fut), connect_s=min(1.0, timeout_s)
+    )
+    return fut.addTimeout(timeout_s, reactor, onTimeoutCancel=_timed_out)
+
+
+def _timed_out(result: Any, timeout_s: float) -> Any:
+    raise PortError(f"no answer within {timeout_s:g} s")
--- /dev/null
+++ b/src/magnoliaflow/transport/server.py
@@ -0,0 +1,303 @@
+"""Callers' HTTP connections, parsed strictly by h11."""
+
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol
+
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.transport.client import Headers
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class ServerLimits:
+    """What a caller may send, in bytes, and how long it may take."""
+
+    __slots__ = ("body_bytes", "head_bytes", "head_s", "idle_s")
+
+    def __init__(self) -> None:
+        self.head_bytes = 16384
+        self.body_bytes = 4 * 1024 * 1024
+        self.head_s = 3.0
+        self.idle_s = 15.0
+
+
+class Inbound:
+    """One request as read from a connection, and the way to answer it."""
+
+    __slots__ = (
+        "answered",
+        "begun",
+        "body",
+        "closed",
+        "conn",
+        "headers",
+        "method",
+        "on_gone",
+        "target",
+    )
+
+    def __init__(self, conn: "ServerConnection", event: h11.Request) -> None:
+        self.conn = conn
+        self.method = bytes(event.method)
+        self.target = bytes(event.target)
+        self.headers: Headers = list(event.headers)
+        self.body = b""
+        self.begun = False
+        self.answered = False
+        self.closed = False
+        self.on_gone: Callable[[], None] = lambda: None
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        if self.answered or self.closed:
+            return
+        if self.method == b"HEAD":
+            body = b""
+        length = (b"Content-Length", str(len(body)).encode())
+        self.begin(status, [*headers, length])
+        if body:
+            self.send(body)
+        self.finish()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self.closed:
+            return
+        self.begun = True
+        if self.conn.closing():
+            headers = [*headers, (b"Connection", b"close")]
+        self.conn.write(
+            h11.Response(
+                status_code=status,
+                headers=headers,
+                reason=REASONS.get(status, b""),
+            )
+        )
+
+    def send(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if not self.closed:
+            self.conn.write(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        if self.answered or self.closed:
+            return
+        self.answered = True
+        self.conn.write(h11.EndOfMessage())
+        self.conn.request_done()
+
+    def cut(self) -> None:
+        """End the connection so that the answer cannot look complete."""
+        if self.answered or self.closed:
+            return
+        self.closed = True
+        self.conn.transport.abortConnection()
+
+    def gone(self) -> None:
+        """Tell the holder that the caller left."""
+        if self.answered or self.closed:
+            return
+        self.closed = True
+        self.on_gone()
+
+
+Handler = Callable[[Inbound], None]
+
+
+class ServerConnection(Protocol):
+    """A caller's connection; one request at a time."""
+
+    transport: Any
+
+    def __init__(self, factory: "ServerFactory") -> None:
+        self.owner = factory
+        self.conn = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=factory.limits.head_bytes,
+        )
+        self.current: Inbound | None = None
+        self.pending: Any = None
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.timer: Any = None
+        self.reading = False
+
+    def connectionMade(self) -> None:
+        """Begin to wait for a request."""
+        self.transport.setTcpNoDelay(True)
+        self.owner.connections.add(self)
+        self._arm(self.owner.limits.idle_s)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Tell the request in progress that its caller left."""
+        self._disarm()
+        self.owner.connections.discard(self)
+        if self.current is not None:
+            self.current.gone()
+
+    def closing(self) -> bool:
+        """Return whether this connection ends after its answer."""
+        return self.owner.draining
+
+    def dataReceived(self, data: bytes) -> None:
+        """Read on; a malformed request ends the connection."""
+        if self.current is None and not self.reading:
+            self.reading = True
+            self._arm(self.owner.limits.head_s)
+        try:
+            self.conn.receive_data(data)
+            self._drain()
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc.error_status_hint)
+
+    def write(self, event: Any) -> None:
+        """Send an event of the answer."""
+        data = self.conn.send(event)
+        if data:
+            self.transport.write(data)
+
+    def request_done(self) -> None:
+        """Go on with the connection after an answer, or close it."""
+        self.current = None
+        self.parts = []
+        self.size = 0
+        self.reading = False
+        if self.conn.our_state is h11.MUST_CLOSE or self.closing():
+            self.transport.loseConnection()
+            return
+        if self.conn.our_state is not h11.DONE:
+            self.transport.loseConnection()
+            return
+        if self.conn.their_state is not h11.DONE:
+            self.transport.loseConnection()
+            return
+        self.conn.start_next_cycle()
+        self._arm(self.owner.limits.idle_s)
+        reactor.callLater(0, self._read_on)
+
+    def close_if_idle(self) -> None:
+        """Close a connection on which no request was begun."""
+        if self.current is None and not self.reading:
+            self.transport.loseConnection()
+
+    def _read_on(self) -> None:
+        if self.current is None and self.conn.trailing_data[0]:
+            self.dataReceived(b"")
+
+    def _drain(self) -> None:
+        while self.current is None:
+            event = self.conn.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self.transport.loseConnection()
+                return
+            if not self._take(event):
+                return
+
+    def _take(self, event: Any) -> bool:
+        """Take one event of a request; return whether to read on."""
+        if isinstance(event, h11.Request):
+            self.pending = Inbound(self, event)
+            if _ambiguous(self.pending.headers):
+                self._reject(400)
+                return False
+            if self.conn.they_are_waiting_for_100_continue:
+                self.transport.write(CONTINUE)
+        elif isinstance(event, h11.Data):
+            self.size += len(event.data)
+            if self.size > self.owner.limits.body_bytes:
+                self._reject(413)
+                return False
+            self.parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._disarm()
+            inbound = self.pending
+            inbound.body = b"".join(self.parts)
+            self.current = inbound
+            self.owner.handler(inbound)
+            return False
+        return True
+
+    def _reject(self, status: int) -> None:
+        """Answer a request that cannot be read, and close."""
+        self.owner.on_rejected(status)
+        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            head = h11.Response(
+                status_code=status,
+                headers=[
+                    (b"Content-Length", b"0"),
+                    (b"Connection", b"close"),
+                ],
+                reason=REASONS.get(status, b""),
+            )
+            self.write(head)
+            self.write(h11.EndOfMessage())
+        self.transport.loseConnection()
+
+    def _arm(self, delay_s: float) -> None:
+        self._disarm()
+        self.timer = reactor.callLater(delay_s, self._timed_out)
+
+    def _disarm(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+    def _timed_out(self) -> None:
+        self.timer = None
+        if self.reading:
+            self._reject(408)
+            return
+        self.transport.loseConnection()
+
+
+def _ambiguous(headers: Headers) -> bool:
+    """Return whether two framings could be read from a request's head."""
+    names = [name for name, _ in headers]
+    return b"transfer-encoding" in names and b"content-length" in names
+
+
+class ServerFactory(Factory):
+    """Makes callers' connections."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        *,
+        on_rejected: Callable[[int], None] = lambda status: None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.on_rejected = on_rejected
+        self.draining = False
+        self.connections: set[ServerConnection] = set()
+
+    def buildProtocol(self, addr: Any) -> ServerConnection:
+        """Return the protocol of a new connection."""
+        return ServerConnection(self)
+
+    def drain(self) -> None:
+        """Close each connection after its answer from now on."""
+        self.draining = True
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = PeerMessage()
-                        _elem56.read(iprot)
-                        self.messages.append(_elem56)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = PeerMessage()
+                        _elem105.read(iprot)
+                        self.messages.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter57 in self.messages:
-                iter57.write(oprot)
+            for iter106 in self.messages:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -1429,6 +1429,211 @@
         return not (self == other)
 
 
+class AccountCount(object):
+    """
+    Attributes:
+     - account
+     - window
+     - count
+
+    """
+
+    __slots__ = (
+        'account',
+        'window',
+        'count',
+    )
+
+
+    def __init__(self, account=None, window=None, count=None,):
+        self.account = account
+        self.window = window
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountCount')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 2)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UsageReport(object):
+    """
+    Attributes:
+     - fence
+     - window
+     - counts
+     - written_at
+
+    """
+
+    __slots__ = (
+        'fence',
+        'window',
+        'counts',
+        'written_at',
+    )
+
+
+    def __init__(self, fence=None, window=None, counts=None, written_at=None,):
+        self.fence = fence
+        self.window = window
+        self.counts = counts
+        self.written_at = written_at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = AccountCount()
+                        _elem12.read(iprot)
+                        self.counts.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.written_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UsageReport')
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 1)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 2)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter13 in self.counts:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.written_at is not None:
+            oprot.writeFieldBegin('written_at', TType.DOUBLE, 4)
+            oprot.writeDouble(self.written_at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Record(object):
     """
     Attributes:
@@ -1444,6 +1649,7 @@
      - lease_claim
      - lease_renew
      - mark
+     - usage_report
 
     """
 
@@ -1460,10 +1666,11 @@
         'lease_claim',
         'lease_renew',
         'mark',
+        'usage_report',
     )
 
 
-    def __init__(self, record_id=None, accept=None, dispatch=None, takeover=None, refuse=None, outcome=None, restate=None, profile_change=None, profile_snapshot=None, lease_claim=None, lease_renew=None, mark=None,):
+    def __init__(self, record_id=None, accept=None, dispatch=None, takeover=None, refuse=None, outcome=None, restate=None, profile_change=None, profile_snapshot=None, lease_claim=None, lease_renew=None, mark=None, usage_report=None,):
         self.record_id = record_id
         self.accept = accept
         self.dispatch = dispatch
@@ -1476,6 +1683,7 @@
         self.lease_claim = lease_claim
         self.lease_renew = lease_renew
         self.mark = mark
+        self.usage_report = usage_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1557,6 +1765,12 @@
                     self.mark.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.usage_report = UsageReport()
+                    self.usage_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1615,6 +1829,10 @@
             oprot.writeFieldBegin('mark', TType.STRUCT, 12)
             self.mark.write(oprot)
             oprot.writeFieldEnd()
+        if self.usage_report is not None:
+            oprot.writeFieldBegin('usage_report', TType.STRUCT, 13)
+            self.usage_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1801,22 +2019,22 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.applied = {}
-                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
-                    for _i11 in range(_size7):
-                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val13 = iprot.readI64()
-                        self.applied[_key12] = _val13
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val20 = iprot.readI64()
+                        self.applied[_key19] = _val20
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = HostNotice()
-                        _elem19.read(iprot)
-                        self.notices.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = HostNotice()
+                        _elem26.read(iprot)
+                        self.notices.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1862,16 +2080,16 @@
         if self.applied is not None:
             oprot.writeFieldBegin('applied', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.applied))
-            for kiter20, viter21 in self.applied.items():
-                oprot.writeString(kiter20.encode('utf-8') if sys.version_info[0] == 2 else kiter20)
-                oprot.writeI64(viter21)
+            for kiter27, viter28 in self.applied.items():
+                oprot.writeString(kiter27.encode('utf-8') if sys.version_info[0] == 2 else kiter27)
+                oprot.writeI64(viter28)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter22 in self.notices:
-                iter22.write(oprot)
+            for iter29 in self.notices:
+                iter29.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
@@ -2067,11 +2285,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.lineage = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = Parting()
-                        _elem28.read(iprot)
-                        self.lineage.append(_elem28)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = Parting()
+                        _elem35.read(iprot)
+                        self.lineage.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2093,10 +2311,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype32, _size29) = iprot.readListBegin()
-                    for _i33 in range(_size29):
-                        _elem34 = iprot.readI32()
-                        self.tokens.append(_elem34)
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = iprot.readI32()
+                        self.tokens.append(_elem41)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2140,8 +2358,8 @@
         if self.lineage is not None:
             oprot.writeFieldBegin('lineage', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.lineage))
-            for iter35 in self.lineage:
-                iter35.write(oprot)
+            for iter42 in self.lineage:
+                iter42.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.account is not None:
@@ -2159,8 +2377,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter36 in self.tokens:
-                oprot.writeI32(iter36)
+            for iter43 in self.tokens:
+                oprot.writeI32(iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.deadline_s is not None:
@@ -2381,10 +2599,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = iprot.readI32()
-                        self.tokens.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = iprot.readI32()
+                        self.tokens.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2427,8 +2645,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter43 in self.tokens:
-                oprot.writeI32(iter43)
+            for iter50 in self.tokens:
+                oprot.writeI32(iter50)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engine is not None:
@@ -3291,11 +3509,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = NewsRecord()
-                        _elem49.read(iprot)
-                        self.records.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = NewsRecord()
+                        _elem56.read(iprot)
+                        self.records.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3316,8 +3534,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter50 in self.records:
-                iter50.write(oprot)
+            for iter57 in self.records:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3345,59 +3563,23 @@
         return not (self == other)
 
 
-class PeerMessage(object):
+class AccountDemand(object):
     """
     Attributes:
-     - heartbeat
-     - hold
-     - hold_ack
-     - extend
-     - finish
-     - handover
-     - stop
-     - claim_handover
-     - news_request
-     - news
-     - drop
-     - find
-     - found
-     - host_notice
+     - account
+     - rate
 
     """
 
     __slots__ = (
-        'heartbeat',
-        'hold',
-        'hold_ack',
-        'extend',
-        'finish',
-        'handover',
-        'stop',
-        'claim_handover',
-        'news_request',
-        'news',
-        'drop',
-        'find',
-        'found',
-        'host_notice',
+        'account',
+        'rate',
     )
 
 
-    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None,):
-        self.heartbeat = heartbeat
-        self.hold = hold
-        self.hold_ack = hold_ack
-        self.extend = extend
-        self.finish = finish
-        self.handover = handover
-        self.stop = stop
-        self.claim_handover = claim_handover
-        self.news_request = news_request
-        self.news = news
-        self.drop = drop
-        self.find = find
-        self.found = found
-        self.host_notice = host_notice
+    def __init__(self, account=None, rate=None,):
+        self.account = account
+        self.rate = rate
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3409,39 +3591,971 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.heartbeat = Heartbeat()
-                    self.heartbeat.read(iprot)
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.hold = Hold()
-                    self.hold.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRUCT:
-                    self.hold_ack = HoldAck()
-                    self.hold_ack.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRUCT:
-                    self.extend = Extend()
-                    self.extend.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRUCT:
-                    self.finish = Finish()
-                    self.finish.read(iprot)
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRUCT:
-                    self.handover = Handover()
-                    self.handover.read(iprot)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountDemand')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UsageCount(object):
+    """
+    Attributes:
+     - account
+     - window
+     - count
+
+    """
+
+    __slots__ = (
+        'account',
+        'window',
+        'count',
+    )
+
+
+    def __init__(self, account=None, window=None, count=None,):
+        self.account = account
+        self.window = window
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UsageCount')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 2)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineLoad(object):
+    """
+    Attributes:
+     - engine
+     - running
+     - unread_tokens
+
+    """
+
+    __slots__ = (
+        'engine',
+        'running',
+        'unread_tokens',
+    )
+
+
+    def __init__(self, engine=None, running=None, unread_tokens=None,):
+        self.engine = engine
+        self.running = running
+        self.unread_tokens = unread_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.unread_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineLoad')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 2)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.unread_tokens is not None:
+            oprot.writeFieldBegin('unread_tokens', TType.I32, 3)
+            oprot.writeI32(self.unread_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLoad(object):
+    """
+    Attributes:
+     - backend
+     - tokens_rate
+     - running
+
+    """
+
+    __slots__ = (
+        'backend',
+        'tokens_rate',
+        'running',
+    )
+
+
+    def __init__(self, backend=None, tokens_rate=None, running=None,):
+        self.backend = backend
+        self.tokens_rate = tokens_rate
+        self.running = running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.backend = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.tokens_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLoad')
+        if self.backend is not None:
+            oprot.writeFieldBegin('backend', TType.STRING, 1)
+            oprot.writeString(self.backend.encode('utf-8') if sys.version_info[0] == 2 else self.backend)
+            oprot.writeFieldEnd()
+        if self.tokens_rate is not None:
+            oprot.writeFieldBegin('tokens_rate', TType.DOUBLE, 2)
+            oprot.writeDouble(self.tokens_rate)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 3)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineEntry(object):
+    """
+    Attributes:
+     - engine
+     - backend
+     - address
+     - zone
+     - slots
+     - leaving
+     - leaves_s
+     - spot
+     - born
+     - gone
+     - offset
+
+    """
+
+    __slots__ = (
+        'engine',
+        'backend',
+        'address',
+        'zone',
+        'slots',
+        'leaving',
+        'leaves_s',
+        'spot',
+        'born',
+        'gone',
+        'offset',
+    )
+
+
+    def __init__(self, engine=None, backend=None, address=None, zone=None, slots=None, leaving=None, leaves_s=None, spot=None, born=None, gone=None, offset=None,):
+        self.engine = engine
+        self.backend = backend
+        self.address = address
+        self.zone = zone
+        self.slots = slots
+        self.leaving = leaving
+        self.leaves_s = leaves_s
+        self.spot = spot
+        self.born = born
+        self.gone = gone
+        self.offset = offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.backend = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.leaves_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.spot = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineEntry')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.backend is not None:
+            oprot.writeFieldBegin('backend', TType.STRING, 2)
+            oprot.writeString(self.backend.encode('utf-8') if sys.version_info[0] == 2 else self.backend)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 4)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 5)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.leaves_s is not None:
+            oprot.writeFieldBegin('leaves_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.leaves_s)
+            oprot.writeFieldEnd()
+        if self.spot is not None:
+            oprot.writeFieldBegin('spot', TType.BOOL, 8)
+            oprot.writeBool(self.spot)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 9)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 10)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 11)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Beat(object):
+    """
+    Attributes:
+     - identity
+     - host
+     - zone
+     - caller_address
+     - peer_address
+     - ready
+     - leaving
+     - true_time
+     - version
+     - config_age
+     - fleet_end
+     - fleet_age
+     - lease_fence
+     - peers
+     - demands
+     - usage
+     - engines
+     - services
+     - entries
+     - document
+
+    """
+
+    __slots__ = (
+        'identity',
+        'host',
+        'zone',
+        'caller_address',
+        'peer_address',
+        'ready',
+        'leaving',
+        'true_time',
+        'version',
+        'config_age',
+        'fleet_end',
+        'fleet_age',
+        'lease_fence',
+        'peers',
+        'demands',
+        'usage',
+        'engines',
+        'services',
+        'entries',
+        'document',
+    )
+
+
+    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None,):
+        self.identity = identity
+        self.host = host
+        self.zone = zone
+        self.caller_address = caller_address
+        self.peer_address = peer_address
+        self.ready = ready
+        self.leaving = leaving
+        self.true_time = true_time
+        self.version = version
+        self.config_age = config_age
+        self.fleet_end = fleet_end
+        self.fleet_age = fleet_age
+        self.lease_fence = lease_fence
+        self.peers = peers
+        self.demands = demands
+        self.usage = usage
+        self.engines = engines
+        self.services = services
+        self.entries = entries
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.caller_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.true_time = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.config_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.fleet_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.fleet_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.lease_fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.peers = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = AccountDemand()
+                        _elem69.read(iprot)
+                        self.demands.append(_elem69)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = UsageCount()
+                        _elem75.read(iprot)
+                        self.usage.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = EngineLoad()
+                        _elem81.read(iprot)
+                        self.engines.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = ServiceLoad()
+                        _elem87.read(iprot)
+                        self.services.append(_elem87)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = EngineEntry()
+                        _elem93.read(iprot)
+                        self.entries.append(_elem93)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Beat')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.caller_address is not None:
+            oprot.writeFieldBegin('caller_address', TType.STRING, 4)
+            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
+            oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 5)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 6)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.true_time is not None:
+            oprot.writeFieldBegin('true_time', TType.DOUBLE, 8)
+            oprot.writeDouble(self.true_time)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 9)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.config_age is not None:
+            oprot.writeFieldBegin('config_age', TType.DOUBLE, 10)
+            oprot.writeDouble(self.config_age)
+            oprot.writeFieldEnd()
+        if self.fleet_end is not None:
+            oprot.writeFieldBegin('fleet_end', TType.I64, 11)
+            oprot.writeI64(self.fleet_end)
+            oprot.writeFieldEnd()
+        if self.fleet_age is not None:
+            oprot.writeFieldBegin('fleet_age', TType.DOUBLE, 12)
+            oprot.writeDouble(self.fleet_age)
+            oprot.writeFieldEnd()
+        if self.lease_fence is not None:
+            oprot.writeFieldBegin('lease_fence', TType.I64, 13)
+            oprot.writeI64(self.lease_fence)
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.peers))
+            for iter94 in self.peers:
+                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter95 in self.demands:
+                iter95.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter96 in self.usage:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.engines))
+            for iter97 in self.engines:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter98 in self.services:
+                iter98.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter99 in self.entries:
+                iter99.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 20)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PeerMessage(object):
+    """
+    Attributes:
+     - heartbeat
+     - hold
+     - hold_ack
+     - extend
+     - finish
+     - handover
+     - stop
+     - claim_handover
+     - news_request
+     - news
+     - drop
+     - find
+     - found
+     - host_notice
+     - beat
+
+    """
+
+    __slots__ = (
+        'heartbeat',
+        'hold',
+        'hold_ack',
+        'extend',
+        'finish',
+        'handover',
+        'stop',
+        'claim_handover',
+        'news_request',
+        'news',
+        'drop',
+        'find',
+        'found',
+        'host_notice',
+        'beat',
+    )
+
+
+    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None,):
+        self.heartbeat = heartbeat
+        self.hold = hold
+        self.hold_ack = hold_ack
+        self.extend = extend
+        self.finish = finish
+        self.handover = handover
+        self.stop = stop
+        self.claim_handover = claim_handover
+        self.news_request = news_request
+        self.news = news
+        self.drop = drop
+        self.find = find
+        self.found = found
+        self.host_notice = host_notice
+        self.beat = beat
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.heartbeat = Heartbeat()
+                    self.heartbeat.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.hold = Hold()
+                    self.hold.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.hold_ack = HoldAck()
+                    self.hold_ack.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.extend = Extend()
+                    self.extend.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.finish = Finish()
+                    self.finish.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.handover = Handover()
+                    self.handover.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
@@ -3492,6 +4606,12 @@
                     self.host_notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.beat = Beat()
+                    self.beat.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3558,6 +4678,10 @@
             oprot.writeFieldBegin('host_notice', TType.STRUCT, 14)
             self.host_notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.beat is not None:
+            oprot.writeFieldBegin('beat', TType.STRUCT, 15)
+            self.beat.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3690,6 +4814,21 @@
     (2, TType.DOUBLE, 'horizon', None, None, ),  # 2
     (3, TType.DOUBLE, 'written_at', None, None, ),  # 3
 )
+all_structs.append(AccountCount)
+AccountCount.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'window', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(UsageReport)
+UsageReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fence', None, None, ),  # 1
+    (2, TType.I64, 'window', None, None, ),  # 2
+    (3, TType.LIST, 'counts', (TType.STRUCT, [AccountCount, None], False), None, ),  # 3
+    (4, TType.DOUBLE, 'written_at', None, None, ),  # 4
+)
 all_structs.append(Record)
 Record.thrift_spec = (
     None,  # 0
@@ -3705,6 +4844,7 @@
     (10, TType.STRUCT, 'lease_claim', [LeaseClaim, None], None, ),  # 10
     (11, TType.STRUCT, 'lease_renew', [LeaseRenew, None], None, ),  # 11
     (12, TType.STRUCT, 'mark', [Mark, None], None, ),  # 12
+    (13, TType.STRUCT, 'usage_report', [UsageReport, None], None, ),  # 13
 )
 all_structs.append(HostNotice)
 HostNotice.thrift_spec = (
@@ -3833,6 +4973,72 @@
     (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'records', (TType.STRUCT, [NewsRecord, None], False), None, ),  # 2
 )
+all_structs.append(AccountDemand)
+AccountDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'rate', None, None, ),  # 2
+)
+all_structs.append(UsageCount)
+UsageCount.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'window', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(EngineLoad)
+EngineLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'running', None, None, ),  # 2
+    (3, TType.I32, 'unread_tokens', None, None, ),  # 3
+)
+all_structs.append(ServiceLoad)
+ServiceLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'backend', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'tokens_rate', None, None, ),  # 2
+    (3, TType.I32, 'running', None, None, ),  # 3
+)
+all_structs.append(EngineEntry)
+EngineEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'backend', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'zone', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'slots', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.DOUBLE, 'leaves_s', None, None, ),  # 7
+    (8, TType.BOOL, 'spot', None, None, ),  # 8
+    (9, TType.I64, 'born', None, None, ),  # 9
+    (10, TType.BOOL, 'gone', None, None, ),  # 10
+    (11, TType.I64, 'offset', None, None, ),  # 11
+)
+all_structs.append(Beat)
+Beat.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'caller_address', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'peer_address', 'UTF8', None, ),  # 5
+    (6, TType.BOOL, 'ready', None, None, ),  # 6
+    (7, TType.BOOL, 'leaving', None, None, ),  # 7
+    (8, TType.DOUBLE, 'true_time', None, None, ),  # 8
+    (9, TType.I64, 'version', None, None, ),  # 9
+    (10, TType.DOUBLE, 'config_age', None, None, ),  # 10
+    (11, TType.I64, 'fleet_end', None, None, ),  # 11
+    (12, TType.DOUBLE, 'fleet_age', None, None, ),  # 12
+    (13, TType.I64, 'lease_fence', None, None, ),  # 13
+    (14, TType.LIST, 'peers', (TType.STRING, 'UTF8', False), None, ),  # 14
+    (15, TType.LIST, 'demands', (TType.STRUCT, [AccountDemand, None], False), None, ),  # 15
+    (16, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 16
+    (17, TType.LIST, 'engines', (TType.STRUCT, [EngineLoad, None], False), None, ),  # 17
+    (18, TType.LIST, 'services', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 18
+    (19, TType.LIST, 'entries', (TType.STRUCT, [EngineEntry, None], False), None, ),  # 19
+    (20, TType.STRING, 'document', 'BINARY', None, ),  # 20
+)
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
     None,  # 0
@@ -3850,6 +5056,7 @@
     (12, TType.STRUCT, 'find', [Find, None], None, ),  # 12
     (13, TType.STRUCT, 'found', [Found, None], None, ),  # 13
     (14, TType.STRUCT, 'host_notice', [HostNotice, None], None, ),  # 14
+    (15, TType.STRUCT, 'beat', [Beat, None], None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/magnoliaflow_standins/fleet.py
+++ b/src/magnoliaflow_standins/fleet.py
@@ -24,8 +24,8 @@
 
 from magnoliaflow.client import Client
 from magnoliaflow.common.loop import reactor
-from magnoliaflow.common.settings import load_settings
 from magnoliaflow.common.settings import Settings
+from magnoliaflow.common.settingsfile import load_settings
 
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 40.0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 from yaml import safe_load
 
-from magnoliaflow.common.settings import load_settings
+from magnoliaflow.common.settingsfile import load_settings
 from world import World
 
 settings.register_profile(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,7 @@
 
 from magnoliaflow.cli import main
 from magnoliaflow.common.errors import SettingsError
-from magnoliaflow.common.settings import load_settings
+from magnoliaflow.common.settingsfile import load_settings
 
 FAULTS = [
     (("deployment",), None, "deployment"),
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -17,7 +17,7 @@
 from yaml import safe_load
 
 from magnoliaflow.common.codes import Code
-from magnoliaflow.common.settings import load_settings
+from magnoliaflow.common.settingsfile import load_settings
 from magnoliaflow.core.inputs import Submitted
 from magnoliaflow.work.requests import Role
 from workload import capacity
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -35,7 +35,7 @@
 from magnoliaflow.common.records import Outcome
 from magnoliaflow.common.records import ProfileChange
 from magnoliaflow.common.records import Record
-from magnoliaflow.common.settings import load_settings
+from magnoliaflow.common.settingsfile import load_settings
 from magnoliaflow.core.inputs import MessageArrived
 from magnoliaflow.core.inputs import PieceArrived
 from magnoliaflow.core.inputs import ReadRecord
