Order reclaimable engines with redundancy; grant caps up to what is tolerated

On-demand engines are now begun only while reclaimable ones are refused or being taken back, and fewer are wanted only when a higher load would do.

--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -51,7 +51,6 @@
 # An idempotent call without any answer for this share of its objective is
 # sent once more: the engine may be gone without a sign.
 HEDGE_SHARE = 1.0
-UNCACHED_GUESS = 0.6
 
 
 class CallRun:
@@ -117,10 +116,8 @@
         if not self.resolve():
             return
         self._arm()
-        if not self._charge():
-            return
-        self._note_demand()
-        self.dispatch()
+        if self._charge():
+            self.dispatch()
 
     def resolve(self) -> bool:
         """Find route and account in the configuration now in force.
@@ -181,10 +178,6 @@
         self.charged = amount
         return True
 
-    def _note_demand(self) -> None:
-        flow = self.state.flows[self.service]
-        flow.demand.note(self.call.prompt_tokens * UNCACHED_GUESS, boot_time())
-
     def dispatch(self) -> None:
         """Send the request to the best engine, or let it wait for one."""
         if self.done:
@@ -203,6 +196,9 @@
             return
         self.state.waiting.pop(self.key, None)
         engine = self.state.view.engines[pick.engine]
+        if not self.engines_sent:
+            flow = self.state.flows[self.service]
+            flow.demand.note(pick.uncached_tokens, now)
         if self._model() and first_token_s(engine, 0) > left_s:
             self.refuse(Code.DEADLINE_UNREACHABLE, first_token_s(engine, 0))
             return
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -132,7 +132,7 @@
         from twisted.web.server import Site as WebSite
 
         root = Resource()
-        resource = MetricsResource(registry=self.state.metrics.registry)
+        resource: Any = MetricsResource(registry=self.state.metrics.registry)
         root.putChild(b"metrics", resource)
         self._listen(
             f"{self.site.peer_address.rpartition(':')[0]}:{self.metrics_port}",
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -53,6 +53,7 @@
         "orders",
         "peaks",
         "state",
+        "totals",
     )
 
     def __init__(self, state: EntryState, cloud: CloudClient) -> None:
@@ -62,6 +63,7 @@
         self.first_load_at = inf
         self.held = False
         self.orders: dict[tuple[str, str, bool], Order] = {}
+        self.totals: dict[str, int] = {}
         self.peaks: dict[str, list[tuple[float, Load]]] = {}
 
     def step(self, now: float) -> None:
@@ -79,6 +81,7 @@
             # Orders of the holder before are not known here.
             self.held = True
             self.orders.clear()
+            self.totals.clear()
         for service in scaled:
             self._plan(service, loads[service.name], now)
 
@@ -113,7 +116,15 @@
             standing = sum(row.on_demand + row.spot for row in supplies)
             rate = standing * USUAL_PREFILL_RATE * PLANNED_USE
             load = Load(max(load.tokens_per_s, rate), load.running)
-        for row in plan_engines(scaling, supplies, load, USUAL_PREFILL_RATE):
+        plan = plan_engines(
+            scaling,
+            supplies,
+            load,
+            USUAL_PREFILL_RATE,
+            before=self.totals.get(service.name, 0),
+        )
+        self.totals[service.name] = sum(row.spot for row in plan)
+        for row in plan:
             supply = next(item for item in supplies if item.zone == row.zone)
             self._order(service, scaling, row, supply, now)
 
@@ -145,6 +156,19 @@
         return sorted(seen)
 
     def _open(self, service: str, zone: str, now: float) -> bool:
+        """Return whether reclaimable engines may be had in a zone.
+
+        Not while some are being taken back there, nor after a refusal.
+        """
+        if any(
+            row.spot
+            and row.leaving
+            and not row.gone
+            and row.leaves_s > 0
+            and (row.service, row.zone) == (service, zone)
+            for row in self.state.registry.rows.values()
+        ):
+            return False
         order = self.orders.get((service, zone, True))
         return order is None or now >= order.pause_until
 
--- a/src/magnoliaflow/policy/caps.py
+++ b/src/magnoliaflow/policy/caps.py
@@ -5,8 +5,11 @@
 """
 
 from dataclasses import dataclass
+from math import log
 
-DEMAND_S = 2.0
+# Half-life of a demand: a few requests of even a small account.
+DEMAND_S = 4.0
+LN2 = log(2)
 # Part of a cap that is dealt by demand; the rest is dealt evenly, so that a
 # host on which an account turns up can serve its first requests.
 BY_DEMAND = 0.85
@@ -21,15 +24,16 @@
 
     rate: float = 0.0
     at: float = 0.0
+    half_s: float = DEMAND_S
 
     def note(self, amount: float, now: float) -> None:
         """Count what was asked for, granted or not."""
-        self.rate = self.current(now) + amount / DEMAND_S
+        self.rate = self.current(now) + amount * LN2 / self.half_s
         self.at = now
 
     def current(self, now: float) -> float:
         """Return the rate, which decays while nothing is asked for."""
-        return self.rate * 0.5 ** ((now - self.at) / DEMAND_S)
+        return self.rate * 0.5 ** ((now - self.at) / self.half_s)
 
 
 @dataclass(slots=True)
--- a/src/magnoliaflow/policy/events.py
+++ b/src/magnoliaflow/policy/events.py
@@ -29,7 +29,7 @@
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that the bytes complete."""
         self.rest += data
-        events = []
+        events: list[Event] = []
         while True:
             end, width = _boundary(self.rest)
             if end < 0:
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -16,6 +16,9 @@
 PLANNED_USE = 0.6
 # Share that may be used for the seconds after a zone was lost.
 STRAINED_USE = 0.85
+# A load this much higher must do with fewer engines before any is given
+# back, so that a wave about a limit does not start and stop engines.
+RAISED = 1.2
 # Requests at once at which an engine's tokens still come in good time.
 PLANNED_RUNNING = 28
 
@@ -61,12 +64,17 @@
     supplies: Iterable[ZoneSupply],
     load: Load,
     prefill_rate: float,
+    *,
+    before: int = 0,
 ) -> list[Wanted]:
     """Return what to have in each zone.
 
     Reclaimable engines carry the load, so many that it stands the loss of
-    any zone's.  On-demand ones fill in where the reclaimable ones that
-    stand, less those of the fullest zone, would not do.
+    any zone's.  Both kinds take the same time to start: on-demand ones are
+    begun only while reclaimable ones are not to be had, and stay until
+    enough of those stand.  ``before`` is how many reclaimable ones were
+    wanted last; fewer are wanted only once a higher load would also do
+    with fewer.
     """
     rows = sorted(
         supplies,
@@ -74,32 +82,43 @@
     )
     if not rows:
         return []
-    spots = _deal(
-        len(rows),
-        _spot_total(load, prefill_rate, len(rows)),
-        scaling.least,
-        scaling.most,
-    )
-    strained = ceil(engines_for(load, prefill_rate, STRAINED_USE))
-    standing = [min(row.spot, spot) for row, spot in zip(rows, spots)]
-    left = sum(standing) - max(standing)
-    missing = max(0, strained - left)
+    total = spot_total(load, prefill_rate, len(rows))
+    if total < before:
+        raised = Load(load.tokens_per_s * RAISED, load.running * RAISED)
+        total = min(before, spot_total(raised, prefill_rate, len(rows)))
+    spots = _deal(len(rows), total, scaling.least, scaling.most)
+    missing = _missing(rows, spots, load, prefill_rate)
     wanted = []
     for row, spot in zip(rows, spots):
-        room = scaling.most - min(row.spot, spot)
-        extra = min(missing, max(0, room))
+        extra = min(missing, scaling.most - min(row.spot, spot))
         missing -= extra
         wanted.append(Wanted(row.zone, extra, min(spot, scaling.most - extra)))
     return wanted
 
 
-def _spot_total(load: Load, prefill_rate: float, zones: int) -> int:
-    """Return how many reclaimable engines carry a load."""
-    usual = engines_for(load, prefill_rate, PLANNED_USE)
-    strained = engines_for(load, prefill_rate, STRAINED_USE)
-    if zones > 1:
-        strained *= zones / (zones - 1)
-    return ceil(max(usual, strained))
+def _missing(
+    rows: list[ZoneSupply], spots: list[int], load: Load, prefill_rate: float
+) -> int:
+    """Return how many on-demand engines to have."""
+    strained = ceil(engines_for(load, prefill_rate, STRAINED_USE))
+    standing = [min(row.spot, spot) for row, spot in zip(rows, spots)]
+    missing = max(0, strained - (sum(standing) - max(standing)))
+    if all(row.spot_open for row in rows):
+        return min(missing, sum(row.on_demand for row in rows))
+    return missing
+
+
+def spot_total(load: Load, prefill_rate: float, zones: int) -> int:
+    """Return how many reclaimable engines carry a load.
+
+    The most that stand in one zone are left out of what must do.
+    """
+    usual = ceil(engines_for(load, prefill_rate, PLANNED_USE))
+    strained = ceil(engines_for(load, prefill_rate, STRAINED_USE))
+    total = max(usual, strained)
+    while zones > 1 and total - ceil(total / zones) < strained:
+        total += 1
+    return total
 
 
 def _deal(zones: int, total: int, least: int, most: int) -> list[int]:
