--- a/src/magnoliaflow/cluster/leasekeeper.py
+++ b/src/magnoliaflow/cluster/leasekeeper.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from magnoliaflow.cluster.leases import LeaseBook
+from magnoliaflow.cluster.leases import NO_FENCE
 from magnoliaflow.common.records import LeaseClaim
 from magnoliaflow.common.records import LeaseRenew
 from magnoliaflow.common.records import Record
@@ -65,6 +66,20 @@
         """Return the fencing number in force."""
         return self.book.fence(self.name)
 
+    def record_age(self, now: float) -> float:
+        """Return the time since the holder began its last append."""
+        return now - self.book.valid_from.get(self.name, now)
+
+    @property
+    def last_offset(self) -> int:
+        """Return the offset of the last record of the lease."""
+        lease = self.book.leases.get(self.name)
+        return NO_FENCE if lease is None else lease.offset
+
+    def not_appended(self) -> None:
+        """Note that the last record of ``step`` never reached the log."""
+        self.waiting_until = -inf
+
     def settled(self, now: float) -> bool:
         """Return whether a former holder's orders have run out.
 
--- a/src/magnoliaflow/cluster/leases.py
+++ b/src/magnoliaflow/cluster/leases.py
@@ -14,13 +14,15 @@
 class Lease:
     """A lease as the log's order left it.
 
-    ``seen_at`` is this reader's monotonic time of the last record.
+    ``seen_at`` is this reader's monotonic time of the last record, and
+    ``offset`` the record's.
     """
 
     name: str
     holder: str
     fence: int
     seen_at: float
+    offset: int = NO_FENCE
 
 
 @dataclass(slots=True)
@@ -55,12 +57,14 @@
             if record.replaces != fence and not self.conditional:
                 return False
             self.leases[record.name] = Lease(
-                record.name, record.holder, offset, now
+                record.name, record.holder, offset, now, offset
             )
             return True
         if isinstance(record, LeaseRenew):
             if self.conditional:
-                self.note_holder(record.name, record.holder, record.fence, now)
+                self.note_holder(
+                    record.name, record.holder, record.fence, offset, now
+                )
                 return True
             if lease is None or record.fence != fence:
                 return False
@@ -69,11 +73,16 @@
         return False
 
     def note_holder(
-        self, name: str, holder: str, fence: int, now: float
+        self, name: str, holder: str, fence: int, offset: int, at: float
     ) -> None:
-        """Note a holder whose renewal stood on the log before ``now``."""
-        if fence >= self.fence(name):
-            self.leases[name] = Lease(name, holder, fence, now)
+        """Note the record at an offset, which stood on the log by ``at``."""
+        known = self.leases.get(name)
+        if known is not None and (fence, offset) <= (
+            known.fence,
+            known.offset,
+        ):
+            return
+        self.leases[name] = Lease(name, holder, fence, at, offset)
 
     def append_started(self, record_id: str, now: float) -> None:
         """Note when this process began to append its own record."""
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -224,8 +224,10 @@
 
     Ages are in seconds at the time of sending: ``config_age`` since the
     version was last confirmed as the newest, ``fleet_age`` since the
-    registrations up to ``fleet_end`` were.  ``lease_fence`` is -1 where
-    the sender holds no lease.  ``true_time`` is the sender's estimate.
+    registrations up to ``fleet_end`` were, ``lease_age`` since the sender
+    began the append of the lease's last record, at ``lease_offset``.
+    ``lease_fence`` is -1 where the sender holds no lease.  ``true_time`` is
+    the sender's estimate.
     """
 
     identity: str
@@ -241,6 +243,8 @@
     fleet_end: int
     fleet_age: float
     lease_fence: int
+    lease_offset: int
+    lease_age: float
     peers: tuple[str, ...]
     demands: tuple[AccountDemand, ...]
     usage: tuple[UsageCount, ...]
--- a/src/magnoliaflow/entry/apply.py
+++ b/src/magnoliaflow/entry/apply.py
@@ -76,6 +76,7 @@
         leaving=changed.leaving,
         gone=changed.gone,
         leaves_s=changed.leaves_s,
+        spot=changed.spot,
         offset=offset,
     )
     reborn = known is not None and known.born != changed.born
--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -100,6 +100,8 @@
         fleet_end=state.registry.end,
         fleet_age=min(1e6, now - state.fleet_at),
         lease_fence=(state.keeper.fence if state.keeper.holds(now) else -1),
+        lease_offset=state.keeper.last_offset,
+        lease_age=state.keeper.record_age(now),
         peers=tuple(row.beat.peer_address for row in state.hosts),
         demands=tuple(
             AccountDemand(name, rate)
@@ -146,7 +148,11 @@
         state.usage.take(message.identity, row.account, row.window, row.count)
     if message.lease_fence >= 0:
         state.keeper.book.note_holder(
-            DUTY_LEASE, message.identity, message.lease_fence, now
+            DUTY_LEASE,
+            message.identity,
+            message.lease_fence,
+            message.lease_offset,
+            now - message.lease_age,
         )
     _sum_loads(state, now)
     _set_clock(state, now)
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -21,6 +21,7 @@
 from magnoliaflow.platform.headers import refusal_headers
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.events import Event
+from magnoliaflow.policy.pacing import admit
 from magnoliaflow.policy.placing import first_token_s
 from magnoliaflow.policy.routes import Account
 from magnoliaflow.policy.routes import Kind
@@ -202,8 +203,25 @@
         if self._model() and first_token_s(engine, 0) > left_s:
             self.refuse(Code.DEADLINE_UNREACHABLE, first_token_s(engine, 0))
             return
+        wait_s = self._pace(engine, pick.uncached_tokens, now)
+        if wait_s > 0:
+            self.refuse(Code.DEADLINE_UNREACHABLE, wait_s)
+            return
         self._send(engine, pick.uncached_tokens, need, left_s)
 
+    def _pace(self, engine: Engine, uncached: int, now: float) -> float:
+        """Return 0 to admit a first send, or when to come back."""
+        bucket = self.state.paces.get(self.service)
+        if bucket is None or self.engines_sent or self.route is None:
+            return 0.0
+        return admit(
+            bucket,
+            uncached,
+            self.route.priority,
+            first_token_s(engine, 0),
+            now,
+        )
+
     def _policy(self) -> Any:
         return find_policy("first_token" if self._model() else "least_busy")
 
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -52,7 +52,7 @@
 IDENTITY_BYTES = 4
 # Callers go on to this host until the directory's answers have aged out
 # three times over; it still listens for that long.
-LEAVE_LISTEN_S = 4.0
+LEAVE_LISTEN_S = 3.3
 # Part of the grace period after which what is left is broken off.
 LEAVE_SHARE = 0.92
 LEAVE_LOOK_S = 0.1
--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -35,6 +35,10 @@
 # have come by then, also over a connection that had to be made anew.
 SETTLE_SHARE = 0.4
 READ_PAUSE_S = 0.3
+# A candidate that heard of no renewal for this share of the lease reads the
+# log for them, this often.
+LOOK_SHARE = 0.7
+LOOK_S = 0.8
 CALL_PAUSE_S = 0.5
 # Candidates of a large deployment spread their claims over this time.
 CLAIM_SPREAD_S = 0.4
@@ -53,6 +57,7 @@
         "read_to",
         "reports",
         "held",
+        "looked_at",
         "state",
         "store",
         "spread",
@@ -66,6 +71,7 @@
         self.busy = False
         self.held = False
         self.next_at = -inf
+        self.looked_at = -inf
         self.spread = state.rng.random() * CLAIM_SPREAD_S
         self.reports: dict[int, dict[str, int]] = {}
 
@@ -76,7 +82,7 @@
             return
         if self.state.phase >= Phase.DRAINING:
             return
-        if not self.caught_up:
+        if not self.caught_up or self._lapsing(now):
             self._run(self._read())
             return
         if not self.held and not self._claim_due(now):
@@ -85,6 +91,14 @@
         if record is not None:
             self._run(self.append(record))
 
+    def _lapsing(self, now: float) -> bool:
+        """Return whether to look for renewals that no beat told of."""
+        book = self.state.keeper.book
+        lease = book.leases.get(self.state.keeper.name)
+        if self.held or lease is None or now < self.looked_at + LOOK_S:
+            return False
+        return now > lease.seen_at + book.ttl_s * LOOK_SHARE
+
     def _claim_due(self, now: float) -> bool:
         """Return whether this candidate's turn to claim has come."""
         crowd = min(1.0, len(self.state.hosts) / SPREAD_HOSTS)
@@ -115,6 +129,7 @@
     @inlineCallbacks
     def _read(self) -> Any:
         """Read to the log's end."""
+        self.looked_at = boot_time()
         try:
             page = yield self.store.read(DUTY_TOPIC, self.read_to)
         except TrimmedError as exc:
@@ -158,6 +173,7 @@
             )
         except ConflictError:
             self.caught_up = False
+            self.state.keeper.not_appended()
             return False
         except PortError as exc:
             note_store_failure(self.state, "duties", exc)
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -4,6 +4,7 @@
 from math import inf
 from typing import Any
 
+from magnoliaflow.cluster.registry import Registration
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import StartRefusedError
 from magnoliaflow.common.eventlog import LogEvent
@@ -14,7 +15,6 @@
 from magnoliaflow.policy.routes import Service
 from magnoliaflow.policy.scaling import Load
 from magnoliaflow.policy.scaling import plan_engines
-from magnoliaflow.policy.scaling import PLANNED_USE
 from magnoliaflow.policy.scaling import Wanted
 from magnoliaflow.policy.scaling import ZoneSupply
 
@@ -24,21 +24,30 @@
 PEAK_S = 15.0
 # What stands is kept until this long after traffic was first seen, since
 # a process that has just started knows no load.
-UNKNOWN_S = 6.0
+UNKNOWN_S = 8.0
+# Use of the engines that stood at first which is assumed until then.
+ASSUMED_USE = 0.6
 # Time beyond the boot time after which an order that shows no effect is
 # sent again, and pause after a refusal.
 REPEAT_S = 2.0
 REFUSED_PAUSE_S = 2.0
+# A zone counts as without reclaimable engines for this long after a refusal
+# or a reclaim: the pause above and the time that one takes to start.
+CLOSED_S = 8.0
 FAILED_PAUSE_S = 0.5
 
 
 @dataclass(slots=True)
 class Order:
-    """The last order for one kind of engine in a zone."""
+    """The last order for one kind of engine in a zone.
+
+    ``filled``: as many stood since; fewer now means that some were lost.
+    """
 
     count: int
     at: float
     busy: bool = False
+    filled: bool = False
     pause_until: float = -inf
 
 
@@ -46,6 +55,8 @@
     """Keeps the number of engines at what the load needs."""
 
     __slots__ = (
+        "assumed",
+        "closed_until",
         "cloud",
         "due_at",
         "first_load_at",
@@ -60,10 +71,12 @@
         self.state = state
         self.cloud = cloud
         self.due_at = -inf
+        self.closed_until: dict[tuple[str, str], float] = {}
         self.first_load_at = inf
         self.held = False
         self.orders: dict[tuple[str, str, bool], Order] = {}
         self.totals: dict[str, int] = {}
+        self.assumed: dict[str, int] = {}
         self.peaks: dict[str, list[tuple[float, Load]]] = {}
 
     def step(self, now: float) -> None:
@@ -113,8 +126,11 @@
         assert scaling is not None
         supplies = self._supplies(service, now)
         if now < self.first_load_at + UNKNOWN_S:
-            standing = sum(row.on_demand + row.spot for row in supplies)
-            rate = standing * USUAL_PREFILL_RATE * PLANNED_USE
+            standing = self.assumed.setdefault(
+                service.name,
+                sum(row.on_demand + row.spot for row in supplies),
+            )
+            rate = standing * USUAL_PREFILL_RATE * ASSUMED_USE
             load = Load(max(load.tokens_per_s, rate), load.running)
         plan = plan_engines(
             scaling,
@@ -135,15 +151,16 @@
             if row.service == service.name and not row.gone and not row.leaving
         ]
         zones = self._zones(service)
-        return [
-            ZoneSupply(
-                zone,
-                sum(1 for row in rows if row.zone == zone and not row.spot),
-                sum(1 for row in rows if row.zone == zone and row.spot),
-                self._open(service.name, zone, now),
-            )
-            for zone in zones
-        ]
+        return [self._supply(service.name, zone, rows, now) for zone in zones]
+
+    def _supply(
+        self, name: str, zone: str, rows: list[Registration], now: float
+    ) -> ZoneSupply:
+        here = [row for row in rows if row.zone == zone]
+        spot = sum(1 for row in here if row.spot)
+        return ZoneSupply(
+            zone, len(here) - spot, spot, self._open(name, zone, spot, now)
+        )
 
     def _zones(self, service: Service) -> list[str]:
         """Return the zones in which a service was ever seen to run."""
@@ -155,22 +172,22 @@
         }
         return sorted(seen)
 
-    def _open(self, service: str, zone: str, now: float) -> bool:
+    def _open(
+        self, service: str, zone: str, standing: int, now: float
+    ) -> bool:
         """Return whether reclaimable engines may be had in a zone.
 
-        Not while some are being taken back there, nor after a refusal.
+        Not while some are being taken back there, nor for a while after
+        that or a refusal: they start no sooner than on-demand ones.
         """
-        if any(
-            row.spot
-            and row.leaving
-            and not row.gone
-            and row.leaves_s > 0
-            and (row.service, row.zone) == (service, zone)
-            for row in self.state.registry.rows.values()
-        ):
-            return False
         order = self.orders.get((service, zone, True))
-        return order is None or now >= order.pause_until
+        if order is not None and order.filled and standing < order.count:
+            order.filled = False
+            order.at = -inf
+            self.closed_until[(service, zone)] = now + CLOSED_S
+        elif order is not None and standing >= order.count > 0:
+            order.filled = True
+        return now >= self.closed_until.get((service, zone), -inf)
 
     def _order(
         self,
@@ -218,6 +235,8 @@
             order.count = -1
             refused = failure.check(StartRefusedError) is not None
             pause = REFUSED_PAUSE_S if refused else FAILED_PAUSE_S
+            if refused and spot:
+                self.closed_until[(service, zone)] = boot_time() + CLOSED_S
             order.pause_until = boot_time() + pause
             self.state.log(
                 LogEvent.DUTY_FAILED,
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -87,6 +87,7 @@
         "life",
         "logger",
         "metrics",
+        "paces",
         "peer_addresses",
         "registry",
         "rng",
@@ -131,6 +132,7 @@
         self.demands: dict[str, Demand] = defaultdict(Demand)
         self.told_demands: dict[str, float] = {}
         self.buckets: dict[str, Bucket] = {}
+        self.paces: dict[str, Bucket] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.usage = UsageBook(window_s=site.usage_window_s)
         self.keeper = LeaseKeeper(
--- /dev/null
+++ b/src/magnoliaflow/policy/pacing.py
@@ -0,0 +1,55 @@
+"""Pace at which prompts are admitted to a service's engines.
+
+The load it answers: more prompt tokens arrive than the engines can read.
+An engine reads prompts between the steps of the answers that it gives, so
+an engine that always has prompts to read gives its answers at a tenth of
+their speed and nearly all of them are late.  Refusing the excess at once
+keeps the rest on time.
+"""
+
+from collections.abc import Iterable
+
+from magnoliaflow.policy.caps import Bucket
+from magnoliaflow.policy.engines import Engine
+
+# Share of the engines' rate that is admitted; at more, the steps of running
+# answers stretch by more than their objectives allow.
+PACE_USE = 1.0
+# Seconds of the pace that may be admitted at once: an engine reads that
+# much within an objective.
+BURST_S = 0.9
+# Part of the burst that is kept for more urgent ranks, by rank.
+RESERVES = (0.0, 0.15, 0.3)
+# While the best engine's queue is shorter than this nothing is refused.
+QUEUE_BORNE_S = 0.35
+RETRY_LEAST_S = 0.25
+RETRY_MOST_S = 1.5
+
+
+def set_pace(bucket: Bucket, engines: Iterable[Engine], share: float) -> None:
+    """Set a host's pace from the engines that take work and its share."""
+    rate = sum(row.cfg.prefill_rate for row in engines) * PACE_USE
+    bucket.rate = rate
+    bucket.burst = rate * BURST_S
+    bucket.share = share
+
+
+def admit(
+    bucket: Bucket, tokens: int, rank: int, queue_s: float, now: float
+) -> float:
+    """Take a prompt's tokens; return 0, or the seconds to come back after.
+
+    ``rank`` is the route's priority, 0 first; ``queue_s`` is how long the
+    best engine will be reading what it has.
+    """
+    bucket.refill(now)
+    most = bucket.burst * bucket.share
+    reserve = RESERVES[min(rank, len(RESERVES) - 1)] * most
+    if queue_s < QUEUE_BORNE_S or bucket.level - reserve >= min(
+        tokens, most / 2
+    ):
+        bucket.level = max(-most, bucket.level - tokens)
+        return 0.0
+    lacking = reserve + min(tokens, most / 2) - bucket.level
+    pace = max(1.0, bucket.rate * bucket.share)
+    return min(RETRY_MOST_S, max(RETRY_LEAST_S, lacking / pace))
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -4130,6 +4130,8 @@
      - services
      - entries
      - document
+     - lease_offset
+     - lease_age
 
     """
 
@@ -4154,10 +4156,12 @@
         'services',
         'entries',
         'document',
+        'lease_offset',
+        'lease_age',
     )
 
 
-    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None,):
+    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None, lease_offset=None, lease_age=None,):
         self.identity = identity
         self.host = host
         self.zone = zone
@@ -4178,6 +4182,8 @@
         self.services = services
         self.entries = entries
         self.document = document
+        self.lease_offset = lease_offset
+        self.lease_age = lease_age
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4323,6 +4329,16 @@
                     self.document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.lease_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.DOUBLE:
+                    self.lease_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4431,6 +4447,14 @@
             oprot.writeFieldBegin('document', TType.STRING, 20)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
+        if self.lease_offset is not None:
+            oprot.writeFieldBegin('lease_offset', TType.I64, 21)
+            oprot.writeI64(self.lease_offset)
+            oprot.writeFieldEnd()
+        if self.lease_age is not None:
+            oprot.writeFieldBegin('lease_age', TType.DOUBLE, 22)
+            oprot.writeDouble(self.lease_age)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5038,6 +5062,8 @@
     (18, TType.LIST, 'services', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 18
     (19, TType.LIST, 'entries', (TType.STRUCT, [EngineEntry, None], False), None, ),  # 19
     (20, TType.STRING, 'document', 'BINARY', None, ),  # 20
+    (21, TType.I64, 'lease_offset', None, None, ),  # 21
+    (22, TType.DOUBLE, 'lease_age', None, None, ),  # 22
 )
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
