--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -25,6 +25,9 @@
 # What stands is kept until this long after traffic was first seen, since
 # a process that has just started knows no load.
 UNKNOWN_S = 8.0
+# Time after this process's start until every engine that stands has had the
+# time to register: three of its heartbeats.
+LISTED_S = 4.0
 # Use of the engines that stood at first which is assumed until then.
 ASSUMED_USE = 0.6
 # Time beyond the boot time after which an order that shows no effect is
@@ -83,6 +86,8 @@
         """Look at every scaled service."""
         if now < self.due_at or self.state.book is None:
             return
+        if now < self.state.started_at + LISTED_S:
+            return
         self.due_at = now + PERIOD_S
         services = self.state.book.services.values()
         scaled = [row for row in services if row.scaling is not None]
@@ -126,10 +131,9 @@
         assert scaling is not None
         supplies = self._supplies(service, now)
         if now < self.first_load_at + UNKNOWN_S:
-            standing = self.assumed.setdefault(
-                service.name,
-                sum(row.on_demand + row.spot for row in supplies),
-            )
+            bought = sum(row.on_demand for row in supplies)
+            standing = max(bought, self.assumed.get(service.name, 0))
+            self.assumed[service.name] = standing
             rate = standing * USUAL_PREFILL_RATE * ASSUMED_USE
             load = Load(max(load.tokens_per_s, rate), load.running)
         plan = plan_engines(
