--- a/src/magnoliaflow/entry/follow.py
+++ b/src/magnoliaflow/entry/follow.py
@@ -111,13 +111,12 @@
 class FleetFollower:
     """Keeps the engines' registrations."""
 
-    __slots__ = ("last_read_at", "listed", "state", "store")
+    __slots__ = ("listed", "state", "store")
 
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self.state = state
         self.store = store
         self.listed = False
-        self.last_read_at = -inf
 
     @inlineCallbacks
     def run(self) -> Any:
@@ -156,29 +155,51 @@
             page = yield self.store.read(ENGINES_TOPIC, registry.end)
         else:
             page = yield self.store.newest(ENGINES_TOPIC)
-        after_outage = began - self.last_read_at > OUTAGE_S
-        self._take(page, defer_removals=after_outage and self.listed)
+        outage = began - self.state.fleet_at > OUTAGE_S and self.listed
+        self._take(page, lapsed=outage)
         if not self.listed:
             present = {row.key for row in page.entries if row.value}
             for name in registry.missing(present):
                 self._apply(name, None, page.end)
         self.listed = True
-        self.last_read_at = boot_time()
         registry.advance(page.end)
         self.state.fleet_at = max(self.state.fleet_at, began)
 
-    def _take(self, page: Page, *, defer_removals: bool) -> None:
+    def _take(self, page: Page, *, lapsed: bool) -> None:
+        """Apply the newest entry of each engine in a page.
+
+        ``lapsed``: after an outage.  Removals that would leave a service
+        without any engine then wait, since live engines register again.
+        """
         newest = {entry.key: entry for entry in page.entries if entry.key}
+        rows = {
+            name: decode_registration(name, entry.value)
+            for name, entry in newest.items()
+            if entry.value is not None
+        }
+        for name, entry in newest.items():
+            if rows.get(name) is not None:
+                self._apply(name, rows[name], entry.offset)
         for name, entry in newest.items():
-            row = None
-            if entry.value is not None:
-                row = decode_registration(name, entry.value)
-            if row is None and defer_removals:
+            if rows.get(name) is not None:
+                continue
+            if lapsed and self._is_last(name):
                 reactor.callLater(
                     LAPSED_WAIT_S, self._apply, name, None, entry.offset
                 )
                 continue
-            self._apply(name, row, entry.offset)
+            self._apply(name, None, entry.offset)
+
+    def _is_last(self, name: str) -> bool:
+        """Return whether a service has no other engine listed."""
+        known = self.state.registry.rows
+        row = known.get(name)
+        return row is not None and not any(
+            other.service == row.service
+            and other.engine_id != name
+            and not other.gone
+            for other in known.values()
+        )
 
     def _apply(self, name: str, row: Registration | None, offset: int) -> None:
         apply_registration(self.state, name, row, offset)
