--- a/src/magnoliaflow/entry/apply.py
+++ b/src/magnoliaflow/entry/apply.py
@@ -18,7 +18,7 @@
 USUAL_PREFILL_RATE = 30_000.0
 # Part of what the bound tolerates beyond a cap that is granted, so that
 # uneven shares do not refuse what an account may ask.
-OVERAGE_SHARE = 0.75
+OVERAGE_SHARE = 0.5
 
 
 def apply_document(state: EntryState, book: RouteBook, data: bytes) -> bool:
--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -1,5 +1,7 @@
 """Beats between entry hosts: signs of life with what others need."""
 
+from xxhash import xxh64_intdigest
+
 from magnoliaflow.cluster.peers import PeerLinks
 from magnoliaflow.cluster.registry import Registration
 from magnoliaflow.common.clocks import boot_time
@@ -29,6 +31,13 @@
 FORGET_S = 30.0
 # Addresses that never answered are asked this much less often.
 COLD_FACTOR = 8
+# Hosts that pass news on to one host beside the holder of the duties.
+HELPERS = 3
+# A configuration is passed on to a host that still lacks it this long after
+# it came: its own long poll is faster.
+OWN_READ_S = 0.5
+# Registrations older than this at a host are renewed by its helpers.
+STALE_S = 1.0
 # Part of the difference between clocks that one beat corrects.
 CLOCK_STEP = 0.5
 SMALL_CLOCK_GAP_S = 0.02
@@ -63,7 +72,10 @@
         }
         warm = {row.beat.peer_address: row for row in state.hosts}
         for address, host in warm.items():
-            self.links.send(address, make_beat(state, now, host))
+            beat = make_beat(
+                state, now, host, full=self.round % COLD_FACTOR == 1
+            )
+            self.links.send(address, beat)
         if self.round % COLD_FACTOR == 1:
             own = state.site.peer_address
             for address in state.peer_addresses:
@@ -79,13 +91,53 @@
             state.log(LogEvent.PEER_DEAD, host=row.name)
 
 
-def make_beat(state: EntryState, now: float, host: Host | None) -> Beat:
-    """Return this host's beat; what ``host`` has already is left out."""
-    known = -1 if host is None else host.beat.fleet_end
-    version = -1 if host is None else host.beat.version
+def helps(state: EntryState, host: Host) -> bool:
+    """Return whether this host passes news on to another.
+
+    Each host has a few helpers, so that news reach one that the store
+    turns away, and a large deployment does not send them to it from all.
+    """
+    rivals = [row.name for row in state.hosts if row.name != host.name]
+    own = _help_score(state.site.host, host.name)
+    before = sum(1 for name in rivals if _help_score(name, host.name) > own)
+    return before < HELPERS
+
+
+def _help_score(helper: str, host: str) -> int:
+    return int(xxh64_intdigest(f"{helper}>{host}".encode()))
+
+
+def _news_for(
+    state: EntryState, now: float, host: Host
+) -> tuple[tuple[EngineEntry, ...], bytes]:
+    """Return the engines' entries and the configuration a host lacks."""
+    beat = host.beat
+    helper = helps(state, host)
+    entries: tuple[EngineEntry, ...] = ()
+    if state.keeper.holds(now) or (helper and beat.fleet_age > STALE_S):
+        rows = state.registry.changed_since(beat.fleet_end)
+        entries = tuple(_entry(row) for row in rows)
     book = state.book
-    newer = book is not None and book.version > version
-    usage = state.usage.rows_of(state.identity)
+    lacks = book is not None and book.version > beat.version
+    if lacks and helper and now > state.book_at + OWN_READ_S:
+        return entries, state.book_data
+    return entries, b""
+
+
+def make_beat(
+    state: EntryState, now: float, host: Host | None, *, full: bool = True
+) -> Beat:
+    """Return this host's beat; what ``host`` has already is left out.
+
+    ``full``: with the addresses of other hosts.
+    """
+    book = state.book
+    entries, document = (
+        ((), b"") if host is None else _news_for(state, now, host)
+    )
+    usage = []
+    if host is not None and wants_usage(state, host):
+        usage = state.usage.rows_of(state.identity)
     return Beat(
         identity=state.identity,
         host=state.site.host,
@@ -102,7 +154,7 @@
         lease_fence=(state.keeper.fence if state.keeper.holds(now) else -1),
         lease_offset=state.keeper.last_offset,
         lease_age=state.keeper.record_age(now),
-        peers=tuple(row.beat.peer_address for row in state.hosts),
+        peers=tuple(row.beat.peer_address for row in state.hosts if full),
         demands=tuple(
             AccountDemand(name, rate)
             for name, rate in state.told_demands.items()
@@ -121,10 +173,21 @@
             ServiceLoad(name, flow.demand.current(now), flow.running)
             for name, flow in state.flows.items()
         ),
-        entries=tuple(
-            _entry(row) for row in state.registry.changed_since(known)
-        ),
-        document=state.book_data if newer else b"",
+        entries=entries,
+        document=document,
+    )
+
+
+def wants_usage(state: EntryState, host: Host) -> bool:
+    """Return whether a host keeps the others' counts.
+
+    The holder of the duties does, and each host's helpers, so that the
+    counts of a host that is killed outlive a change of the holder.
+    """
+    return (
+        host.beat.lease_fence >= 0
+        or len(state.hosts) <= HELPERS
+        or helps(state, host)
     )
 
 
--- a/src/magnoliaflow/entry/follow.py
+++ b/src/magnoliaflow/entry/follow.py
@@ -32,6 +32,9 @@
 # How long one read waits for news: a quarter of the revocation bound, so
 # that two lost reads in a row leave the configuration fresh enough.
 CONFIG_WAIT_S = 1.2
+# With many hosts whose beats confirm each other's, one read may wait longer.
+CROWD_HOSTS = 8
+CROWD_WAIT_S = 2.4
 RETRY_FIRST_S = 0.1
 RETRY_MOST_S = 0.5
 # Pause between batches of registrations.  With the way to the other hosts
--- a/src/magnoliaflow/policy/caps.py
+++ b/src/magnoliaflow/policy/caps.py
@@ -54,18 +54,18 @@
         self.at = now
 
     def take(self, amount: float, now: float) -> float:
-        """Take an amount; return 0, or the seconds until it is there.
+        """Take an amount; return 0, or the seconds until it may be taken.
 
-        A request larger than the bucket goes when it is full; its debt
-        delays what follows.
+        A request goes while anything is left, whatever its size; its debt
+        delays what follows, so that the rate holds also where a host's
+        share is smaller than one request.
         """
         self.refill(now)
-        needed = min(amount, self.burst * self.share)
-        if self.level >= needed:
+        if self.level > 0:
             self.level -= amount
             return 0.0
         pace = self.rate * self.share
-        return (needed - self.level) / pace if pace > 0 else 1.0
+        return (1.0 - self.level) / pace if pace > 0 else 1.0
 
     def give_back(self, amount: float) -> None:
         """Return what a request that did not run had taken."""
