--- a/src/magnoliaflow/cli.py
+++ b/src/magnoliaflow/cli.py
@@ -16,6 +16,8 @@
 from magnoliaflow.common.settingsfile import load_settings
 from magnoliaflow.daemons.controller import run_controller
 from magnoliaflow.daemons.gateway import run_gateway
+from magnoliaflow.entry.daemon import run_entry
+from magnoliaflow.entry.main import add_options
 from magnoliaflow.operate import diff_profiles
 from magnoliaflow.operate import ExitCode
 from magnoliaflow.operate import explain_request
@@ -24,8 +26,9 @@
 from magnoliaflow.operate import profile_history
 from magnoliaflow.operate import publish_file
 from magnoliaflow.operate import show_status
+from magnoliaflow.platform.boot import read_site
 
-Action = Callable[[Settings, Namespace], Any]
+Action = Callable[..., Any]
 
 
 def make_parser() -> ArgumentParser:
@@ -52,7 +55,19 @@
     explain.add_argument("request_id", help="id, or ACCOUNT/KEY of a claim")
     config = commands.add_parser("config", help="work on the settings")
     checks = config.add_subparsers(dest="action", required=True)
-    _add(checks, "check", "check the settings file", _check)
+    check = _add(checks, "check", "check a settings file", _check)
+    check.add_argument(
+        "file",
+        type=Path,
+        nargs="?",
+        help="YAML settings, or a host's settings of the platform",
+    )
+    check.set_defaults(needs_settings=False)
+    entry = _add(
+        commands, "entry", "serve callers on the users' platform", _entry
+    )
+    add_options(entry)
+    entry.set_defaults(needs_settings=False)
     return parser
 
 
@@ -140,8 +155,18 @@
     return explain_request(cfg, args.request_id)
 
 
-def _check(cfg: Settings, args: Namespace) -> None:
-    print(f"{args.settings}: settings of {cfg.deployment} are valid")
+def _check(cfg: Settings | None, args: Namespace) -> None:
+    path = args.file or args.settings
+    if path.suffix in (".yaml", ".yml"):
+        print(
+            f"{path}: settings of {load_settings(path).deployment} are valid"
+        )
+        return
+    print(f"{path}: settings of host {read_site(path).host} are valid")
+
+
+def _entry(cfg: Settings | None, args: Namespace) -> None:
+    run_entry(args.boot, args.metrics_port)
 
 
 def run_to_end(fut: Any) -> int:
@@ -168,7 +193,8 @@
     """Run one command and return its exit code."""
     args = make_parser().parse_args(argv)
     try:
-        cfg = load_settings(args.settings)
+        wanted = getattr(args, "needs_settings", True)
+        cfg = load_settings(args.settings) if wanted else None
         result = args.run(cfg, args)
     except SettingsError as exc:
         print(exc, file=sys.stderr)
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -90,13 +90,13 @@
 }
 
 
-def open_log(process: str) -> Logger:
-    """Return the process's logger, which writes JSON to stderr."""
+def open_log(process: str, *, stream: Any = stderr) -> Logger:
+    """Return the process's logger, which writes JSON to a stream."""
     logger = getLogger(f"magnoliaflow.{process}")
     logger.setLevel(INFO)
     logger.propagate = False
     if not logger.handlers:
-        handler = StreamHandler(stderr)
+        handler = StreamHandler(stream)
         handler.setFormatter(
             JsonFormatter(
                 "%(asctime)s %(levelname)s %(name)s %(message)s",
@@ -107,11 +107,6 @@
     return logger
 
 
-def write_event(logger: Logger, event: LogEvent, **details: Any) -> None:
-    """Write one numbered event with its details, to a bounded log."""
-    log_event(logger, event, **details)
-
-
 def log_event(logger: Logger, event: LogEvent, **details: Any) -> None:
     """Write one numbered event with its details."""
     logger.info(
--- /dev/null
+++ b/src/magnoliaflow/common/logsink.py
@@ -0,0 +1,61 @@
+"""Writing log lines without ever waiting for whoever reads them."""
+
+from collections import deque
+from fcntl import F_GETFL
+from fcntl import F_SETFL
+from fcntl import fcntl
+from os import O_NONBLOCK
+from os import write
+
+# What is kept for a reader that is slow; later lines are dropped.
+MOST_KEPT_BYTES = 256 * 1024
+
+
+class LogSink:
+    """A stream for logging handlers over a descriptor.
+
+    Lines that find no room are counted, and the count is written as a
+    line of its own once there is room again.
+    """
+
+    __slots__ = ("descriptor", "dropped", "kept", "size")
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.dropped = 0
+        self.kept: deque[bytes] = deque()
+        self.size = 0
+        flags = fcntl(descriptor, F_GETFL)
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK)
+
+    def write(self, text: str) -> None:
+        """Write a line, keep it for later, or drop it."""
+        data = text.encode()
+        if self.size + len(data) > MOST_KEPT_BYTES:
+            self.dropped += 1
+            return
+        self._keep(data)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self.kept:
+            data = self.kept[0]
+            try:
+                sent = write(self.descriptor, data)
+            except BlockingIOError:
+                return
+            self.size -= sent
+            if sent < len(data):
+                self.kept[0] = data[sent:]
+                return
+            self.kept.popleft()
+        if self.dropped:
+            line = f'{{"dropped_log_lines": {self.dropped}}}\n'
+            self.dropped = 0
+            self._keep(line.encode())
+            self.flush()
+
+    def _keep(self, data: bytes) -> None:
+        self.kept.append(data)
+        self.size += len(data)
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -8,8 +8,11 @@
 from signal import SIGINT
 from signal import signal
 from signal import SIGTERM
+import sys
 from typing import Any
 
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client import generate_latest
 from twisted.internet.task import LoopingCall
 
 from magnoliaflow.cluster.peers import peer_factory
@@ -20,6 +23,7 @@
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.eventlog import open_log
 from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.logsink import LogSink
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.common.messages import Message
 from magnoliaflow.entry.beats import BeatSender
@@ -58,6 +62,7 @@
 LEAVE_LOOK_S = 0.1
 LISTEN_BACKLOG = 1024
 MEET_PERIOD_S = 5.0
+METRICS_TYPE = CONTENT_TYPE_LATEST.encode()
 
 
 class Entry:
@@ -68,7 +73,8 @@
         self.site = site
         self.path = path
         self.metrics_port = metrics_port
-        logger = open_log(f"entry.{site.host}")
+        sink = LogSink(sys.stdout.fileno())
+        logger = open_log(f"entry.{site.host}", stream=sink)
         self.state = EntryState(
             site, identity=identity, rng=Random(identity), logger=logger
         )
@@ -126,19 +132,17 @@
         )
 
     def _listen_metrics(self) -> None:
-        """Serve counters; loaded only where a port is set for them."""
-        from prometheus_client.twisted import MetricsResource
-        from twisted.web.resource import Resource
-        from twisted.web.server import Site as WebSite
-
-        root = Resource()
-        resource: Any = MetricsResource(registry=self.state.metrics.registry)
-        root.putChild(b"metrics", resource)
+        host = self.site.peer_address.rpartition(":")[0]
         self._listen(
-            f"{self.site.peer_address.rpartition(':')[0]}:{self.metrics_port}",
-            WebSite(root),
+            f"{host}:{self.metrics_port}",
+            ServerFactory(self.answer_metrics, ServerLimits()),
         )
 
+    def answer_metrics(self, inbound: Inbound) -> None:
+        """Serve counters and histograms as text."""
+        body = generate_latest(self.state.metrics.registry)
+        inbound.respond(200, [(b"Content-Type", METRICS_TYPE)], body)
+
     def take_call(self, inbound: Inbound) -> None:
         """Serve a caller's request."""
         CallRun(self.state, inbound).start()
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -32,7 +32,7 @@
 ASSUMED_USE = 0.6
 # Time beyond the boot time after which an order that shows no effect is
 # sent again, and pause after a refusal.
-REPEAT_S = 2.0
+REPEAT_S = 1.0
 REFUSED_PAUSE_S = 2.0
 # A zone counts as without reclaimable engines for this long after a refusal
 # or a reclaim: the pause above and the time that one takes to start.
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -14,8 +14,8 @@
 from magnoliaflow.cluster.site import Site
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.clocks import wall_time
+from magnoliaflow.common.eventlog import log_event
 from magnoliaflow.common.eventlog import LogEvent
-from magnoliaflow.common.eventlog import write_event
 from magnoliaflow.common.lifecycle import LifeCycle
 from magnoliaflow.common.lifecycle import new_life_cycle
 from magnoliaflow.common.lifecycle import Phase
@@ -179,4 +179,4 @@
 
     def log(self, event: LogEvent, **details: Any) -> None:
         """Write a numbered log event."""
-        write_event(self.logger, event, **details)
+        log_event(self.logger, event, **details)
--- a/src/magnoliaflow/policy/caps.py
+++ b/src/magnoliaflow/policy/caps.py
@@ -16,6 +16,11 @@
 # Fill of a new bucket: the run of this host that was killed may just have
 # used its own up.
 START_FILL = 0.4
+# Part of a host's burst that lets any request go, the part that a small
+# request takes at most, and how far small ones may overdraw.
+LARGE_SHARE = 0.4
+SMALL_SHARE = 0.05
+SMALL_DEBT = 0.3
 
 
 @dataclass(slots=True)
@@ -56,16 +61,20 @@
     def take(self, amount: float, now: float) -> float:
         """Take an amount; return 0, or the seconds until it may be taken.
 
-        A request goes while anything is left, whatever its size; its debt
-        delays what follows, so that the rate holds also where a host's
-        share is smaller than one request.
+        A large request goes once a part of the burst is there, and its debt
+        delays what follows: the rate holds also where a host's share is
+        smaller than one request.  Small ones still go in a little debt.
         """
         self.refill(now)
-        if self.level > 0:
+        most = self.burst * self.share
+        needed = min(amount, LARGE_SHARE * most)
+        if amount <= SMALL_SHARE * most:
+            needed = -SMALL_DEBT * most
+        if self.level >= needed:
             self.level -= amount
             return 0.0
         pace = self.rate * self.share
-        return (1.0 - self.level) / pace if pace > 0 else 1.0
+        return (needed - self.level) / pace if pace > 0 else 1.0
 
     def give_back(self, amount: float) -> None:
         """Return what a request that did not run had taken."""
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -88,12 +88,28 @@
         total = min(before, spot_total(raised, prefill_rate, len(rows)))
     spots = _deal(len(rows), total, scaling.least, scaling.most)
     missing = _missing(rows, spots, load, prefill_rate)
-    wanted = []
-    for row, spot in zip(rows, spots):
-        extra = min(missing, scaling.most - min(row.spot, spot))
-        missing -= extra
-        wanted.append(Wanted(row.zone, extra, min(spot, scaling.most - extra)))
-    return wanted
+    extras = _place(missing, [scaling.most - spot for spot in spots])
+    return [
+        Wanted(row.zone, extra, min(spot, scaling.most - extra))
+        for row, spot, extra in zip(rows, spots, extras)
+    ]
+
+
+def _place(count: int, rooms: list[int]) -> list[int]:
+    """Return how many of a count to put in each zone.
+
+    Room that reclaimable ones will take is used last: while an on-demand
+    engine stands in it, theirs cannot start.
+
+    >>> _place(3, [1, 1, 2]), _place(1, [0, 0, 0])
+    ([1, 1, 1], [1, 0, 0])
+    """
+    extras = []
+    for room in rooms:
+        extras.append(min(count, max(0, room)))
+        count -= extras[-1]
+    extras[0] += count
+    return extras
 
 
 def _missing(
--- a/src/magnoliaflow/transport/server.py
+++ b/src/magnoliaflow/transport/server.py
@@ -217,6 +217,9 @@
         """Take one event of a request; return whether to read on."""
         if isinstance(event, h11.Request):
             self.pending = Inbound(self, event)
+            if _size(self.pending) > self.owner.limits.head_bytes:
+                self._reject(431)
+                return False
             if _ambiguous(self.pending.headers):
                 self._reject(400)
                 return False
@@ -270,6 +273,12 @@
         self.transport.loseConnection()
 
 
+def _size(inbound: Inbound) -> int:
+    """Return the bytes of a request's head; h11 bounds unfinished ones."""
+    rows = sum(len(name) + len(value) + 4 for name, value in inbound.headers)
+    return rows + len(inbound.target)
+
+
 def _ambiguous(headers: Headers) -> bool:
     """Return whether two framings could be read from a request's head."""
     names = [name for name, _ in headers]
--- /dev/null
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -0,0 +1,128 @@
+"""Stand-in for one of the users' engines, with faults on demand."""
+
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from threading import Thread
+from time import sleep
+
+
+class BatchEngine:
+    """Answers requests with a receipt; counts what it ran.
+
+    ``fault`` applies to the next ``faults`` requests: ``shed`` (not run),
+    ``lost`` (run, no answer), ``cut`` (run, broken off midway), ``failed``
+    (run, 500), ``stranger`` (an answer of another request), ``unsigned``.
+    """
+
+    def __init__(self, engine_id: str) -> None:
+        self.engine_id = engine_id
+        self.ran: list[str] = []
+        self.heads: list[dict[str, str]] = []
+        self.fault = ""
+        self.faults = 0
+        self.events = 4
+        self.pause_s = 0.0
+        self.server = _Server(("127.0.0.1", 0), _Handler)
+        self.server.engine = self  # type: ignore[attr-defined]
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self.server.shutdown()
+        self.server.server_close()
+
+    def take_fault(self) -> str:
+        """Return the fault for the next request, '' for none."""
+        if self.faults == 0:
+            return ""
+        self.faults -= 1
+        return self.fault
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request: object, address: object) -> None:
+        """Write nothing: callers reset connections all the time."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    @property
+    def engine(self) -> BatchEngine:
+        return self.server.engine  # type: ignore[attr-defined,no-any-return]
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Write nothing."""
+
+    def do_GET(self) -> None:
+        """Answer a plain request."""
+        self._serve(b"")
+
+    def do_POST(self) -> None:
+        """Answer a request with a body, as a stream if it ends in /s."""
+        self._serve(self.rfile.read(int(self.headers["Content-Length"])))
+
+    def _serve(self, body: bytes) -> None:
+        engine = self.engine
+        if self.headers["X-Expected-Instance"] != engine.engine_id:
+            self._head(421, [("X-Instance-Id", engine.engine_id)], 0)
+            return
+        fault = engine.take_fault()
+        if fault == "shed":
+            self._head(503, [("X-Not-Executed", "1")], 0)
+            return
+        engine.ran.append(self.headers["X-Attempt-Id"])
+        engine.heads.append(dict(self.headers.items()))
+        if fault == "lost":
+            self.close_connection = True
+            return
+        if self.path.endswith("/s"):
+            self._stream(fault)
+        else:
+            self._whole(body, fault)
+
+    def _whole(self, body: bytes, fault: str) -> None:
+        sleep(self.engine.pause_s)
+        data = b"answer to " + body
+        size = len(data) + (10 if fault == "cut" else 0)
+        status = 500 if fault == "failed" else 200
+        self._head(status, self._receipt(fault), size)
+        self.wfile.write(data)
+        if fault == "cut":
+            self.close_connection = True
+
+    def _stream(self, fault: str) -> None:
+        start = int(self.headers.get("Last-Event-Id") or -1) + 1
+        rows = [*self._receipt(fault), ("Content-Type", "text/event-stream")]
+        self._head(200, [*rows, ("Transfer-Encoding", "chunked")], None)
+        for number in range(start, self.engine.events):
+            sleep(self.engine.pause_s)
+            if fault == "cut" and number == start + 2:
+                self._chunk(b"id: %d\nda" % number)
+                self.close_connection = True
+                return
+            self._chunk(b"id: %d\ndata: t%d\n\n" % (number, number))
+        self._chunk(b"")
+
+    def _chunk(self, data: bytes) -> None:
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def _receipt(self, fault: str) -> list[tuple[str, str]]:
+        own = self.headers["X-Attempt-Id"]
+        rows = [("X-Attempt-Id", "other" if fault == "stranger" else own)]
+        if fault != "unsigned":
+            rows.append(("X-Response-Signature", self.engine.engine_id))
+        return rows
+
+    def _head(
+        self, status: int, rows: list[tuple[str, str]], size: int | None
+    ) -> None:
+        self.send_response(status)
+        for name, value in rows:
+            self.send_header(name, value)
+        if size is not None:
+            self.send_header("Content-Length", str(size))
+        self.end_headers()
--- /dev/null
+++ b/tests/test_entry_process.py
@@ -0,0 +1,471 @@
+"""The entry process against stand-ins of the users' platform."""
+
+from http.client import HTTPConnection
+from http.client import HTTPException
+from itertools import count
+from json import dumps
+from json import loads
+from os import environ
+from pathlib import Path
+from signal import SIGTERM
+from socket import socket
+from subprocess import DEVNULL
+from subprocess import Popen
+from sys import executable
+from time import monotonic
+from time import sleep
+
+import pytest
+
+from magnoliaflow_standins.batchengine import BatchEngine
+from magnoliaflow_standins.metadatastore import MetadataStore
+
+ROOT = Path(__file__).parent.parent
+HOST = "desk.example"
+WAIT_S = 15.0
+IDS = count(1)
+
+
+def free_ports(most):
+    """Return ports that the kernel says are free."""
+    socks = [socket() for _ in range(most)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def until(condition, what):
+    """Wait for a condition, a bounded time."""
+    end = monotonic() + WAIT_S
+    while monotonic() < end:
+        found = condition()
+        if found:
+            return found
+        sleep(0.02)
+    raise AssertionError(f"not within {WAIT_S} s: {what}")
+
+
+def route(name, kind, **more):
+    """Return one route of a configuration."""
+    row = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 1000,
+        "priority": 1,
+        "service": "app",
+        "maxAttempts": 2,
+        "anonymous": False,
+        "streamResumption": False,
+    }
+    return {**row, **more}
+
+
+def document(version, **more):
+    """Return a configuration."""
+    values = {
+        "version": version,
+        "routes": [
+            route("look", "idempotent"),
+            route("book", "non_idempotent"),
+            route("chat", "streaming", service="llm"),
+            route("draft", "streaming", service="llm", streamResumption=True),
+            route("open", "idempotent", anonymous=True),
+        ],
+        "services": [
+            {"name": "app", "healthPath": "/h", "connectionLimit": 90},
+            {"name": "llm", "healthPath": "/h", "engineId": {"slots": 4}},
+        ],
+        "limits": {"maxBodyBytes": 2000, "maxHeaderBytes": 4000},
+        "tenants": [
+            {"name": "north", "apiKeys": ["key-n"], "ratePerS": 0},
+            {
+                "name": "small",
+                "apiKeys": ["key-s"],
+                "ratePerS": 1,
+                "burst": 2,
+                "unit": "request_count",
+            },
+        ],
+    }
+    return dumps({**values, **more}).encode()
+
+
+class Deployment:
+    """A store, engines of two services, and entry processes."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = MetadataStore()
+        self.engines = {}
+        self.processes = []
+        self.entries = []
+        for service, name in (
+            ("app", "a1"),
+            ("app", "a2"),
+            ("llm", "m1"),
+            ("llm", "m2"),
+        ):
+            self.engines[name] = BatchEngine(name)
+            self.register(name, service)
+        self.store.put("keyed.op", "config", document(1))
+
+    def register(self, name, service, **more):
+        row = {
+            "service": service,
+            "address": self.engines[name].address,
+            "zone": "z1",
+            "slots": 4,
+            "state": "ready",
+            "born": 7,
+        }
+        self.store.put("keyed.servers", name, dumps({**row, **more}).encode())
+
+    def start(self, name, seeds=()):
+        ports = dict(
+            zip(
+                ("frontend", "ready", "controlPlane", "directoryService"),
+                free_ports(4),
+            )
+        )
+        lines = [f"nodeName={name}", "zone=z1", "region=r"]
+        lines += [
+            f"listenAddresses.{key}=127.0.0.1:{port}"
+            for key, port in ports.items()
+        ]
+        lines += [
+            f"platform.address={self.store.address}",
+            f"seedNodes={','.join(seeds)}",
+            "bounds.quotaTolerance=0",
+            "bounds.retryBudgetExtra=200",
+        ]
+        path = self.folder / f"{name}.conf"
+        path.write_text("\n".join(lines))
+        process = Popen(
+            [executable, str(ROOT / "deploy/entry.py")],
+            env={**environ, "MAGNOLIAFLOW_NODE_FILE": str(path)},
+            stdout=DEVNULL,
+        )
+        self.processes.append(process)
+        self.entries.append(ports)
+        until(lambda: self.ready(ports) == 200, f"{name} is ready")
+        return ports
+
+    def ready(self, ports):
+        try:
+            return ask(ports["ready"], "GET", "/magnoliaflow/readiness")[0]
+        except OSError:
+            return 0
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        for engine in self.engines.values():
+            engine.close()
+        self.store.close()
+
+    def ran(self):
+        return [item for row in self.engines.values() for item in row.ran]
+
+
+def ask(port, method, path, body=b"", key="key-n", **headers):
+    """Return status, headers and body of one request."""
+    conn = HTTPConnection("127.0.0.1", port, timeout=5)
+    head = {
+        "Host": HOST,
+        "X-Attempt-Id": f"r{next(IDS)}",
+        "X-Deadline-Ms": "4000",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    if key:
+        head["X-Credential"] = key
+    try:
+        conn.request(method, path, body=body or None, headers=head)
+        reply = conn.getresponse()
+        return reply.status, reply.headers, reply.read()
+    finally:
+        conn.close()
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    """Return a deployment with one entry process."""
+    deployment = Deployment(tmp_path_factory.mktemp("site"))
+    deployment.start("e-1")
+    yield deployment
+    deployment.close()
+
+
+@pytest.fixture
+def port(site):
+    """Return the callers' port; engines are sound again."""
+    for engine in site.engines.values():
+        engine.faults = 0
+        engine.ran.clear()
+        engine.heads.clear()
+    sleep(0.6)
+    return site.entries[0]["frontend"]
+
+
+def fail_all(site, fault, faults=9):
+    for engine in site.engines.values():
+        engine.fault, engine.faults = fault, faults
+
+
+def fail_first(site, fault):
+    """Let just the first request meet a fault, whichever engine has it."""
+
+    class Shared:
+        left = 1
+
+    def take(engine):
+        def taken():
+            if Shared.left == 0:
+                return ""
+            Shared.left = 0
+            return fault
+
+        return taken
+
+    for engine in site.engines.values():
+        engine.take_fault = take(engine)
+
+
+def heal(site):
+    for engine in site.engines.values():
+        engine.__dict__.pop("take_fault", None)
+
+
+def test_a_request_reaches_one_engine_with_our_headers(site, port):
+    status, headers, body = ask(
+        port, "POST", "/book/x", b"shoes", X_Tenant="forged"
+    )
+    assert (status, body) == (200, b"answer to shoes")
+    assert headers["X-Response-Signature"]
+    assert len(site.ran()) == 1
+    head = next(row.heads[0] for row in site.engines.values() if row.heads)
+    head = {name.lower(): value for name, value in head.items()}
+    assert head["x-tenant"] == "north"
+    assert "x-credential" not in head
+    assert 0 < int(head["x-deadline-ms"]) <= 3000
+
+
+@pytest.mark.parametrize(
+    "path, key, status",
+    [
+        ("/look/x", "wrong", 401),
+        ("/look/x", "", 401),
+        ("/nowhere/x", "key-n", 404),
+        ("/look", "key-n", 404),
+        ("/open/x", "", 200),
+    ],
+)
+def test_who_may_call_what(port, path, key, status):
+    assert ask(port, "GET", path, key=key)[0] == status
+
+
+def test_what_may_not_run_twice_is_not_sent_again(site, port):
+    fail_all(site, "lost")
+    status, _, body = ask(port, "POST", "/book/x", b"order")
+    assert status == 502
+    assert loads(body)["code"] == 4001
+    assert len(site.ran()) == 1
+
+
+@pytest.mark.parametrize("fault", ["lost", "cut", "failed", "stranger"])
+def test_what_may_be_repeated_is_sent_to_another(site, port, fault):
+    fail_first(site, fault)
+    try:
+        assert ask(port, "GET", "/look/x")[0] == 200
+    finally:
+        heal(site)
+    assert len(site.ran()) == 2
+
+
+def test_refused_by_every_engine_is_said_not_to_have_run(site, port):
+    fail_all(site, "shed")
+    status, headers, _ = ask(port, "POST", "/book/x", b"order")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert site.ran() == []
+
+
+def test_shed_once_goes_to_another_engine(site, port):
+    fail_first(site, "shed")
+    try:
+        assert ask(port, "POST", "/book/x", b"order")[0] == 200
+    finally:
+        heal(site)
+    assert len(site.ran()) == 1
+
+
+def test_an_answer_without_receipt_is_no_success(site, port):
+    fail_all(site, "unsigned")
+    assert ask(port, "POST", "/book/x", b"order")[0] == 502
+    assert len(site.ran()) == 1
+
+
+def test_a_stream_arrives_whole(port):
+    status, _, body = ask(port, "POST", "/chat/s", b"hi")
+    assert status == 200
+    assert body == b"".join(
+        b"id: %d\ndata: t%d\n\n" % (number, number) for number in range(4)
+    )
+
+
+def test_a_resumable_stream_goes_on_within_its_answer(site, port):
+    fail_first(site, "cut")
+    try:
+        _, headers, body = ask(port, "POST", "/draft/s", b"hi")
+    finally:
+        heal(site)
+    assert body == b"".join(
+        b"id: %d\ndata: t%d\n\n" % (number, number) for number in range(4)
+    )
+    assert len(site.ran()) == 2
+    first = next(row for row in site.engines.values() if len(row.ran) == 1)
+    assert headers["X-Response-Signature"] in ("m1", "m2") and first
+
+
+def test_a_stream_that_may_not_resume_is_cut(site, port):
+    fail_first(site, "cut")
+    try:
+        with pytest.raises((HTTPException, OSError)):
+            ask(port, "POST", "/chat/s", b"hi")
+    finally:
+        heal(site)
+    assert len(site.ran()) == 1
+
+
+def test_a_cap_refuses_with_the_time_to_come_back(port):
+    answers = [ask(port, "GET", "/look/x", key="key-s") for _ in range(8)]
+    refused = [row for row in answers if row[0] == 429]
+    assert refused and float(refused[0][1]["Retry-After"]) > 0
+
+
+@pytest.mark.parametrize(
+    "raw, status",
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST /book/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /book/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n"
+            b"\r\n" + b"x" * 3000,
+            413,
+        ),
+        (b"GET / HTTP/1.1\r\nHost: " + b"a" * 9000 + b"\r\n\r\n", 431),
+    ],
+    ids=["nonsense", "two framings", "long body", "long head"],
+)
+def test_malformed_requests_get_their_status(site, port, raw, status):
+    sock = socket()
+    sock.settimeout(5)
+    sock.connect(("127.0.0.1", port))
+    sock.sendall(raw)
+    assert sock.recv(100).split()[1] == str(status).encode()
+    sock.close()
+    assert site.ran() == []
+
+
+def test_a_chunked_body_arrives_whole(port):
+    sock = socket()
+    sock.settimeout(5)
+    sock.connect(("127.0.0.1", port))
+    sock.sendall(
+        b"POST /book/x HTTP/1.1\r\nHost: desk.example\r\n"
+        b"X-Attempt-Id: chunky\r\nX-Credential: key-n\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nsho\r\n2\r\nes\r\n0\r\n\r\n"
+    )
+    data = b""
+    while b"answer to shoes" not in data:
+        data += sock.recv(1000)
+    sock.close()
+
+
+def test_a_leaving_engine_gets_no_more_work(site, port):
+    site.register("a1", "app", state="draining")
+    sleep(1.0)
+    for _ in range(6):
+        assert ask(port, "GET", "/look/x")[0] == 200
+    assert site.engines["a1"].ran == []
+    site.register("a1", "app")
+    sleep(1.0)
+
+
+def test_a_taken_key_is_refused_and_an_old_version_never_returns(site, port):
+    taken = [{"name": "north", "apiKeys": ["other"]}]
+    site.store.put("keyed.op", "config", document(5, tenants=taken))
+    until(lambda: ask(port, "GET", "/look/x")[0] == 401, "key is refused")
+    site.store.put("keyed.op", "config", document(4))
+    sleep(0.5)
+    assert ask(port, "GET", "/look/x")[0] == 401
+    site.store.put("keyed.op", "config", document(6))
+    until(lambda: ask(port, "GET", "/look/x")[0] == 200, "key is back")
+
+
+def test_a_host_cut_off_stops_serving_keys_but_not_the_rest(site, port):
+    site.store.down = True
+    try:
+        until(lambda: ask(port, "GET", "/look/x")[0] == 503, "stale")
+        assert ask(port, "GET", "/open/x", key="")[0] == 200
+    finally:
+        site.store.down = False
+    until(lambda: ask(port, "GET", "/look/x")[0] == 200, "fresh again")
+
+
+def test_history_that_is_gone_is_listed_anew(site, port):
+    site.store.forget("keyed.op")
+    site.store.forget("keyed.servers")
+    site.store.put("keyed.op", "config", document(9))
+    sleep(1.0)
+    assert ask(port, "GET", "/look/x")[0] == 200
+
+
+def test_a_stop_finishes_what_is_in_progress(tmp_path):
+    deployment = Deployment(tmp_path)
+    try:
+        first = deployment.start("e-1")
+        second = deployment.start(
+            "e-2", seeds=(f"127.0.0.1:{first['controlPlane']}",)
+        )
+
+        def listed():
+            status, _, body = ask(
+                second["directoryService"],
+                "GET",
+                "/magnoliaflow/resolution?name=x&region=r&zone=z1",
+            )
+            return loads(body)["addresses"] if status == 200 else []
+
+        until(lambda: len(listed()) == 2, "both are listed")
+        for engine in deployment.engines.values():
+            engine.pause_s = 0.3
+        conn = HTTPConnection("127.0.0.1", first["frontend"], timeout=9)
+        conn.request(
+            "POST",
+            "/chat/s",
+            body=b"hi",
+            headers={
+                "Host": HOST,
+                "X-Attempt-Id": "slow",
+                "X-Credential": "key-n",
+            },
+        )
+        deployment.processes[0].send_signal(SIGTERM)
+        until(lambda: len(listed()) == 1, "the leaving host is unlisted")
+        reply = conn.getresponse()
+        assert reply.read().count(b"data") == 4
+        assert reply.headers["Connection"] == "close"
+        assert deployment.processes[0].wait(WAIT_S) == 0
+    finally:
+        deployment.close()
