--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -28,14 +28,16 @@
 class Registry:
     """Entries by engine id, with the log offset that each changed at.
 
-    ``end`` is the offset read up to.  Peers at a lower one are sent the
+    ``end`` is the offset read up to, ``changed_at`` that of the newest
+    change.  Peers at a lower one are sent the
     rows that changed since.
     """
 
-    __slots__ = ("end", "rows")
+    __slots__ = ("changed_at", "end", "rows")
 
     def __init__(self) -> None:
         self.end = 0
+        self.changed_at = -1
         self.rows: dict[str, Registration] = {}
 
     def apply(
@@ -54,6 +56,7 @@
             row = replace(known, gone=True)
         if known is not None and _same(known, row):
             return None
+        self.changed_at = max(self.changed_at, offset)
         self.rows[engine_id] = replace(row, offset=offset)
         return self.rows[engine_id]
 
--- a/src/magnoliaflow/daemons/gateway.py
+++ b/src/magnoliaflow/daemons/gateway.py
@@ -27,9 +27,9 @@
 from magnoliaflow.core.inputs import MessageArrived
 from magnoliaflow.core.state import GatewayState
 from magnoliaflow.daemons.gatewaycore import open_core
-from magnoliaflow.daemons.shell import Shell
 from magnoliaflow.ingress.auth import Tokens
 from magnoliaflow.ingress.callerapi import CallerApi
+from magnoliaflow.serving.shell import Shell
 
 EXIT_LINGER_S = 0.5
 ADAPTER_MODULES = (httpports,)
--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -38,6 +38,8 @@
 OWN_READ_S = 0.5
 # Registrations older than this at a host are renewed by its helpers.
 STALE_S = 1.0
+# Least time between rounds that the holder of the duties sends for news.
+PUSH_S = 0.2
 # Part of the difference between clocks that one beat corrects.
 CLOCK_STEP = 0.5
 SMALL_CLOCK_GAP_S = 0.02
@@ -46,22 +48,38 @@
 class BeatSender:
     """Sends this host's beats."""
 
-    __slots__ = ("due_at", "links", "round", "state")
+    __slots__ = (
+        "due_at",
+        "links",
+        "pushed_at",
+        "pushed_end",
+        "round",
+        "state",
+    )
 
     def __init__(self, state: EntryState) -> None:
         self.state = state
         self.links = PeerLinks(state.identity)
         self.due_at = 0.0
+        self.pushed_at = 0.0
+        self.pushed_end = -1
         self.round = 0
 
     def step(self, now: float) -> None:
         """Send a round of beats when it is due."""
-        if now < self.due_at:
+        news = self.state.keeper.holds(now) and self._has_news()
+        if now < self.due_at and not (news and now >= self.pushed_at + PUSH_S):
             return
+        self.pushed_at = now
+        self.pushed_end = self.state.registry.changed_at
         hosts = len(self.state.hosts)
         self.due_at = now + max(PERIOD_S, PERIOD_EACH_S * hosts)
         self.send_round(now)
 
+    def _has_news(self) -> bool:
+        """Return whether an engine's entry changed since the last round."""
+        return self.state.registry.changed_at > self.pushed_end
+
     def send_round(self, now: float) -> None:
         """Send a beat to every host that is known."""
         state = self.state
@@ -114,7 +132,8 @@
     beat = host.beat
     helper = helps(state, host)
     entries: tuple[EngineEntry, ...] = ()
-    if state.keeper.holds(now) or (helper and beat.fleet_age > STALE_S):
+    stale = beat.fleet_age + now - host.heard_at > STALE_S
+    if state.keeper.holds(now) or (helper and stale):
         rows = state.registry.changed_since(beat.fleet_end)
         entries = tuple(_entry(row) for row in rows)
     book = state.book
--- a/src/magnoliaflow/entry/follow.py
+++ b/src/magnoliaflow/entry/follow.py
@@ -41,7 +41,9 @@
 # it is a fifth of the time in which a leaving engine must get no more work.
 FLEET_PERIOD_S = 0.35
 # A host reads for itself when what its peers pass on is older than this.
+# Among many, whose beats come less often, it waits a little longer.
 FLEET_STALE_S = 1.0
+FLEET_STALE_EACH_S = 0.03
 # A removal read first after a store outage may be an entry that lapsed in
 # it and comes back at once.
 LAPSED_WAIT_S = 1.5
@@ -149,7 +151,8 @@
         now = boot_time()
         if self.state.keeper.holds(now):
             return True
-        return now - self.state.fleet_at > FLEET_STALE_S
+        stale_s = FLEET_STALE_S + FLEET_STALE_EACH_S * len(self.state.hosts)
+        return now - self.state.fleet_at > stale_s
 
     @inlineCallbacks
     def _read_once(self, began: float) -> Any:
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -31,9 +31,10 @@
 from magnoliaflow.policy.routing import Weights
 from magnoliaflow.policy.usage import UsageBook
 
-# A host is taken to serve while its last beat is no older than this: two
-# beats of a large deployment and a lost packet.
+# A host is taken to serve while its last beat is no older than this, and a
+# little more for each host, since beats come less often among many.
 HEARD_S = 1.6
+HEARD_EACH_S = 0.03
 # Share of the revocation bound after which a configuration that was not
 # confirmed is too old for requests with a key; the rest covers a request's
 # way to the engine.
@@ -171,10 +172,11 @@
 
     def heard_hosts(self, now: float) -> list[Host]:
         """Return the other hosts whose beats are recent."""
+        limit = HEARD_S + HEARD_EACH_S * len(self.hosts)
         return [
             row
             for row in self.hosts
-            if now - row.heard_at < HEARD_S and not row.beat.leaving
+            if now - row.heard_at < limit and not row.beat.leaving
         ]
 
     def log(self, event: LogEvent, **details: Any) -> None:
--- a/src/magnoliaflow/ingress/callerapi.py
+++ b/src/magnoliaflow/ingress/callerapi.py
@@ -16,7 +16,6 @@
 from magnoliaflow.common.messages import Found
 from magnoliaflow.core.inputs import CancelAsked
 from magnoliaflow.core.inputs import Submitted
-from magnoliaflow.daemons.shell import Shell
 from magnoliaflow.ingress.auth import Tokens
 from magnoliaflow.ingress.streaming import Streams
 from magnoliaflow.ingress.streaming import StreamWriter
@@ -29,6 +28,7 @@
 from magnoliaflow.serving.claimwork import claim_code
 from magnoliaflow.serving.location import serving_address
 from magnoliaflow.serving.membership import caller_addresses
+from magnoliaflow.serving.shell import Shell
 from magnoliaflow.work.claimnames import body_digest
 from magnoliaflow.work.claimnames import CLAIM_PREFIX
 from magnoliaflow.work.claimnames import ClaimName
--- a/src/magnoliaflow/policy/caps.py
+++ b/src/magnoliaflow/policy/caps.py
@@ -88,7 +88,7 @@
     host not heard of keeps an even share; with nobody heard, an even
     share is all this host takes.
 
-    >>> share_of(3.0, [1.0], 0)
+    >>> round(share_of(3.0, [1.0], 0), 4)
     0.7125
     >>> share_of(3.0, [], 3)
     0.25
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -87,37 +87,36 @@
         raised = Load(load.tokens_per_s * RAISED, load.running * RAISED)
         total = min(before, spot_total(raised, prefill_rate, len(rows)))
     spots = _deal(len(rows), total, scaling.least, scaling.most)
-    missing = _missing(rows, spots, load, prefill_rate)
-    extras = _place(missing, [scaling.most - spot for spot in spots])
+    missing = _missing(rows, load, prefill_rate)
+    extras = _place(missing, spots, scaling.most)
     return [
         Wanted(row.zone, extra, min(spot, scaling.most - extra))
         for row, spot, extra in zip(rows, spots, extras)
     ]
 
 
-def _place(count: int, rooms: list[int]) -> list[int]:
+def _place(count: int, spots: list[int], most: int) -> list[int]:
     """Return how many of a count to put in each zone.
 
     Room that reclaimable ones will take is used last: while an on-demand
     engine stands in it, theirs cannot start.
 
-    >>> _place(3, [1, 1, 2]), _place(1, [0, 0, 0])
-    ([1, 1, 1], [1, 0, 0])
+    >>> _place(3, [2, 2, 1], 3), _place(2, [3, 3, 3], 3)
+    ([1, 1, 1], [2, 0, 0])
     """
-    extras = []
-    for room in rooms:
-        extras.append(min(count, max(0, room)))
-        count -= extras[-1]
-    extras[0] += count
+    extras = [0] * len(spots)
+    for taken in (spots, [0] * len(spots)):
+        for at, used in enumerate(taken):
+            extra = min(count, max(0, most - used - extras[at]))
+            extras[at] += extra
+            count -= extra
     return extras
 
 
-def _missing(
-    rows: list[ZoneSupply], spots: list[int], load: Load, prefill_rate: float
-) -> int:
+def _missing(rows: list[ZoneSupply], load: Load, prefill_rate: float) -> int:
     """Return how many on-demand engines to have."""
     strained = ceil(engines_for(load, prefill_rate, STRAINED_USE))
-    standing = [min(row.spot, spot) for row, spot in zip(rows, spots)]
+    standing = [row.spot for row in rows]
     missing = max(0, strained - (sum(standing) - max(standing)))
     if all(row.spot_open for row in rows):
         return min(missing, sum(row.on_demand for row in rows))
--- /dev/null
+++ b/tests/test_entry_policy.py
@@ -0,0 +1,294 @@
+"""Decisions of the entry process, each on the load that it answers."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from magnoliaflow.cluster.registry import Registration
+from magnoliaflow.cluster.registry import Registry
+from magnoliaflow.common.settings import BackendServer
+from magnoliaflow.policy.caps import Bucket
+from magnoliaflow.policy.caps import share_of
+from magnoliaflow.policy.engines import new_engine
+from magnoliaflow.policy.events import EventSplitter
+from magnoliaflow.policy.pacing import admit
+from magnoliaflow.policy.pacing import set_pace
+from magnoliaflow.policy.placing import first_token
+from magnoliaflow.policy.placing import first_token_s
+from magnoliaflow.policy.routes import Scaling
+from magnoliaflow.policy.routing import Need
+from magnoliaflow.policy.routing import RoutingView
+from magnoliaflow.policy.routing import Weights
+from magnoliaflow.policy.scaling import Load
+from magnoliaflow.policy.scaling import plan_engines
+from magnoliaflow.policy.scaling import ZoneSupply
+from magnoliaflow.policy.usage import UsageBook
+
+RATE = 30_000.0
+
+
+@pytest.fixture
+def engines():
+    """Return three engines of one service."""
+    return [
+        new_engine(
+            BackendServer(
+                name=f"m{number}",
+                kind="model",
+                host=f"m{number}",
+                zone="z",
+                address="127.0.0.1:1",
+                backend="llm",
+                checks_fencing=False,
+                slots=64,
+                prefill_rate=RATE,
+            )
+        )
+        for number in range(3)
+    ]
+
+
+@pytest.fixture
+def view(engines):
+    """Return the view of a host that knows the engines."""
+    made = RoutingView(name="h", weights=Weights(0.0, 1.0), rng=Random(4))
+    for engine in engines:
+        made.add(engine)
+    return made
+
+
+def need(blocks=(1, 2, 3), tokens=9000, sizes=(2500, 3500, 3000)):
+    return Need(
+        request_id="r",
+        backend="llm",
+        blocks=blocks,
+        prompt_tokens=tokens,
+        answer_tokens=50,
+        first_token_s=1.0,
+        token_gap_s=0.0,
+        sizes=sizes,
+    )
+
+
+def test_sessions_stay_at_one_engine_while_queues_are_even(view, engines):
+    picks = {
+        first_token(view, need((1, 7, part)), engines, 0.0).name
+        for part in range(20)
+    }
+    assert len(picks) == 1
+
+
+def test_a_long_queue_outweighs_the_session(view, engines):
+    home = first_token(view, need(), engines, 0.0)
+    home.note_prompt(200_000)
+    assert first_token(view, need(), engines, 0.0) is not home
+
+
+def test_a_slow_engine_is_expected_to_be_slow(engines):
+    before = first_token_s(engines[0], 1000)
+    for _ in range(50):
+        engines[0].note_slowness(5.0)
+    assert first_token_s(engines[0], 1000) > 3 * before
+
+
+def test_caps_hold_over_hosts_that_hear_each_other():
+    """An account sends six times its cap through four hosts unevenly."""
+    rng = Random(5)
+    cap, burst, size = 60_000.0, 60_000.0, 9_000
+    weights = [0.5, 0.3, 0.15, 0.05]
+    buckets = [
+        Bucket(
+            cap,
+            burst,
+            share=share_of(own, weights[:at] + weights[at + 1 :], 0),
+        )
+        for at, own in enumerate(weights)
+    ]
+    assert sum(row.share for row in buckets) == pytest.approx(1.0)
+    granted = []
+    for step in range(4000):
+        now = step * 0.025
+        bucket = buckets[rng.choices(range(4), weights)[0]]
+        if bucket.take(size, now) == 0.0:
+            granted.append(now)
+    worst = max(
+        sum(size for at in granted if start <= at < start + 8.0)
+        for start in granted
+    )
+    assert worst <= (cap * 8 + burst) * 1.1 + 110_000
+    assert len(granted) * size >= cap * 100 * 0.8
+
+
+def test_a_host_that_hears_nobody_takes_an_even_share():
+    assert share_of(9.0, [], 3) == 0.25
+    assert share_of(9.0, [1.0], 2) <= 0.5
+
+
+def test_small_requests_go_beside_a_large_ones_debt():
+    bucket = Bucket(1000.0, 10_000.0, level=5_000.0)
+    assert bucket.take(6_000, 0.0) == 0.0
+    assert bucket.take(200, 0.0) == 0.0
+    assert bucket.take(6_000, 0.0) > 0.0
+
+
+def served_on_time(engines, use_pace):
+    """Return prompts that an engine reads on time under half overload.
+
+    An answer goes on only between prompts: at an engine that always has
+    prompts to read it takes longer than its caller waits.
+    """
+    bucket = Bucket(0.0, 0.0)
+    set_pace(bucket, engines, 1.0)
+    bucket.level = bucket.burst
+    queue_s, on_time = 0.0, 0
+    for step in range(600):
+        now = step * 0.05
+        queue_s = max(0.0, queue_s - 0.05)
+        tokens = int(1.5 * RATE * len(engines) * 0.05)
+        wait = admit(bucket, tokens, 1, queue_s, now) if use_pace else 0.0
+        if wait == 0.0:
+            queue_s += tokens / RATE / len(engines)
+            on_time += queue_s < 1.0
+        else:
+            assert 0.25 <= wait <= 1.5
+    return on_time
+
+
+def test_pace_keeps_answers_on_time_in_overload(engines):
+    paced = served_on_time(engines, True)
+    assert paced > 350
+    assert served_on_time(engines, False) < paced / 3
+
+
+def test_pace_refuses_nothing_while_the_queue_is_short(engines):
+    bucket = Bucket(0.0, 0.0)
+    set_pace(bucket, engines, 0.1)
+    assert all(admit(bucket, 9000, 2, 0.1, 0.0) == 0.0 for _ in range(50))
+
+
+SCALING = Scaling(1, 6, 4.0, 0.2, {"a": 0.85, "b": 1.2, "c": 1.0})
+
+
+def supplies(spot, on_demand=(0, 0, 0), closed=()):
+    return [
+        ZoneSupply(zone, on_demand[at], spot[at], zone not in closed)
+        for at, zone in enumerate("abc")
+    ]
+
+
+def total(plan, kind):
+    return sum(getattr(row, kind) for row in plan)
+
+
+def test_spot_engines_stand_the_loss_of_any_zone():
+    load = Load(100_000.0, 30.0)
+    plan = plan_engines(SCALING, supplies((9, 9, 9)), load, RATE)
+    assert total(plan, "on_demand") == 0
+    worst = total(plan, "spot") - max(row.spot for row in plan)
+    assert worst * RATE * 0.85 >= load.tokens_per_s
+
+
+def test_on_demand_fills_in_at_the_first_sign_of_a_reclaim():
+    load = Load(60_000.0, 30.0)
+    calm = plan_engines(SCALING, supplies((2, 2, 1)), load, RATE)
+    assert total(calm, "on_demand") == 0
+    lost = supplies((0, 2, 1), closed=("a",))
+    plan = plan_engines(SCALING, lost, load, RATE, before=5)
+    left = 3 - 2 + total(plan, "on_demand")
+    assert left * RATE * 0.85 >= load.tokens_per_s
+
+
+def test_on_demand_stays_until_spot_engines_stand():
+    load = Load(60_000.0, 30.0)
+    half = supplies((0, 1, 1), on_demand=(2, 0, 0))
+    assert total(plan_engines(SCALING, half, load, RATE), "on_demand") == 2
+    whole = supplies((2, 2, 1), on_demand=(2, 0, 0))
+    assert total(plan_engines(SCALING, whole, load, RATE), "on_demand") == 0
+
+
+def test_a_load_about_a_limit_does_not_give_engines_back():
+    low = plan_engines(SCALING, supplies((2, 2, 2)), Load(50_000, 9), RATE)
+    high = plan_engines(SCALING, supplies((2, 2, 2)), Load(55_000, 9), RATE)
+    kept = plan_engines(
+        SCALING,
+        supplies((2, 2, 2)),
+        Load(50_000, 9),
+        RATE,
+        before=total(high, "spot"),
+    )
+    assert total(low, "spot") <= total(kept, "spot") == total(high, "spot")
+
+
+@given(
+    spot=st.tuples(*[st.integers(0, 6)] * 3),
+    on_demand=st.tuples(*[st.integers(0, 6)] * 3),
+    rate=st.floats(0, 1e6),
+    closed=st.sets(st.sampled_from("abc")),
+)
+def test_plans_keep_the_bounds_of_each_zone(spot, on_demand, rate, closed):
+    rows = supplies(spot, on_demand, closed)
+    for row in plan_engines(SCALING, rows, Load(rate, 10.0), RATE):
+        assert row.on_demand >= 0 and row.spot >= 0
+        assert row.spot + row.on_demand >= SCALING.least
+
+
+@given(
+    events=st.lists(st.binary(max_size=20).map(lambda b: b.hex()), max_size=9),
+    cuts=st.lists(st.integers(0, 400), max_size=8),
+)
+def test_events_come_out_whole_however_they_arrive(events, cuts):
+    blocks = [
+        f"id: {number}\ndata: {text}\n\n".encode()
+        for number, text in enumerate(events)
+    ]
+    data = b"".join(blocks)
+    places = sorted({0, len(data), *(min(cut, len(data)) for cut in cuts)})
+    splitter = EventSplitter()
+    found = [
+        event
+        for start, end in zip(places, places[1:])
+        for event in splitter.feed(data[start:end])
+    ]
+    assert [row.data for row in found] == blocks
+    assert [row.number for row in found] == list(range(len(blocks)))
+    assert splitter.rest == b""
+
+
+def test_usage_of_a_killed_run_is_kept_by_the_others():
+    book = UsageBook(window_s=5.0)
+    book.add("h-1", "north", 12.0)
+    book.take("h-2", "north", 2, 7)
+    book.take("h-2", "north", 2, 5)
+    book.take("h-2b", "north", 2, 1)
+    assert book.totals(2) == {"north": 9}
+
+
+def entry(engine, **more):
+    values = dict(
+        engine_id=engine,
+        service="llm",
+        address="10.0.0.1:1",
+        zone="z",
+        slots=4,
+        leaving=False,
+    )
+    return Registration(**{**values, **more})
+
+
+def test_a_peer_never_turns_an_entry_back():
+    registry = Registry()
+    assert registry.apply("m", entry("m"), 3) is not None
+    assert registry.apply("m", entry("m", leaving=True), 7) is not None
+    assert registry.apply("m", entry("m"), 5) is None
+    assert registry.rows["m"].leaving
+
+
+def test_a_heartbeat_is_no_change_and_a_removal_is_one():
+    registry = Registry()
+    registry.apply("m", entry("m"), 3)
+    assert registry.apply("m", entry("m"), 4) is None
+    assert registry.apply("m", None, 5).gone
+    assert registry.apply("m", None, 6) is None
+    assert registry.apply("m", entry("m", born=2), 8).born == 2
