Keep what a former holder has ordered while it starts

Standing on-demand engines are also kept where they stand, and reclaimable ones are ordered from the first registration on.

--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -26,10 +26,13 @@
 # a process that has just started knows no load.
 UNKNOWN_S = 8.0
 # Time after this process's start until every engine that stands has had the
-# time to register: three of its heartbeats.
+# time to register: three of its heartbeats.  On-demand ones are not given
+# back before.
 LISTED_S = 4.0
 # Use of the engines that stood at first which is assumed until then.
 ASSUMED_USE = 0.6
+# Time after a takeover in which orders of the holder before take effect.
+SETTLED_S = 5.0
 # Time beyond the boot time after which an order that shows no effect is
 # sent again, and pause after a refusal.
 REPEAT_S = 1.0
@@ -64,6 +67,7 @@
         "due_at",
         "first_load_at",
         "held",
+        "held_at",
         "orders",
         "peaks",
         "state",
@@ -77,6 +81,7 @@
         self.closed_until: dict[tuple[str, str], float] = {}
         self.first_load_at = inf
         self.held = False
+        self.held_at = -inf
         self.orders: dict[tuple[str, str, bool], Order] = {}
         self.totals: dict[str, int] = {}
         self.assumed: dict[str, int] = {}
@@ -86,8 +91,6 @@
         """Look at every scaled service."""
         if now < self.due_at or self.state.book is None:
             return
-        if now < self.state.started_at + LISTED_S:
-            return
         self.due_at = now + PERIOD_S
         services = self.state.book.services.values()
         scaled = [row for row in services if row.scaling is not None]
@@ -98,6 +101,8 @@
         if not self.held:
             # Orders of the holder before are not known here.
             self.held = True
+            if self.first_load_at < inf:
+                self.held_at = now
             self.orders.clear()
             self.totals.clear()
         for service in scaled:
@@ -191,6 +196,10 @@
             self.closed_until[(service, zone)] = now + CLOSED_S
         elif order is not None and standing >= order.count > 0:
             order.filled = True
+        elif order is not None and now < self.held_at + SETTLED_S:
+            # Short of engines at a takeover: it may be a reclaim that the
+            # holder before saw.
+            return False
         return now >= self.closed_until.get((service, zone), -inf)
 
     def _order(
@@ -209,6 +218,8 @@
         for spot, count, standing in kinds:
             key = (service.name, wanted.zone, spot)
             order = self.orders.get(key)
+            if not spot and count <= standing and self._unsettled(now):
+                continue
             if order is not None:
                 if order.busy or now < order.pause_until:
                     continue
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -88,26 +88,37 @@
         total = min(before, spot_total(raised, prefill_rate, len(rows)))
     spots = _deal(len(rows), total, scaling.least, scaling.most)
     missing = _missing(rows, load, prefill_rate)
-    extras = _place(missing, spots, scaling.most)
+    stand = [row.on_demand for row in rows]
+    extras = _place(missing, stand, spots, scaling.most)
     return [
         Wanted(row.zone, extra, min(spot, scaling.most - extra))
         for row, spot, extra in zip(rows, spots, extras)
     ]
 
 
-def _place(count: int, spots: list[int], most: int) -> list[int]:
-    """Return how many of a count to put in each zone.
+def _place(
+    count: int, stand: list[int], spots: list[int], most: int
+) -> list[int]:
+    """Return how many on-demand engines of a count to have in each zone.
 
-    Room that reclaimable ones will take is used last: while an on-demand
-    engine stands in it, theirs cannot start.
+    Those that stand are kept first.  Room that reclaimable ones will take
+    is used last: while an on-demand engine stands in it, theirs cannot
+    start.
 
-    >>> _place(3, [2, 2, 1], 3), _place(2, [3, 3, 3], 3)
+    >>> _place(3, [0, 0, 0], [2, 2, 1], 3), _place(2, [0] * 3, [3] * 3, 3)
     ([1, 1, 1], [2, 0, 0])
+    >>> _place(2, [0, 0, 1], [2, 2, 2], 3)
+    [1, 0, 1]
     """
     extras = [0] * len(spots)
-    for taken in (spots, [0] * len(spots)):
-        for at, used in enumerate(taken):
-            extra = min(count, max(0, most - used - extras[at]))
+    rooms = (
+        [min(most, number) for number in stand],
+        [most - spot for spot in spots],
+        [most] * len(spots),
+    )
+    for room in rooms:
+        for at, limit in enumerate(room):
+            extra = min(count, max(0, limit - extras[at]))
             extras[at] += extra
             count -= extra
     return extras
