--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -228,6 +228,17 @@
                     continue
             self._send(key, count, now)
 
+    def _unsettled(self, now: float) -> bool:
+        """Return whether engines may stand or start that are not known.
+
+        So it is at this process's start, and after the duties changed
+        hosts: what the holder before has ordered is still starting.
+        """
+        return (
+            now < self.state.started_at + LISTED_S
+            or now < self.held_at + SETTLED_S
+        )
+
     def _send(
         self, key: tuple[str, str, bool], count: int, now: float
     ) -> None:
