--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -101,9 +101,9 @@
 ) -> list[int]:
     """Return how many on-demand engines of a count to have in each zone.
 
-    Those that stand are kept first.  Room that reclaimable ones will take
-    is used last: while an on-demand engine stands in it, theirs cannot
-    start.
+    Those that stand are kept first, but room that reclaimable ones will
+    take is used last: while an on-demand engine stands in it, theirs
+    cannot start.
 
     >>> _place(3, [0, 0, 0], [2, 2, 1], 3), _place(2, [0] * 3, [3] * 3, 3)
     ([1, 1, 1], [2, 0, 0])
@@ -112,7 +112,7 @@
     """
     extras = [0] * len(spots)
     rooms = (
-        [min(most, number) for number in stand],
+        [min(most - spot, row) for spot, row in zip(spots, stand)],
         [most - spot for spot in spots],
         [most] * len(spots),
     )
@@ -128,10 +128,11 @@
     """Return how many on-demand engines to have."""
     strained = ceil(engines_for(load, prefill_rate, STRAINED_USE))
     standing = [row.spot for row in rows]
-    missing = max(0, strained - (sum(standing) - max(standing)))
     if all(row.spot_open for row in rows):
+        # What is missing is starting; none needs to be begun beside it.
+        missing = max(0, strained - sum(standing))
         return min(missing, sum(row.on_demand for row in rows))
-    return missing
+    return max(0, strained - (sum(standing) - max(standing)))
 
 
 def spot_total(load: Load, prefill_rate: float, zones: int) -> int:
