--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test lint measure wire format
+SEEDS ?= 50
+
+.PHONY: demo test lint measure soak wire format
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -16,18 +18,21 @@
 	$(BIN)/python tools/runtests.py
 
 lint: $(VENV)/ready
-	$(BIN)/black --check -q src tests tools
-	$(BIN)/isort --check -q src tests tools
-	$(BIN)/flake8 src tests tools
+	$(BIN)/black --check -q src tests tools deploy
+	$(BIN)/isort --check -q src tests tools deploy
+	$(BIN)/flake8 src tests tools deploy
 	$(BIN)/mypy
 
 measure: $(VENV)/ready
 	$(BIN)/python tools/measure.py
 	$(BIN)/python tools/slopes.py
 
+soak: $(VENV)/ready
+	$(BIN)/python tools/soak.py --seeds $(SEEDS)
+
 format: $(VENV)/ready
-	$(BIN)/isort -q src tests tools
-	$(BIN)/black -q src tests tools
+	$(BIN)/isort -q src tests tools deploy
+	$(BIN)/black -q src tests tools deploy
 
 wire:
 	thrift --gen py:twisted,slots \
--- /dev/null
+++ b/src/magnoliaflow_standins/faultproxy.py
@@ -0,0 +1,108 @@
+"""A loopback proxy that delays, resets, silences or cuts one way."""
+
+from enum import Enum
+from socket import create_connection
+from socket import SHUT_WR
+from socket import SO_LINGER
+from socket import socket
+from socket import SOL_SOCKET
+from struct import pack
+from threading import Thread
+from time import sleep
+
+PIECE_BYTES = 65536
+CONNECT_S = 2.0
+LINGER_RESET = pack("ii", 1, 0)
+
+
+class LinkFault(Enum):
+    """What a proxy does to the bytes of its connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENCE = "silence"
+    ONE_WAY = "one way"
+
+
+class FaultProxy:
+    """Forwards connections to an address, with the fault in force."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self.target = (host, int(port))
+        self.fault = LinkFault.NONE
+        self.delay_s = 0.2
+        self.open: set[socket] = set()
+        self.listener = socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(256)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop taking connections."""
+        self.listener.close()
+
+    def strike(self, fault: LinkFault) -> None:
+        """Put a fault in force, also on open connections."""
+        self.fault = fault
+        if fault is LinkFault.RESET:
+            for sock in list(self.open):
+                _reset(sock)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            Thread(target=self._serve, args=(near,), daemon=True).start()
+
+    def _serve(self, near: socket) -> None:
+        if self.fault is LinkFault.RESET:
+            _reset(near)
+            return
+        try:
+            far = create_connection(self.target, CONNECT_S)
+        except OSError:
+            _reset(near)
+            return
+        far.settimeout(None)
+        self.open.update((near, far))
+        back = Thread(target=self._pump, args=(far, near, True), daemon=True)
+        back.start()
+        self._pump(near, far, False)
+        back.join()
+        self.open -= {near, far}
+        near.close()
+        far.close()
+
+    def _pump(self, source: socket, sink: socket, back: bool) -> None:
+        """Copy one direction until it ends."""
+        while True:
+            try:
+                data = source.recv(PIECE_BYTES)
+                if self.fault is LinkFault.DELAY:
+                    sleep(self.delay_s)
+                while self.fault is LinkFault.SILENCE or (
+                    back and self.fault is LinkFault.ONE_WAY
+                ):
+                    sleep(0.02)
+                if not data:
+                    sink.shutdown(SHUT_WR)
+                    return
+                sink.sendall(data)
+            except OSError:
+                _reset(source)
+                _reset(sink)
+                return
+
+
+def _reset(sock: socket) -> None:
+    """End a connection with a reset; one that ended already stays so."""
+    try:
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_RESET)
+        sock.close()
+    except OSError:
+        return
--- /dev/null
+++ b/tools/entrysite.py
@@ -0,0 +1,201 @@
+"""A small deployment of entry processes on stand-ins, on loopback."""
+
+from http.client import HTTPConnection
+from itertools import count
+from json import dumps
+from os import environ
+from pathlib import Path
+from socket import socket
+from subprocess import DEVNULL
+from subprocess import Popen
+from sys import executable
+from time import monotonic
+from time import sleep
+
+from magnoliaflow_standins.batchengine import BatchEngine
+from magnoliaflow_standins.metadatastore import MetadataStore
+
+ROOT = Path(__file__).parent.parent
+HOST = "desk.example"
+WAIT_S = 15.0
+IDS = count(1)
+
+
+def free_ports(most):
+    """Return ports that the kernel says are free."""
+    socks = [socket() for _ in range(most)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def until(condition, what):
+    """Wait for a condition, a bounded time."""
+    end = monotonic() + WAIT_S
+    while monotonic() < end:
+        found = condition()
+        if found:
+            return found
+        sleep(0.02)
+    raise AssertionError(f"not within {WAIT_S} s: {what}")
+
+
+def route(name, kind, **more):
+    """Return one route of a configuration."""
+    row = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 1000,
+        "priority": 1,
+        "service": "app",
+        "maxAttempts": 2,
+        "anonymous": False,
+        "streamResumption": False,
+    }
+    return {**row, **more}
+
+
+def document(version, **more):
+    """Return a configuration."""
+    values = {
+        "version": version,
+        "routes": [
+            route("look", "idempotent"),
+            route("book", "non_idempotent"),
+            route("chat", "streaming", service="llm"),
+            route("draft", "streaming", service="llm", streamResumption=True),
+            route("open", "idempotent", anonymous=True),
+        ],
+        "services": [
+            {"name": "app", "healthPath": "/h", "connectionLimit": 90},
+            {"name": "llm", "healthPath": "/h", "engineId": {"slots": 4}},
+        ],
+        "limits": {"maxBodyBytes": 2000, "maxHeaderBytes": 4000},
+        "tenants": [
+            {"name": "north", "apiKeys": ["key-n"], "ratePerS": 0},
+            {
+                "name": "small",
+                "apiKeys": ["key-s"],
+                "ratePerS": 1,
+                "burst": 2,
+                "unit": "request_count",
+            },
+        ],
+    }
+    return dumps({**values, **more}).encode()
+
+
+class Deployment:
+    """A store, engines of two services, and entry processes."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = MetadataStore()
+        self.engines = {}
+        self.processes = []
+        self.entries = []
+        for service, name in (
+            ("app", "a1"),
+            ("app", "a2"),
+            ("llm", "m1"),
+            ("llm", "m2"),
+        ):
+            self.engines[name] = BatchEngine(name)
+            self.register(name, service)
+        self.store.put("keyed.op", "config", document(1))
+
+    def register(self, name, service, **more):
+        """Write an engine's entry, as its heartbeat does."""
+        row = {
+            "service": service,
+            "address": self.engines[name].address,
+            "zone": "z1",
+            "slots": 4,
+            "state": "ready",
+            "born": 7,
+        }
+        self.store.put("keyed.servers", name, dumps({**row, **more}).encode())
+
+    def start(self, name, seeds=(), *, cloud="", links=None, log=None):
+        """Start an entry process and wait until it is ready."""
+        store = (links or {}).get("store", self.store.address)
+        ports = dict(
+            zip(
+                ("frontend", "ready", "controlPlane", "directoryService"),
+                free_ports(4),
+            )
+        )
+        lines = [f"nodeName={name}", "zone=z1", "region=r"]
+        lines += [
+            f"listenAddresses.{key}=127.0.0.1:{port}"
+            for key, port in ports.items()
+        ]
+        lines += [
+            f"platform.address={store}",
+            f"cloudApi.address={cloud}",
+            "cloudApi.duties=usage_reporting" if cloud else "",
+            "bounds.usageWindowS=1",
+            "bounds.usageDelayS=2",
+            f"seedNodes={','.join(seeds)}",
+            "bounds.quotaTolerance=0",
+            "bounds.retryBudgetExtra=200",
+        ]
+        path = self.folder / f"{name}.conf"
+        path.write_text("\n".join(lines))
+        self.processes.append(self.launch(path, log))
+        self.entries.append(ports)
+        until(lambda: self.ready(ports) == 200, f"{name} is ready")
+        return ports
+
+    def launch(self, path, log=None):
+        """Start the program on a settings file."""
+        return Popen(
+            [executable, str(ROOT / "deploy/entry.py")],
+            env={**environ, "MAGNOLIAFLOW_NODE_FILE": str(path)},
+            stdout=log or DEVNULL,
+        )
+
+    def ready(self, ports):
+        """Return the status of a readiness check, 0 for none."""
+        try:
+            return ask(ports["ready"], "GET", "/magnoliaflow/readiness")[0]
+        except OSError:
+            return 0
+
+    def close(self):
+        """End every process and stand-in that was started."""
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        for engine in self.engines.values():
+            engine.close()
+        self.store.close()
+
+    def ran(self):
+        """Return the ids of all requests that engines ran."""
+        return [item for row in self.engines.values() for item in row.ran]
+
+
+def ask(port, method, path, body=b"", key="key-n", **headers):
+    """Return status, headers and body of one request."""
+    conn = HTTPConnection("127.0.0.1", port, timeout=5)
+    head = {
+        "Host": HOST,
+        "X-Attempt-Id": f"r{next(IDS)}",
+        "X-Deadline-Ms": "4000",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    if key:
+        head["X-Credential"] = key
+    try:
+        conn.request(method, path, body=body or None, headers=head)
+        reply = conn.getresponse()
+        return reply.status, reply.headers, reply.read()
+    finally:
+        conn.close()
