--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -7,7 +7,9 @@
 
 
 class BatchEngine:
-    """Answers requests with a receipt; counts what it ran.
+    """Answers requests with a receipt; keeps the ids of what it ran.
+
+    ``left`` names the streams whose other side went before their end.
 
     ``fault`` applies to the next ``faults`` requests: ``shed`` (not run),
     ``lost`` (run, no answer), ``cut`` (run, broken off midway), ``failed``
@@ -17,6 +19,7 @@
     def __init__(self, engine_id: str) -> None:
         self.engine_id = engine_id
         self.ran: list[str] = []
+        self.left: list[str] = []
         self.heads: list[dict[str, str]] = []
         self.fault = ""
         self.faults = 0
@@ -80,7 +83,7 @@
             self.close_connection = True
             return
         if self.path.endswith("/s"):
-            self._stream(fault)
+            self._stream_or_leave(fault)
         else:
             self._whole(body, fault)
 
@@ -94,6 +97,14 @@
         if fault == "cut":
             self.close_connection = True
 
+    def _stream_or_leave(self, fault: str) -> None:
+        """Stream, and note where the other side left."""
+        try:
+            self._stream(fault)
+        except OSError:
+            self.engine.left.append(self.headers["X-Attempt-Id"])
+            self.close_connection = True
+
     def _stream(self, fault: str) -> None:
         start = int(self.headers.get("Last-Event-Id") or -1) + 1
         rows = [*self._receipt(fault), ("Content-Type", "text/event-stream")]
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -173,6 +173,26 @@
     assert refused and float(refused[0][1]["Retry-After"]) > 0
 
 
+def test_a_caller_who_leaves_frees_the_engine(site, port):
+    for engine in site.engines.values():
+        engine.pause_s, engine.events = 0.1, 40
+    sock = socket()
+    sock.connect(("127.0.0.1", port))
+    sock.sendall(
+        b"POST /chat/s HTTP/1.1\r\nHost: desk.example\r\n"
+        b"X-Attempt-Id: gone\r\nX-Credential: key-n\r\n"
+        b"Content-Length: 2\r\n\r\nhi"
+    )
+    assert sock.recv(1000)
+    sock.close()
+    left = until(
+        lambda: [row for row in site.engines.values() if row.left], "freed"
+    )
+    assert left[0].left == ["gone"]
+    for engine in site.engines.values():
+        engine.pause_s, engine.events = 0.0, 4
+
+
 @pytest.mark.parametrize(
     "raw, status",
     [
