--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -1,28 +1,8 @@
 """Engines as the platform's store lists them, in the order of its log."""
 
-from dataclasses import dataclass
 from dataclasses import replace
 
-
-@dataclass(frozen=True, slots=True)
-class Registration:
-    """One engine's entry; ``gone`` marks one that was removed.
-
-    ``leaves_s`` counts from when the entry was read; ``born`` tells two
-    runs under one id apart; ``offset`` is where the entry last changed.
-    """
-
-    engine_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    leaving: bool
-    leaves_s: float = 0.0
-    spot: bool = False
-    born: int = 0
-    gone: bool = False
-    offset: int = -1
+from magnoliaflow.common.messages import EngineEntry
 
 
 class Registry:
@@ -38,11 +18,11 @@
     def __init__(self) -> None:
         self.end = 0
         self.changed_at = -1
-        self.rows: dict[str, Registration] = {}
+        self.rows: dict[str, EngineEntry] = {}
 
     def apply(
-        self, engine_id: str, row: Registration | None, offset: int
-    ) -> Registration | None:
+        self, engine_id: str, row: EngineEntry | None, offset: int
+    ) -> EngineEntry | None:
         """Apply an entry, None for a removal; return the row if it changed.
 
         An unreadable entry of a known engine counts as a removal.
@@ -64,7 +44,7 @@
         """Note that every entry before ``end`` was applied."""
         self.end = max(self.end, end)
 
-    def changed_since(self, offset: int) -> tuple[Registration, ...]:
+    def changed_since(self, offset: int) -> tuple[EngineEntry, ...]:
         """Return the rows that changed at or after an offset."""
         return tuple(row for row in self.rows.values() if row.offset >= offset)
 
@@ -77,5 +57,5 @@
         ]
 
 
-def _same(known: Registration, row: Registration) -> bool:
+def _same(known: EngineEntry, row: EngineEntry) -> bool:
     return replace(row, offset=known.offset, leaves_s=known.leaves_s) == known
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -203,7 +203,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineEntry:
-    """An engine's registration at the log offset where it changed."""
+    """An engine's registration; ``gone`` marks one that was removed.
+
+    ``leaves_s`` counts from when it was read; ``born`` tells two runs under
+    one id apart; ``offset`` is where it last changed, -1 while unknown.
+    """
 
     engine: str
     backend: str
@@ -211,11 +215,11 @@
     zone: str
     slots: int
     leaving: bool
-    leaves_s: float
-    spot: bool
-    born: int
-    gone: bool
-    offset: int
+    leaves_s: float = 0.0
+    spot: bool = False
+    born: int = 0
+    gone: bool = False
+    offset: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/apply.py
+++ b/src/magnoliaflow/entry/apply.py
@@ -2,10 +2,10 @@
 
 from math import inf
 
-from magnoliaflow.cluster.registry import Registration
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.settings import BackendServer
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.policy.caps import Bucket
@@ -61,7 +61,7 @@
 
 
 def apply_registration(
-    state: EntryState, name: str, row: Registration | None, offset: int
+    state: EntryState, name: str, row: EngineEntry | None, offset: int
 ) -> None:
     """Bring an engine's row in line with its entry."""
     known = state.registry.rows.get(name)
@@ -71,7 +71,7 @@
     state.log(
         LogEvent.ENGINE_CHANGED,
         engine=name,
-        backend=changed.service,
+        backend=changed.backend,
         zone=changed.zone,
         leaving=changed.leaving,
         gone=changed.gone,
@@ -98,25 +98,25 @@
         notify()
 
 
-def _moved(known: Registration | None, row: Registration) -> bool:
-    return known is not None and (known.address, known.service) != (
+def _moved(known: EngineEntry | None, row: EngineEntry) -> bool:
+    return known is not None and (known.address, known.backend) != (
         row.address,
-        row.service,
+        row.backend,
     )
 
 
-def _server(state: EntryState, row: Registration) -> BackendServer:
+def _server(state: EntryState, row: EngineEntry) -> BackendServer:
     """Return the registered engine as the backend server it is."""
     service = (
-        None if state.book is None else state.book.services.get(row.service)
+        None if state.book is None else state.book.services.get(row.backend)
     )
     return BackendServer(
-        name=row.engine_id,
+        name=row.engine,
         kind="model" if service is not None and service.model else "service",
-        host=row.engine_id,
+        host=row.engine,
         zone=row.zone,
         address=row.address,
-        backend=row.service,
+        backend=row.backend,
         checks_fencing=False,
         reclaimable=row.spot,
         slots=max(1, row.slots),
--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -3,7 +3,6 @@
 from xxhash import xxh64_intdigest
 
 from magnoliaflow.cluster.peers import PeerLinks
-from magnoliaflow.cluster.registry import Registration
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.eventlog import LogEvent
@@ -134,8 +133,7 @@
     entries: tuple[EngineEntry, ...] = ()
     stale = beat.fleet_age + now - host.heard_at > STALE_S
     if state.keeper.holds(now) or (helper and stale):
-        rows = state.registry.changed_since(beat.fleet_end)
-        entries = tuple(_entry(row) for row in rows)
+        entries = state.registry.changed_since(beat.fleet_end)
     book = state.book
     lacks = book is not None and book.version > beat.version
     if lacks and helper and now > state.book_at + OWN_READ_S:
@@ -264,7 +262,7 @@
         apply_registration(
             state,
             row.engine,
-            None if row.gone else _registration(row),
+            None if row.gone else row,
             row.offset,
         )
     if beat.fleet_end >= state.registry.end:
@@ -301,35 +299,3 @@
     gap = gaps[len(gaps) // 2]
     if len(gaps) > 2 and abs(gap) > SMALL_CLOCK_GAP_S:
         state.clock_offset += gap * CLOCK_STEP
-
-
-def _entry(row: Registration) -> EngineEntry:
-    return EngineEntry(
-        engine=row.engine_id,
-        backend=row.service,
-        address=row.address,
-        zone=row.zone,
-        slots=row.slots,
-        leaving=row.leaving,
-        leaves_s=row.leaves_s,
-        spot=row.spot,
-        born=row.born,
-        gone=row.gone,
-        offset=row.offset,
-    )
-
-
-def _registration(row: EngineEntry) -> Registration:
-    return Registration(
-        engine_id=row.engine,
-        service=row.backend,
-        address=row.address,
-        zone=row.zone,
-        slots=row.slots,
-        leaving=row.leaving,
-        leaves_s=row.leaves_s,
-        spot=row.spot,
-        born=row.born,
-        gone=row.gone,
-        offset=row.offset,
-    )
--- /dev/null
+++ b/src/magnoliaflow/entry/calllog.py
@@ -0,0 +1,35 @@
+"""The line and the figures that each request leaves at its end."""
+
+from typing import Any
+
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.eventlog import LogEvent
+
+# Ages are cut here: a host that never read anything has no finite one.
+MOST_AGE_S = 1e6
+
+
+def report_end(run: Any, engine: str) -> None:
+    """Count a request that ended and write its line."""
+    state = run.state
+    now = boot_time()
+    route = run.route.name if run.route else ""
+    first_s = run.first_at - run.started_at if run.first_at else None
+    state.metrics.answers.labels(route, str(run.status)).inc()
+    if first_s is not None:
+        state.metrics.first_byte.labels(route).observe(first_s)
+    state.log(
+        LogEvent.CALL_ENDED,
+        request=run.call.request_id,
+        route=route,
+        account=run.account.name if run.account else "",
+        code=int(run.code),
+        status=run.status,
+        engine=engine,
+        sends=run.engines_sent,
+        unsent=run.unsent,
+        first_s=None if first_s is None else round(first_s, 3),
+        took_s=round(now - run.started_at, 3),
+        version=run.book.version if run.book else -1,
+        config_age_s=round(min(MOST_AGE_S, state.config_age(now)), 3),
+    )
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -12,16 +12,21 @@
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codes import Code
 from magnoliaflow.common.eventlog import LogEvent
-from magnoliaflow.common.lifecycle import Phase
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.entry.attempts import Attempt
 from magnoliaflow.entry.attempts import Failure
+from magnoliaflow.entry.calllog import report_end
+from magnoliaflow.entry.gate import charge
+from magnoliaflow.entry.gate import find_entrance
+from magnoliaflow.entry.gate import pace_wait_s
+from magnoliaflow.entry.gate import rank
+from magnoliaflow.entry.gate import Refusal
+from magnoliaflow.entry.gate import STALE_RETRY_S
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import refusal_headers
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.events import Event
-from magnoliaflow.policy.pacing import admit
 from magnoliaflow.policy.placing import first_token_s
 from magnoliaflow.policy.routes import Account
 from magnoliaflow.policy.routes import Kind
@@ -39,7 +44,6 @@
 # takes work: longer waits spend the time in which its caller could return.
 HOLD_SHARE = 0.125
 NO_ENGINE_RETRY_S = 1.0
-STALE_RETRY_S = 0.5
 SHED_RETRY_S = 0.3
 # Connections that never opened; more tries would use up the time.
 MOST_UNSENT = 4
@@ -47,8 +51,6 @@
 DEADLINE_MARGIN_S = 0.03
 # Wait for a request whose head names no deadline and no route's timeout.
 USUAL_DEADLINE_S = 30.0
-LOWEST_PRIORITY = 9
-PRIORITY_STEP = 3
 # An idempotent call without any answer for this share of its objective is
 # sent once more: the engine may be gone without a sign.
 HEDGE_SHARE = 1.0
@@ -117,36 +119,26 @@
         if not self.resolve():
             return
         self._arm()
-        if self._charge():
-            self.dispatch()
+        if self.account is not None:
+            taken = charge(self.state, self.account, self.call, boot_time())
+            if isinstance(taken, Refusal):
+                self.refuse(taken.code, taken.retry_after_s)
+                return
+            self.charged = taken
+        self.dispatch()
 
     def resolve(self) -> bool:
         """Find route and account in the configuration now in force.
 
         Return False where that refuses the request.
         """
-        book = self.state.book
-        if book is None or self.state.phase is Phase.STARTING:
-            return self.refuse(Code.PROFILES_STALE, STALE_RETRY_S)
-        self.book = book
-        route = book.find(self.call.host, self.call.path)
-        if route is None:
-            if not self.state.fresh(boot_time()):
-                return self.refuse(Code.PROFILES_STALE, STALE_RETRY_S)
-            return self.refuse(Code.NO_ROUTE, None)
-        self.route = route
-        self.service = route.service_for(self.call.request_id)
-        if route.anonymous or not book.accounts:
-            return True
-        return self._authenticate(book)
-
-    def _authenticate(self, book: RouteBook) -> bool:
-        if not self.state.fresh(boot_time()):
-            return self.refuse(Code.PROFILES_STALE, STALE_RETRY_S)
-        name = book.keys.get(self.call.credential)
-        if name is None:
-            return self.refuse(Code.UNAUTHENTICATED, None)
-        self.account = book.accounts[name]
+        found = find_entrance(self.state, self.call, boot_time())
+        if isinstance(found, Refusal):
+            return self.refuse(found.code, found.retry_after_s)
+        self.book = found.book
+        self.route = found.route
+        self.account = found.account
+        self.service = found.route.service_for(self.call.request_id)
         return True
 
     def _arm(self) -> None:
@@ -157,28 +149,6 @@
         self.deadline_at = self.started_at + wait_s
         self.timer = reactor.callLater(max(0.0, wait_s), self.expire)
 
-    def _charge(self) -> bool:
-        """Take the request out of its account's usage cap."""
-        if self.account is None:
-            return True
-        amount = 1.0
-        if self.account.by_tokens:
-            sized = self.call.prompt_tokens + self.call.answer_tokens
-            amount = float(
-                sized if self.call.sized else self.account.default_tokens
-            )
-        name = self.account.name
-        now = boot_time()
-        self.state.demands[name].note(amount, now)
-        bucket = self.state.buckets.get(name)
-        if bucket is None:
-            return True
-        wait_s = bucket.take(amount, now)
-        if wait_s > 0:
-            return self.refuse(Code.ACCOUNT_OVER_SHARE, wait_s)
-        self.charged = amount
-        return True
-
     def dispatch(self) -> None:
         """Send the request to the best engine, or let it wait for one."""
         if self.done:
@@ -203,25 +173,16 @@
         if self._model() and first_token_s(engine, 0) > left_s:
             self.refuse(Code.DEADLINE_UNREACHABLE, first_token_s(engine, 0))
             return
-        wait_s = self._pace(engine, pick.uncached_tokens, now)
+        wait_s = 0.0
+        if self.engines_sent == 0 and self.route is not None:
+            wait_s = pace_wait_s(
+                self.state, self.route, engine, pick.uncached_tokens, now
+            )
         if wait_s > 0:
             self.refuse(Code.DEADLINE_UNREACHABLE, wait_s)
             return
         self._send(engine, pick.uncached_tokens, need, left_s)
 
-    def _pace(self, engine: Engine, uncached: int, now: float) -> float:
-        """Return 0 to admit a first send, or when to come back."""
-        bucket = self.state.paces.get(self.service)
-        if bucket is None or self.engines_sent or self.route is None:
-            return 0.0
-        return admit(
-            bucket,
-            uncached,
-            self.route.priority,
-            first_token_s(engine, 0),
-            now,
-        )
-
     def _policy(self) -> Any:
         return find_policy("first_token" if self._model() else "least_busy")
 
@@ -293,11 +254,13 @@
             self.state.view.prefixes.add(
                 engine.name, need.blocks, boot_time(), sizes=need.sizes
             )
+        model = self._model()
+        assert self.route is not None
         forward = Forward(
             engine=engine.name,
             left_s=left_s,
             account=self.account.name if self.account else "",
-            priority=self._priority() if self._model() else None,
+            priority=rank(self.route, self.account) if model else None,
             resume_after=str(self.last_event) if self.last_event >= 0 else "",
         )
         self.attempt = Attempt(self, engine, uncached)
@@ -334,13 +297,6 @@
                 self.state.true_time(at),
             )
 
-    def _priority(self) -> int:
-        assert self.route is not None
-        rank = self.route.priority
-        if self.account is not None and self.account.priority is not None:
-            rank += PRIORITY_STEP * self.account.priority
-        return min(LOWEST_PRIORITY, rank)
-
     def _arm_hedge(self) -> None:
         """Watch an idempotent call for an engine that is silent."""
         assert self.route is not None
@@ -512,32 +468,4 @@
         if self.attempt is not None:
             engine = self.attempt.engine.name
             self.attempt.abandon()
-        self._report(engine)
-
-    def _report(self, engine: str) -> None:
-        now = boot_time()
-        route = self.route.name if self.route else ""
-        self.state.metrics.answers.labels(route, str(self.status)).inc()
-        if self.first_at:
-            self.state.metrics.first_byte.labels(route).observe(
-                self.first_at - self.started_at
-            )
-        self.state.log(
-            LogEvent.CALL_ENDED,
-            request=self.call.request_id,
-            route=route,
-            account=self.account.name if self.account else "",
-            code=int(self.code),
-            status=self.status,
-            engine=engine,
-            sends=self.engines_sent,
-            unsent=self.unsent,
-            first_s=(
-                round(self.first_at - self.started_at, 3)
-                if self.first_at
-                else None
-            ),
-            took_s=round(now - self.started_at, 3),
-            version=self.book.version if self.book else -1,
-            config_age_s=round(min(1e6, self.state.config_age(now)), 3),
-        )
+        report_end(self, engine)
--- a/src/magnoliaflow/entry/follow.py
+++ b/src/magnoliaflow/entry/follow.py
@@ -1,7 +1,7 @@
 """Following the configuration and the engines' registrations.
 
 The configuration is read by every host with a long poll, since its age
-decides whether requests with a key may be served.  Registrations change
+decides whether requests with a key may be served.  EngineEntrys change
 with every heartbeat of every engine: the host with the duties reads them in
 batches and its beats pass changes on; others read only when those stop.
 """
@@ -12,12 +12,12 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
-from magnoliaflow.cluster.registry import Registration
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.entry.apply import apply_document
 from magnoliaflow.entry.apply import apply_registration
 from magnoliaflow.entry.state import EntryState
@@ -201,13 +201,13 @@
         known = self.state.registry.rows
         row = known.get(name)
         return row is not None and not any(
-            other.service == row.service
-            and other.engine_id != name
+            other.backend == row.backend
+            and other.engine != name
             and not other.gone
             for other in known.values()
         )
 
-    def _apply(self, name: str, row: Registration | None, offset: int) -> None:
+    def _apply(self, name: str, row: EngineEntry | None, offset: int) -> None:
         apply_registration(self.state, name, row, offset)
 
 
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -4,10 +4,10 @@
 from math import inf
 from typing import Any
 
-from magnoliaflow.cluster.registry import Registration
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import StartRefusedError
 from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.entry.apply import USUAL_PREFILL_RATE
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.cloud import CloudClient
@@ -157,13 +157,13 @@
         rows = [
             row
             for row in self.state.registry.rows.values()
-            if row.service == service.name and not row.gone and not row.leaving
+            if row.backend == service.name and not row.gone and not row.leaving
         ]
         zones = self._zones(service)
         return [self._supply(service.name, zone, rows, now) for zone in zones]
 
     def _supply(
-        self, name: str, zone: str, rows: list[Registration], now: float
+        self, name: str, zone: str, rows: list[EngineEntry], now: float
     ) -> ZoneSupply:
         here = [row for row in rows if row.zone == zone]
         spot = sum(1 for row in here if row.spot)
@@ -177,7 +177,7 @@
         seen = {
             row.zone
             for row in self.state.registry.rows.values()
-            if row.service == service.name
+            if row.backend == service.name
         }
         return sorted(seen)
 
--- a/src/magnoliaflow/platform/registrations.py
+++ b/src/magnoliaflow/platform/registrations.py
@@ -3,10 +3,10 @@
 from json import loads
 from typing import Any
 
-from magnoliaflow.cluster.registry import Registration
+from magnoliaflow.common.messages import EngineEntry
 
 
-def decode_registration(engine_id: str, data: bytes) -> Registration | None:
+def decode_registration(engine_id: str, data: bytes) -> EngineEntry | None:
     """Return the row in an entry, None if it names no usable engine.
 
     Anyone may have written the entry: whatever is missing or mistyped
@@ -24,9 +24,9 @@
     state = item.get("state")
     if state not in ("ready", "draining") or not _is_address(texts[1]):
         return None
-    return Registration(
-        engine_id=engine_id,
-        service=str(texts[0]),
+    return EngineEntry(
+        engine=engine_id,
+        backend=str(texts[0]),
         address=str(texts[1]),
         zone=str(texts[2]),
         slots=_whole(item.get("slots"), 1),
--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -1,10 +1,10 @@
 """Stand-in for one of the users' engines, with faults on demand."""
 
-from http.server import BaseHTTPRequestHandler
-from http.server import ThreadingHTTPServer
-from threading import Thread
 from time import sleep
 
+from magnoliaflow_standins.httpbase import QuietHandler
+from magnoliaflow_standins.httpbase import QuietServer
+
 
 class BatchEngine:
     """Answers requests with a receipt; keeps the ids of what it ran.
@@ -25,15 +25,12 @@
         self.faults = 0
         self.events = 4
         self.pause_s = 0.0
-        self.server = _Server(("127.0.0.1", 0), _Handler)
-        self.server.engine = self  # type: ignore[attr-defined]
-        self.address = f"127.0.0.1:{self.server.server_address[1]}"
-        Thread(target=self.server.serve_forever, daemon=True).start()
+        self.server = QuietServer(_Handler, self)
+        self.address = self.server.address
 
     def close(self) -> None:
         """Stop serving."""
-        self.server.shutdown()
-        self.server.server_close()
+        self.server.close()
 
     def take_fault(self) -> str:
         """Return the fault for the next request, '' for none."""
@@ -43,22 +40,10 @@
         return self.fault
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-
-    def handle_error(self, request: object, address: object) -> None:
-        """Write nothing: callers reset connections all the time."""
-
-
-class _Handler(BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-
+class _Handler(QuietHandler):
     @property
     def engine(self) -> BatchEngine:
-        return self.server.engine  # type: ignore[attr-defined,no-any-return]
-
-    def log_message(self, format: str, *args: object) -> None:
-        """Write nothing."""
+        return self.server.owner  # type: ignore[attr-defined,no-any-return]
 
     def do_GET(self) -> None:
         """Answer a plain request."""
--- a/src/magnoliaflow_standins/metadatastore.py
+++ b/src/magnoliaflow_standins/metadatastore.py
@@ -4,16 +4,16 @@
 """
 
 from base64 import b64encode
-from http.server import BaseHTTPRequestHandler
-from http.server import ThreadingHTTPServer
 from json import dumps
 from struct import pack
 from struct import unpack_from
 from threading import Condition
-from threading import Thread
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
+from magnoliaflow_standins.httpbase import QuietHandler
+from magnoliaflow_standins.httpbase import QuietServer
+
 HEAD = ">QQ"
 
 
@@ -27,15 +27,12 @@
         self.down = False
         self.refused: set[str] = set()
         self.lost_answers = 0
-        self.server = _Server(("127.0.0.1", 0), _Handler)
-        self.server.store = self  # type: ignore[attr-defined]
-        self.address = f"127.0.0.1:{self.server.server_address[1]}"
-        Thread(target=self.server.serve_forever, daemon=True).start()
+        self.server = QuietServer(_Handler, self)
+        self.address = self.server.address
 
     def close(self) -> None:
         """Stop serving."""
-        self.server.shutdown()
-        self.server.server_close()
+        self.server.close()
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Write a keyed record, as the operator or an engine does."""
@@ -70,22 +67,10 @@
         return {key: row for key, row in found.items() if row[1]}
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-
-    def handle_error(self, request: object, address: object) -> None:
-        """Write nothing: callers reset connections all the time."""
-
-
-class _Handler(BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-
+class _Handler(QuietHandler):
     @property
     def store(self) -> MetadataStore:
-        return self.server.store  # type: ignore[attr-defined,no-any-return]
-
-    def log_message(self, format: str, *args: object) -> None:
-        """Write nothing."""
+        return self.server.owner  # type: ignore[attr-defined,no-any-return]
 
     def do_GET(self) -> None:
         """Read a topic, or list its newest records."""
--- a/tests/test_entry_policy.py
+++ b/tests/test_entry_policy.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 import pytest
 
-from magnoliaflow.cluster.registry import Registration
 from magnoliaflow.cluster.registry import Registry
+from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.settings import BackendServer
 from magnoliaflow.policy.caps import Bucket
 from magnoliaflow.policy.caps import share_of
@@ -269,14 +269,14 @@
 
 def entry(engine, **more):
     values = dict(
-        engine_id=engine,
-        service="llm",
+        engine=engine,
+        backend="llm",
         address="10.0.0.1:1",
         zone="z",
         slots=4,
         leaving=False,
     )
-    return Registration(**{**values, **more})
+    return EngineEntry(**{**values, **more})
 
 
 def test_a_peer_never_turns_an_entry_back():
