Never say "not run" of a request that may have run before

Cause, found by reading: a request that may be repeated and was sent once could be refused 503 on its second try (stale configuration, key taken away, no time left), and a stream that had begun could be refused instead of cut.

--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -11,6 +11,7 @@
 
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codes import Code
+from magnoliaflow.common.codes import Run
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.entry.attempts import Attempt
@@ -410,9 +411,17 @@
         self._settle(Code.BACKEND_FAILED if failed else Code.DONE)
 
     def refuse(self, code: Code, retry_after_s: float | None) -> bool:
-        """Answer with a result code; return False for the caller's use."""
+        """Answer with a result code; return False for the caller's use.
+
+        A code that says "not run" is kept to requests that have not.
+        """
         if self.done:
             return False
+        if self.begun:
+            self.cut(code.meaning)
+            return False
+        if self.may_have_run and code.run is Run.NO:
+            code, retry_after_s = Code.OUTCOME_UNKNOWN, None
         self.status = code.http_status
         self.state.metrics.refusals.labels(code.name).inc()
         body = dumps({"code": int(code), "message": code.meaning}).encode()
