--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -114,7 +114,7 @@
   15: list<AccountDemand> demands, 16: list<UsageCount> usage,
   17: list<EngineLoad> engines, 18: list<ServiceLoad> services,
   19: list<EngineEntry> entries, 20: binary document,
-  21: i64 lease_offset, 22: double lease_age
+  21: i64 lease_offset, 22: double lease_age, 23: i64 entries_from
 }
 struct PeerMessage {
   1: optional Heartbeat heartbeat, 2: optional Hold hold,
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -230,6 +230,8 @@
     version was last confirmed as the newest, ``fleet_age`` since the
     registrations up to ``fleet_end`` were, ``lease_age`` since the sender
     began the append of the lease's last record, at ``lease_offset``.
+    ``entries`` are all that changed from the offset ``entries_from`` on,
+    which is -1 where none are passed on.
     ``lease_fence`` is -1 where the sender holds no lease.  ``true_time`` is
     the sender's estimate.
     """
@@ -254,6 +256,7 @@
     usage: tuple[UsageCount, ...]
     engines: tuple[EngineLoad, ...]
     services: tuple[ServiceLoad, ...]
+    entries_from: int
     entries: tuple[EngineEntry, ...]
     document: bytes
 
--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -1,5 +1,7 @@
 """Beats between entry hosts: signs of life with what others need."""
 
+from dataclasses import dataclass
+
 from xxhash import xxh64_intdigest
 
 from magnoliaflow.cluster.peers import PeerLinks
@@ -124,21 +126,30 @@
     return int(xxh64_intdigest(f"{helper}>{host}".encode()))
 
 
-def _news_for(
-    state: EntryState, now: float, host: Host
-) -> tuple[tuple[EngineEntry, ...], bytes]:
+@dataclass(frozen=True, slots=True)
+class News:
+    """What a host is passed on, as the fields of a beat."""
+
+    entries_from: int = -1
+    entries: tuple[EngineEntry, ...] = ()
+    document: bytes = b""
+
+
+def _news_for(state: EntryState, now: float, host: Host) -> News:
     """Return the engines' entries and the configuration a host lacks."""
     beat = host.beat
     helper = helps(state, host)
+    start = -1
     entries: tuple[EngineEntry, ...] = ()
     stale = beat.fleet_age + now - host.heard_at > STALE_S
     if state.keeper.holds(now) or (helper and stale):
-        entries = state.registry.changed_since(beat.fleet_end)
+        start = max(0, beat.fleet_end)
+        entries = state.registry.changed_since(start)
     book = state.book
     lacks = book is not None and book.version > beat.version
     if lacks and helper and now > state.book_at + OWN_READ_S:
-        return entries, state.book_data
-    return entries, b""
+        return News(start, entries, state.book_data)
+    return News(start, entries)
 
 
 def make_beat(
@@ -149,9 +160,7 @@
     ``full``: with the addresses of other hosts.
     """
     book = state.book
-    entries, document = (
-        ((), b"") if host is None else _news_for(state, now, host)
-    )
+    news = News() if host is None else _news_for(state, now, host)
     usage = []
     if host is not None and wants_usage(state, host):
         usage = state.usage.rows_of(state.identity)
@@ -190,8 +199,9 @@
             ServiceLoad(name, flow.demand.current(now), flow.running)
             for name, flow in state.flows.items()
         ),
-        entries=entries,
-        document=document,
+        entries_from=news.entries_from,
+        entries=news.entries,
+        document=news.document,
     )
 
 
@@ -265,7 +275,9 @@
             None if row.gone else row,
             row.offset,
         )
-    if beat.fleet_end >= state.registry.end:
+    end = state.registry.end
+    whole = 0 <= beat.entries_from <= end <= beat.fleet_end
+    if whole or beat.fleet_end == end:
         state.registry.advance(beat.fleet_end)
         state.fleet_at = max(state.fleet_at, now - beat.fleet_age)
 
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -4132,6 +4132,7 @@
      - document
      - lease_offset
      - lease_age
+     - entries_from
 
     """
 
@@ -4158,10 +4159,11 @@
         'document',
         'lease_offset',
         'lease_age',
+        'entries_from',
     )
 
 
-    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None, lease_offset=None, lease_age=None,):
+    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None, lease_offset=None, lease_age=None, entries_from=None,):
         self.identity = identity
         self.host = host
         self.zone = zone
@@ -4184,6 +4186,7 @@
         self.document = document
         self.lease_offset = lease_offset
         self.lease_age = lease_age
+        self.entries_from = entries_from
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4339,6 +4342,11 @@
                     self.lease_age = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.I64:
+                    self.entries_from = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4455,6 +4463,10 @@
             oprot.writeFieldBegin('lease_age', TType.DOUBLE, 22)
             oprot.writeDouble(self.lease_age)
             oprot.writeFieldEnd()
+        if self.entries_from is not None:
+            oprot.writeFieldBegin('entries_from', TType.I64, 23)
+            oprot.writeI64(self.entries_from)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5064,6 +5076,7 @@
     (20, TType.STRING, 'document', 'BINARY', None, ),  # 20
     (21, TType.I64, 'lease_offset', None, None, ),  # 21
     (22, TType.DOUBLE, 'lease_age', None, None, ),  # 22
+    (23, TType.I64, 'entries_from', None, None, ),  # 23
 )
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
--- /dev/null
+++ b/tests/test_entry_beats.py
@@ -0,0 +1,121 @@
+"""Beats: what a host learns from the others, and what it must not assume."""
+
+from logging import getLogger
+from random import Random
+
+import pytest
+
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.entry.apply import apply_registration
+from magnoliaflow.entry.beats import make_beat
+from magnoliaflow.entry.beats import take_message
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.state import Host
+from magnoliaflow.platform.boot import decode_site
+
+BOOT = """nodeName=e-{0}
+zone=z1
+listenAddresses.frontend=10.0.0.{0}:1
+listenAddresses.controlPlane=10.0.0.{0}:2
+platform.address=10.0.0.9:3
+"""
+ENTRY = EngineEntry("m1", "llm", "10.1.0.1:80", "z1", 4, False)
+LEAVING = EngineEntry("m1", "llm", "10.1.0.1:80", "z1", 4, True)
+
+
+@pytest.fixture
+def hosts():
+    """Return six hosts that know each other and one engine."""
+    states = [
+        EntryState(
+            decode_site(BOOT.format(number)),
+            identity=f"e-{number}-a",
+            rng=Random(number),
+            logger=getLogger("beats"),
+        )
+        for number in range(6)
+    ]
+    now = boot_time()
+    for state in states:
+        apply_registration(state, "m1", ENTRY, 3)
+        state.registry.advance(4)
+        state.fleet_at = now
+    for state in states:
+        for other in states:
+            if other is not state:
+                beat = make_beat(other, now, None)
+                state.hosts.put(
+                    other.site.host, Host(other.site.host, beat, now)
+                )
+    return states
+
+
+def learn(state):
+    """Let a host read that the engine leaves."""
+    apply_registration(state, "m1", LEAVING, 5)
+    state.registry.advance(6)
+    state.fleet_at = boot_time()
+
+
+def tell(sender, receiver):
+    """Send one beat."""
+    host = sender.hosts.rows[receiver.site.host]
+    beat = make_beat(sender, boot_time(), host)
+    take_message(receiver, sender.identity, beat)
+    return beat
+
+
+def hold_duties(state):
+    record = state.keeper.step(boot_time(), 0.0)
+    state.keeper.read(0, record, boot_time())
+
+
+def test_a_beat_without_entries_does_not_pass_for_news(hosts):
+    """Else the host takes its registrations for fresh and misses one."""
+    sender, receiver = hosts[0], hosts[1]
+    learn(sender)
+    known_at = receiver.fleet_at
+    beat = tell(sender, receiver)
+    assert beat.entries == () and beat.fleet_end == 6
+    assert receiver.registry.end == 4
+    assert receiver.fleet_at == known_at
+
+
+def test_the_holder_of_the_duties_passes_changes_on(hosts):
+    sender, receiver = hosts[0], hosts[1]
+    hold_duties(sender)
+    learn(sender)
+    tell(sender, receiver)
+    assert receiver.registry.rows["m1"].leaving
+    assert receiver.registry.end == 6
+
+
+def test_helpers_pass_changes_on_to_a_host_that_has_stale_ones(hosts):
+    receiver = hosts[5]
+    receiver.fleet_at = boot_time() - 9.0
+    for sender in hosts[:5]:
+        learn(sender)
+        beat = make_beat(receiver, boot_time(), None)
+        sender.hosts.put("e-5", Host("e-5", beat, boot_time()))
+        tell(sender, receiver)
+    assert receiver.registry.rows["m1"].leaving
+
+
+def test_equal_ends_confirm_each_other(hosts):
+    sender, receiver = hosts[0], hosts[1]
+    receiver.fleet_at = boot_time() - 9.0
+    sender.fleet_at = boot_time()
+    tell(sender, receiver)
+    assert boot_time() - receiver.fleet_at < 1.0
+
+
+def test_a_jumping_clock_is_outvoted(hosts):
+    base = hosts[1].clock_offset
+    hosts[0].clock_offset = base + 3.0
+    for _ in range(12):
+        for sender in hosts[1:]:
+            tell(sender, hosts[0])
+            tell(hosts[0], sender)
+    assert abs(hosts[0].clock_offset - base) < 0.1
+    assert abs(hosts[1].clock_offset - base) < 0.1
