--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -99,6 +99,7 @@
         self.store = MetadataStore()
         self.engines = {}
         self.processes = []
+        self.launched = []
         self.entries = []
         for service, name in (
             ("app", "a1"),
@@ -155,11 +156,13 @@
 
     def launch(self, path, log=None):
         """Start the program on a settings file."""
-        return Popen(
+        process = Popen(
             [executable, str(ROOT / "deploy/entry.py")],
             env={**environ, "MAGNOLIAFLOW_NODE_FILE": str(path)},
             stdout=log or DEVNULL,
         )
+        self.launched.append(process)
+        return process
 
     def ready(self, ports):
         """Return the status of a readiness check, 0 for none."""
@@ -170,7 +173,7 @@
 
     def close(self):
         """End every process and stand-in that was started."""
-        for process in self.processes:
+        for process in self.launched:
             process.kill()
             process.wait()
         for engine in self.engines.values():
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -127,6 +127,7 @@
         self.seed = seed
         self.rng = Random(seed)
         self.over = Event()
+        self.faults = []
         self.seen = Seen()
         self.cloud = CloudApi()
         self.site = Deployment(folder)
@@ -177,7 +178,9 @@
         )
         action, args = self.rng.choice(faults)
         hold_s = self.rng.choice((0.3, 1.0, 2.5))
-        Thread(target=action, args=(*args, hold_s), daemon=True).start()
+        fault = Thread(target=action, args=(*args, hold_s), daemon=True)
+        self.faults.append(fault)
+        fault.start()
 
     def signal(self, number, sign, hold_s):
         """Pause a process, or end it and start it again."""
@@ -190,6 +193,8 @@
             process.send_signal(SIGCONT)
             return
         process.wait(12)
+        if self.over.is_set():
+            return
         path = self.site.folder / f"h-{number}.conf"
         self.site.processes[number] = self.site.launch(path)
 
@@ -272,11 +277,10 @@
         return found
 
     def close(self):
-        """End what this run started."""
+        """End what this run started, faults in progress first."""
         self.over.set()
-        for process in self.site.processes:
-            if process.poll() is None:
-                process.send_signal(SIGCONT)
+        for fault in self.faults:
+            fault.join()
         self.site.close()
         for proxy in self.proxies:
             proxy.close()
