--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -26,6 +26,7 @@
 # Failures in a row, beside connections refused, before an engine is left
 # alone: single answers are lost or garbled by sound engines too.
 FAILURES_BORNE = 2
+# A plain answer is held until it is whole; more is refused.
 MOST_BODY_BYTES = 16 * 1024 * 1024
 
 
--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -43,6 +43,7 @@
 PUSH_S = 0.2
 # Part of the difference between clocks that one beat corrects.
 CLOCK_STEP = 0.5
+# Differences below a beat's way and a busy tick are no jump.
 SMALL_CLOCK_GAP_S = 0.02
 
 
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -44,6 +44,8 @@
 # Share of the objective for which a request waits for an engine where none
 # takes work: longer waits spend the time in which its caller could return.
 HOLD_SHARE = 0.125
+# Times to come back after: an engine may have registered, or its queue be
+# shorter.
 NO_ENGINE_RETRY_S = 1.0
 SHED_RETRY_S = 0.3
 # Connections that never opened; more tries would use up the time.
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -50,8 +50,12 @@
 from magnoliaflow.transport.server import ServerLimits
 
 SYSTEM_MODULES = (capshares, upkeep)
+# Period of the systems: a fifth of the shortest period that one of them has.
 TICK_S = 0.05
+# The store answers in some ms; a call that takes a second is given up, so
+# that two in a row leave the configuration fresh enough for keys.
 STORE_TIMEOUT_S = 1.0
+# The API may be slow by a factor of fifty; half of a lease at the most.
 CLOUD_TIMEOUT_S = 1.5
 IDENTITY_BYTES = 4
 # Callers go on to this host until the directory's answers have aged out
@@ -59,8 +63,11 @@
 LEAVE_LISTEN_S = 3.3
 # Part of the grace period after which what is left is broken off.
 LEAVE_SHARE = 0.92
+# Period of the looks whether a leaving process may end.
 LEAVE_LOOK_S = 0.1
+# New connections that wait for the process while it is busy.
 LISTEN_BACKLOG = 1024
+# Period of the looks into the store for other hosts while none is heard.
 MEET_PERIOD_S = 5.0
 METRICS_TYPE = CONTENT_TYPE_LATEST.encode()
 
--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -34,11 +34,13 @@
 # Time after a window's end before its usage is reported: beats of all hosts
 # have come by then, also over a connection that had to be made anew.
 SETTLE_SHARE = 0.4
+# Pause after a failed call to the store: a few of its usual answer times.
 READ_PAUSE_S = 0.3
 # A candidate that heard of no renewal for this share of the lease reads the
 # log for them, this often.
 LOOK_SHARE = 0.7
 LOOK_S = 0.8
+# Pause after a failed report; several fit into the delay that is allowed.
 CALL_PAUSE_S = 0.5
 # Candidates of a large deployment spread their claims over this time.
 CLAIM_SPREAD_S = 0.4
--- a/src/magnoliaflow/entry/follow.py
+++ b/src/magnoliaflow/entry/follow.py
@@ -35,6 +35,8 @@
 # With many hosts whose beats confirm each other's, one read may wait longer.
 CROWD_HOSTS = 8
 CROWD_WAIT_S = 2.4
+# Pauses after failed reads: the first finds a store that is back at once,
+# the most keeps a deployment far below the store's rates.
 RETRY_FIRST_S = 0.1
 RETRY_MOST_S = 0.5
 # Pause between batches of registrations.  With the way to the other hosts
@@ -47,6 +49,7 @@
 # A removal read first after a store outage may be an entry that lapsed in
 # it and comes back at once.
 LAPSED_WAIT_S = 1.5
+# Registrations older than this were not read because of an outage.
 OUTAGE_S = 2.0
 
 
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -18,6 +18,7 @@
 from magnoliaflow.policy.scaling import Wanted
 from magnoliaflow.policy.scaling import ZoneSupply
 
+# Period of the looks: a notice of a reclaim leaves two seconds.
 PERIOD_S = 0.25
 # A peak is planned for this long after it was seen: half of the period of
 # the daily wave as it is played.
--- a/src/magnoliaflow/policy/pacing.py
+++ b/src/magnoliaflow/policy/pacing.py
@@ -22,6 +22,8 @@
 RESERVES = (0.0, 0.15, 0.3)
 # While the best engine's queue is shorter than this nothing is refused.
 QUEUE_BORNE_S = 0.35
+# Bounds of the time to come back after: a returning caller is still in
+# time, and does not wait for longer than engines take to start.
 RETRY_LEAST_S = 0.25
 RETRY_MOST_S = 1.5
 
--- a/src/magnoliaflow/transport/client.py
+++ b/src/magnoliaflow/transport/client.py
@@ -27,8 +27,11 @@
 # A path that acknowledges nothing for this long is given up; twice the
 # longest round trip between regions would do, the rest covers lost packets.
 SILENT_PATH_MS = 1500
+# Keep-alive probes find a silent path while nothing is sent: after an idle
+# second, a second apart, this many.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
+# What an answer may take of this process's memory.
 MOST_HEAD_BYTES = 65536
 MOST_REPLY_BYTES = 64 * 1024 * 1024
 
