Let a host vouch for removals only from its own listing on

A host that had listed after a removal took the engine back from a peer's older row, and passed its rows on as whole, so that a third host's end moved past the removal. Tests failed before. Ruled out: late pushes (the holder had the removal 30 ms after it) and the hosts' meeting.

--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -13,11 +13,12 @@
     rows that changed since.
     """
 
-    __slots__ = ("changed_at", "end", "rows")
+    __slots__ = ("changed_at", "end", "rows", "whole_from")
 
     def __init__(self) -> None:
         self.end = 0
         self.changed_at = -1
+        self.whole_from = -1
         self.rows: dict[str, EngineEntry] = {}
 
     def apply(
@@ -30,6 +31,8 @@
         known = self.rows.get(engine_id)
         if known is not None and offset <= known.offset:
             return None
+        if known is None and offset < self.whole_from:
+            return None
         if row is None:
             if known is None or known.gone:
                 return None
@@ -40,6 +43,18 @@
         self.rows[engine_id] = replace(row, offset=offset)
         return self.rows[engine_id]
 
+    def note_listing(self, end: int) -> None:
+        """Note that a full listing up to ``end`` was applied.
+
+        It shows no removals: what it lacks and is older is gone, and this
+        host can tell others of removals only from there on.
+        """
+        self.whole_from = max(self.whole_from, end)
+
+    def vouches_from(self, offset: int) -> bool:
+        """Return whether every change since an offset is known here."""
+        return 0 <= self.whole_from <= offset
+
     def advance(self, end: int) -> None:
         """Note that every entry before ``end`` was applied."""
         self.end = max(self.end, end)
--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -144,8 +144,9 @@
     entries: tuple[EngineEntry, ...] = ()
     stale = beat.fleet_age + now - host.heard_at > STALE_S
     if state.keeper.holds(now) or (helper and stale):
-        start = max(0, beat.fleet_end)
-        entries = state.registry.changed_since(start)
+        since = max(0, beat.fleet_end)
+        entries = state.registry.changed_since(since)
+        start = since if state.registry.vouches_from(since) else -1
     book = state.book
     lacks = book is not None and book.version > beat.version
     if lacks and helper and now > state.book_at + OWN_READ_S:
--- a/src/magnoliaflow/entry/follow.py
+++ b/src/magnoliaflow/entry/follow.py
@@ -170,6 +170,7 @@
             present = {row.key for row in page.entries if row.value}
             for name in registry.missing(present):
                 self._apply(name, None, page.end)
+            registry.note_listing(page.end)
         self.listed = True
         registry.advance(page.end)
         self.state.fleet_at = max(self.state.fleet_at, began)
--- a/tests/test_entry_beats.py
+++ b/tests/test_entry_beats.py
@@ -39,6 +39,7 @@
     now = boot_time()
     for state in states:
         apply_registration(state, "m1", ENTRY, 3)
+        state.registry.note_listing(4)
         state.registry.advance(4)
         state.fleet_at = now
     for state in states:
@@ -119,3 +120,22 @@
             tell(hosts[0], sender)
     assert abs(hosts[0].clock_offset - base) < 0.1
     assert abs(hosts[1].clock_offset - base) < 0.1
+
+
+def test_a_listing_shows_no_removals_and_vouches_for_none(hosts):
+    """An engine that was removed before it must not come back by a beat."""
+    fresh = EntryState(
+        receiver.site,
+        identity="e-1-b",
+        rng=Random(1),
+        logger=getLogger("beats"),
+    )
+    fresh.registry.note_listing(6)
+    fresh.registry.advance(6)
+    assert apply_registration(fresh, "m1", ENTRY, 3) is None
+    assert "m1" not in fresh.view.engines
+    hold_duties(fresh)
+    fresh.hosts.put("e-2", receiver.hosts.rows["e-2"])
+    beat = tell(fresh, behind)
+    assert beat.entries_from == -1
+    assert behind.registry.end == 4
