--- a/tests/test_entry_beats.py
+++ b/tests/test_entry_beats.py
@@ -124,6 +124,7 @@
 
 def test_a_listing_shows_no_removals_and_vouches_for_none(hosts):
     """An engine that was removed before it must not come back by a beat."""
+    receiver, behind = hosts[1], hosts[2]
     fresh = EntryState(
         receiver.site,
         identity="e-1-b",
