Order engines so that a dry spell costs none that stands

Changed: what stands is not given up while engines are missing; on-demand engines that still start stay where they are; a closed zone keeps room for one spot engine; on-demand engines follow the peak of 6 s instead of 15; a new deployment that nobody has used keeps one of its first on-demand engines.

Ruled out: the pace (its refusals followed the lack of engines).

Removals that a host reads after its own pause have a test now.

--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -23,6 +23,9 @@
 # A peak is planned for this long after it was seen: half of the period of
 # the daily wave as it is played.
 PEAK_S = 15.0
+# The same for on-demand engines: they start anew in four seconds, and cost
+# several times as much.
+ON_DEMAND_PEAK_S = 6.0
 # What stands is kept until this long after traffic was first seen, since
 # a process that has just started knows no load.
 UNKNOWN_S = 8.0
@@ -95,7 +98,8 @@
         self.due_at = now + PERIOD_S
         services = self.state.book.services.values()
         scaled = [row for row in services if row.scaling is not None]
-        loads = {row.name: self._load(row.name, now) for row in scaled}
+        for row in scaled:
+            self._note_load(row.name, now)
         if not self.state.keeper.holds(now):
             self.held = False
             return
@@ -107,10 +111,10 @@
             self.orders.clear()
             self.totals.clear()
         for service in scaled:
-            self._plan(service, loads[service.name], now)
+            self._plan(service, now)
 
-    def _load(self, name: str, now: float) -> Load:
-        """Return the highest load of the last while, over all hosts."""
+    def _note_load(self, name: str, now: float) -> None:
+        """Note a service's load over all hosts."""
         flow = self.state.flows[name]
         rows = [(flow.demand.current(now), flow.running)] + [
             (row.tokens_rate, row.running)
@@ -127,33 +131,49 @@
         peaks.append((now, load))
         while peaks and peaks[0][0] < now - PEAK_S:
             peaks.pop(0)
+
+    def _peak(self, name: str, since: float) -> Load:
+        """Return the highest load since a time."""
+        rows = [row for at, row in self.peaks[name] if at >= since]
         return Load(
-            max(row.tokens_per_s for _, row in peaks),
-            max(row.running for _, row in peaks),
+            max((row.tokens_per_s for row in rows), default=0.0),
+            max((row.running for row in rows), default=0.0),
         )
 
-    def _plan(self, service: Service, load: Load, now: float) -> None:
+    def _plan(self, service: Service, now: float) -> None:
         scaling = service.scaling
         assert scaling is not None
         supplies = self._supplies(service, now)
+        load = self._peak(service.name, now - PEAK_S)
+        recent = self._peak(service.name, now - ON_DEMAND_PEAK_S)
         if now < self.first_load_at + UNKNOWN_S:
             bought = sum(row.on_demand for row in supplies)
             standing = max(bought, self.assumed.get(service.name, 0))
             self.assumed[service.name] = standing
             rate = standing * USUAL_PREFILL_RATE * ASSUMED_USE
             load = Load(max(load.tokens_per_s, rate), load.running)
+            recent = load
         plan = plan_engines(
             scaling,
             supplies,
             load,
             USUAL_PREFILL_RATE,
             before=self.totals.get(service.name, 0),
+            recent=recent,
+            unused=self._unused(),
         )
         self.totals[service.name] = sum(row.spot for row in plan)
         for row in plan:
             supply = next(item for item in supplies if item.zone == row.zone)
             self._order(service, scaling, row, supply, now)
 
+    def _unused(self) -> bool:
+        """Return whether the deployment is so new that nobody has used it.
+
+        Then no host has held the duties before this one.
+        """
+        return self.first_load_at == inf and self.state.keeper.fence == 0
+
     def _supplies(self, service: Service, now: float) -> list[ZoneSupply]:
         rows = [
             row
@@ -161,17 +181,40 @@
             if row.backend == service.name and not row.gone and not row.leaving
         ]
         zones = self._zones(service)
-        return [self._supply(service.name, zone, rows, now) for zone in zones]
+        return [self._supply(service, zone, rows, now) for zone in zones]
 
     def _supply(
-        self, name: str, zone: str, rows: list[EngineEntry], now: float
+        self, service: Service, zone: str, rows: list[EngineEntry], now: float
     ) -> ZoneSupply:
         here = [row for row in rows if row.zone == zone]
         spot = sum(1 for row in here if row.spot)
+        on_demand = len(here) - spot
         return ZoneSupply(
-            zone, len(here) - spot, spot, self._open(name, zone, spot, now)
+            zone,
+            on_demand,
+            spot,
+            self._open(service.name, zone, spot, now),
+            self._starting(service, zone, False, on_demand, now),
+            self._starting(service, zone, True, spot, now),
         )
 
+    def _starting(
+        self,
+        service: Service,
+        zone: str,
+        spot: bool,
+        standing: int,
+        now: float,
+    ) -> int:
+        """Return how many engines of a kind are on their way."""
+        order = self.orders.get((service.name, zone, spot))
+        assert service.scaling is not None
+        if order is None or order.filled:
+            return 0
+        if now > order.at + service.scaling.boot_s + REPEAT_S:
+            return 0
+        return max(0, order.count - standing)
+
     def _zones(self, service: Service) -> list[str]:
         """Return the zones in which a service was ever seen to run."""
         assert service.scaling is not None
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -21,19 +21,25 @@
 RAISED = 1.2
 # Requests at once at which an engine's tokens still come in good time.
 PLANNED_RUNNING = 28
+# On-demand engines kept of a service that nobody has used yet, for callers
+# that come before the reclaimable ones stand.
+UNUSED_ON_DEMAND = 1
 
 
 @dataclass(frozen=True, slots=True)
 class ZoneSupply:
     """Engines of one service that stand in a zone.
 
-    ``spot_open``: the zone may have reclaimable ones to offer now.
+    ``spot_open``: the zone may have reclaimable ones to offer now.  Of each
+    kind, those that were ordered and still start are counted apart.
     """
 
     zone: str
     on_demand: int
     spot: int
     spot_open: bool
+    on_demand_starting: int = 0
+    spot_starting: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +72,8 @@
     prefill_rate: float,
     *,
     before: int = 0,
+    recent: Load | None = None,
+    unused: bool = False,
 ) -> list[Wanted]:
     """Return what to have in each zone.
 
@@ -74,7 +82,10 @@
     begun only while reclaimable ones are not to be had, and stay until
     enough of those stand.  ``before`` is how many reclaimable ones were
     wanted last; fewer are wanted only once a higher load would also do
-    with fewer.
+    with fewer.  ``recent`` is the load that on-demand engines are to carry
+    where it differs: they cost several times as much, so a peak that has
+    passed keeps them for less long.  ``unused``: nothing has ever been
+    asked of the service, and reclaimable engines will stand before it is.
     """
     rows = sorted(
         supplies,
@@ -87,9 +98,13 @@
         raised = Load(load.tokens_per_s * RAISED, load.running * RAISED)
         total = min(before, spot_total(raised, prefill_rate, len(rows)))
     spots = _deal(len(rows), total, scaling.least, scaling.most)
-    missing = _missing(rows, load, prefill_rate)
-    stand = [row.on_demand for row in rows]
-    extras = _place(missing, stand, spots, scaling.most)
+    missing = _missing(rows, recent or load, prefill_rate)
+    if unused:
+        missing = min(missing, UNUSED_ON_DEMAND)
+    if missing:
+        # What stands is not given up in one zone to start in another.
+        spots = [max(spot, row.spot) for spot, row in zip(spots, rows)]
+    extras = _place(missing, rows, spots, scaling.most)
     return [
         Wanted(row.zone, extra, min(spot, scaling.most - extra))
         for row, spot, extra in zip(rows, spots, extras)
@@ -97,24 +112,27 @@
 
 
 def _place(
-    count: int, stand: list[int], spots: list[int], most: int
+    count: int, rows: list[ZoneSupply], spots: list[int], most: int
 ) -> list[int]:
     """Return how many on-demand engines of a count to have in each zone.
 
-    Those that stand are kept first, but room that reclaimable ones will
-    take is used last: while an on-demand engine stands in it, theirs
-    cannot start.
-
-    >>> _place(3, [0, 0, 0], [2, 2, 1], 3), _place(2, [0] * 3, [3] * 3, 3)
-    ([1, 1, 1], [2, 0, 0])
-    >>> _place(2, [0, 0, 1], [2, 2, 2], 3)
-    [1, 0, 1]
+    Those that stand or start are kept first.  Then come zones by their
+    order, each as far as reclaimable ones leave room: those that are wanted
+    where the zone has any to offer, else those that stand and one more, so
+    that some can start as soon as there are any.
     """
-    extras = [0] * len(spots)
+    extras = [0] * len(rows)
     rooms = (
-        [min(most - spot, row) for spot, row in zip(spots, stand)],
-        [most - spot for spot in spots],
-        [most] * len(spots),
+        [
+            min(most - row.spot, row.on_demand + row.on_demand_starting)
+            for row in rows
+        ],
+        [
+            most - (spot if row.spot_open else max(1, row.spot))
+            for row, spot in zip(rows, spots)
+        ],
+        [most - max(1, row.spot) for row in rows],
+        [most - row.spot for row in rows],
     )
     for room in rooms:
         for at, limit in enumerate(room):
@@ -127,12 +145,21 @@
 def _missing(rows: list[ZoneSupply], load: Load, prefill_rate: float) -> int:
     """Return how many on-demand engines to have."""
     strained = ceil(engines_for(load, prefill_rate, STRAINED_USE))
-    standing = [row.spot for row in rows]
     if all(row.spot_open for row in rows):
         # What is missing is starting; none needs to be begun beside it.
-        missing = max(0, strained - sum(standing))
+        missing = max(0, strained - sum(row.spot for row in rows))
         return min(missing, sum(row.on_demand for row in rows))
-    return max(0, strained - (sum(standing) - max(standing)))
+    # Those that start will stand no later than what is ordered now, but
+    # until they do nothing is given up for them.
+    missing = _short(strained, [row.spot for row in rows])
+    begun = sum(row.on_demand + row.on_demand_starting for row in rows)
+    coming = [row.spot + row.spot_starting for row in rows]
+    return max(min(missing, begun), _short(strained, coming))
+
+
+def _short(needed: int, spots: list[int]) -> int:
+    """Return how many engines are lacking once a zone is lost."""
+    return max(0, needed - (sum(spots) - max(spots)))
 
 
 def spot_total(load: Load, prefill_rate: float, zones: int) -> int:
--- /dev/null
+++ b/tests/test_entry_follow.py
@@ -0,0 +1,87 @@
+"""Removals read after a time in which nothing was read."""
+
+from logging import getLogger
+from random import Random
+
+import pytest
+from twisted.internet.task import Clock
+
+from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.entry.apply import apply_registration
+from magnoliaflow.entry.follow import FleetFollower
+from magnoliaflow.entry.follow import LAPSED_WAIT_S
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.platform.boot import decode_site
+from magnoliaflow.platform.store import Entry
+from magnoliaflow.platform.store import Page
+
+BOOT = """nodeName=e-1
+zone=a
+listenAddresses.frontend=10.0.0.1:1
+listenAddresses.controlPlane=10.0.0.1:2
+platform.address=10.0.0.9:3
+"""
+
+
+class Store:
+    """Answers every read with the same page."""
+
+    def __init__(self, page):
+        self.page = page
+
+    def read(self, topic, offset):
+        """Return the page."""
+        return self.page
+
+
+@pytest.fixture
+def follow(monkeypatch):
+    """Return a reader of removals by a host that has not read for 10 s."""
+    clock = Clock()
+    monkeypatch.setattr("magnoliaflow.entry.follow.reactor", clock)
+    state = EntryState(
+        decode_site(BOOT),
+        identity="e-1-a",
+        rng=Random(1),
+        logger=getLogger("follow"),
+    )
+    for number, service in enumerate(("llm", "llm", "desk")):
+        name = f"m{number}"
+        row = EngineEntry(name, service, f"h:{number}", "a", 4, False)
+        apply_registration(state, name, row, number)
+    state.registry.advance(3)
+    state.fleet_at = 0.0
+
+    def read(*removed):
+        page = Page(
+            tuple(
+                Entry(3 + at, name, None) for at, name in enumerate(removed)
+            ),
+            3 + len(removed),
+        )
+        follower = FleetFollower(state, Store(page))
+        follower.listed = True
+        follower._read_once(10.0)
+        return state, clock
+
+    return read
+
+
+def test_a_removal_counts_at_once_though_nothing_was_read_before(follow):
+    """The host only begins to read: no outage has let the entry lapse."""
+    state, _ = follow("m0")
+    assert state.registry.rows["m0"].gone
+    assert "m0" not in state.view.engines
+
+
+def test_the_removal_of_a_services_last_engine_waits(follow):
+    state, clock = follow("m2")
+    assert not state.registry.rows["m2"].gone
+    clock.advance(LAPSED_WAIT_S)
+    assert state.registry.rows["m2"].gone
+
+
+def test_one_engine_is_kept_of_a_service_whose_entries_all_lapsed(follow):
+    state, _ = follow("m0", "m1")
+    left = [row for row in state.registry.rows.values() if not row.gone]
+    assert {row.backend for row in left} == {"llm", "desk"}
--- a/tests/test_entry_policy.py
+++ b/tests/test_entry_policy.py
@@ -1,5 +1,6 @@
 """Decisions of the entry process, each on the load that it answers."""
 
+from dataclasses import replace
 from random import Random
 
 from hypothesis import given
@@ -210,6 +211,52 @@
     assert total(plan_engines(SCALING, whole, load, RATE), "on_demand") == 0
 
 
+SMALL = Scaling(1, 3, 4.0, 0.2, {"a": 0.85, "b": 1.2, "c": 1.0})
+
+
+def test_a_dry_spell_costs_no_engine_that_stands():
+    """Zone c was reclaimed in a wave, and its on-demand ones still start."""
+    lost = supplies((2, 1, 0), closed=("c",))
+    plan = plan_engines(SMALL, lost, Load(130_000.0, 30.0), RATE, before=6)
+    wanted = {row.zone: row for row in plan}
+    assert wanted["a"].spot >= 2 and wanted["b"].spot >= 1
+    # Reclaimable ones can start in the dry zone as soon as it has some.
+    assert wanted["c"].on_demand < SMALL.most
+
+
+def test_on_demand_engines_that_start_are_not_moved():
+    lost = supplies((2, 1, 0), closed=("c",))
+    lost[1] = replace(lost[1], on_demand_starting=1)
+    load = Load(70_000.0, 30.0)
+    plan = {row.zone: row for row in plan_engines(SMALL, lost, load, RATE)}
+    assert plan["b"].on_demand >= 1
+
+
+def test_reclaimable_engines_on_their_way_need_no_on_demand_ones():
+    rows = supplies((2, 1, 1), closed=("c",))
+    load = Load(90_000.0, 30.0)
+    assert total(plan_engines(SCALING, rows, load, RATE), "on_demand") > 0
+    rows[1] = replace(rows[1], spot_starting=2)
+    rows[0] = replace(rows[0], spot_starting=1)
+    assert total(plan_engines(SCALING, rows, load, RATE), "on_demand") == 0
+
+
+def test_nothing_is_given_up_for_engines_that_still_start():
+    rows = supplies((0, 0, 0), on_demand=(1, 1, 1), closed=("c",))
+    rows = [replace(row, spot_starting=2) for row in rows]
+    plan = plan_engines(SMALL, rows, Load(70_000.0, 30.0), RATE)
+    assert total(plan, "on_demand") == 3
+
+
+def test_a_new_deployment_soon_gives_up_its_on_demand_engines():
+    given = supplies((0, 0, 0), on_demand=(2, 2, 1))
+    load = Load(100_000.0, 0.0)
+    kept = plan_engines(SMALL, given, load, RATE)
+    unused = plan_engines(SMALL, given, load, RATE, unused=True)
+    assert total(kept, "on_demand") > total(unused, "on_demand") == 1
+    assert total(unused, "spot") > total(kept, "spot")
+
+
 def test_a_load_about_a_limit_does_not_give_engines_back():
     low = plan_engines(SCALING, supplies((2, 2, 2)), Load(50_000, 9), RATE)
     high = plan_engines(SCALING, supplies((2, 2, 2)), Load(55_000, 9), RATE)
