--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -49,6 +49,7 @@
     CALL_PLACED = 630
     CALL_ENDED = 631
     CALL_REJECTED = 632
+    CALL_REFUSED = 633
 
 
 EXPLANATIONS = {
@@ -87,6 +88,7 @@
     LogEvent.CALL_PLACED: "A request was sent to an engine.",
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
+    LogEvent.CALL_REFUSED: "A request was not admitted: cap or pace.",
 }
 
 
--- a/src/magnoliaflow/entry/calllog.py
+++ b/src/magnoliaflow/entry/calllog.py
@@ -4,11 +4,25 @@
 
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.entry.gate import Refusal
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.work.calls import Call
 
 # Ages are cut here: a host that never read anything has no finite one.
 MOST_AGE_S = 1e6
 
 
+def report_refusal(state: EntryState, call: Call, refusal: Refusal) -> None:
+    """Write the line of a request that was not admitted."""
+    state.log(
+        LogEvent.CALL_REFUSED,
+        request=call.request_id,
+        code=int(refusal.code),
+        retry_after_s=refusal.retry_after_s,
+        **refusal.inputs,
+    )
+
+
 def report_end(run: Any, engine: str) -> None:
     """Count a request that ended and write its line."""
     state = run.state
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -17,9 +17,10 @@
 from magnoliaflow.entry.attempts import Attempt
 from magnoliaflow.entry.attempts import Failure
 from magnoliaflow.entry.calllog import report_end
+from magnoliaflow.entry.calllog import report_refusal
 from magnoliaflow.entry.gate import charge
 from magnoliaflow.entry.gate import find_entrance
-from magnoliaflow.entry.gate import pace_wait_s
+from magnoliaflow.entry.gate import pace_refusal
 from magnoliaflow.entry.gate import rank
 from magnoliaflow.entry.gate import Refusal
 from magnoliaflow.entry.gate import STALE_RETRY_S
@@ -125,7 +126,7 @@
         if self.account is not None:
             taken = charge(self.state, self.account, self.call, boot_time())
             if isinstance(taken, Refusal):
-                self.refuse(taken.code, taken.retry_after_s)
+                self._turn_away(taken)
                 return
             self.charged = taken
         self.dispatch()
@@ -176,14 +177,13 @@
         if self._model() and first_token_s(engine, 0) > left_s:
             self.refuse(Code.DEADLINE_UNREACHABLE, first_token_s(engine, 0))
             return
-        wait_s = 0.0
         if self.engines_sent == 0 and self.route is not None:
-            wait_s = pace_wait_s(
+            refusal = pace_refusal(
                 self.state, self.route, engine, pick.uncached_tokens, now
             )
-        if wait_s > 0:
-            self.refuse(Code.DEADLINE_UNREACHABLE, wait_s)
-            return
+            if refusal is not None:
+                self._turn_away(refusal)
+                return
         self._send(engine, pick.uncached_tokens, need, left_s)
 
     def _policy(self) -> Any:
@@ -412,6 +412,11 @@
         self.inbound.respond(head.status, head.headers, body)
         self._settle(Code.BACKEND_FAILED if failed else Code.DONE)
 
+    def _turn_away(self, refusal: Refusal) -> None:
+        """Refuse at admission, and log what decided it."""
+        report_refusal(self.state, self.call, refusal)
+        self.refuse(refusal.code, refusal.retry_after_s)
+
     def refuse(self, code: Code, retry_after_s: float | None) -> bool:
         """Answer with a result code; return False for the caller's use.
 
--- a/src/magnoliaflow/entry/gate.py
+++ b/src/magnoliaflow/entry/gate.py
@@ -1,10 +1,13 @@
 """Admission of a request: its route, its account, its cap and the pace."""
 
 from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
 
 from magnoliaflow.common.codes import Code
 from magnoliaflow.common.lifecycle import Phase
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.policy.caps import Bucket
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.pacing import admit
 from magnoliaflow.policy.placing import first_token_s
@@ -24,10 +27,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Why a request is not served, and when to come back, if ever."""
+    """Why a request is not served, and when to come back, if ever.
+
+    ``inputs`` are the figures that decided it, for the log.
+    """
 
     code: Code
     retry_after_s: float | None
+    inputs: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,18 +86,40 @@
         return 0.0
     wait_s = bucket.take(amount, now)
     if wait_s > 0:
-        return Refusal(Code.ACCOUNT_OVER_SHARE, wait_s)
+        return Refusal(
+            Code.ACCOUNT_OVER_SHARE,
+            wait_s,
+            {"amount": amount} | _figures(bucket),
+        )
     return amount
 
 
-def pace_wait_s(
+def _figures(bucket: Bucket) -> dict[str, float]:
+    """Return a bucket's state, in requests or tokens."""
+    return {
+        "rate": round(bucket.rate, 1),
+        "burst": round(bucket.burst, 1),
+        "share": round(bucket.share, 3),
+        "level": round(bucket.level, 1),
+    }
+
+
+def pace_refusal(
     state: EntryState, route: Route, engine: Engine, tokens: int, now: float
-) -> float:
-    """Return 0 to admit a prompt, or the seconds to come back after."""
+) -> Refusal | None:
+    """Return why a prompt is not admitted now, None if it is."""
     bucket = state.paces.get(engine.cfg.backend)
     if bucket is None:
-        return 0.0
-    return admit(bucket, tokens, route.priority, first_token_s(engine, 0), now)
+        return None
+    queue_s = first_token_s(engine, 0)
+    wait_s = admit(bucket, tokens, route.priority, queue_s, now)
+    if wait_s <= 0:
+        return None
+    return Refusal(
+        Code.DEADLINE_UNREACHABLE,
+        wait_s,
+        {"amount": tokens, "queue_s": round(queue_s, 3)} | _figures(bucket),
+    )
 
 
 def rank(route: Route, account: Account | None) -> int:
