--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -101,8 +101,9 @@
     missing = _missing(rows, recent or load, prefill_rate)
     if unused:
         missing = min(missing, UNUSED_ON_DEMAND)
-    if missing:
-        # What stands is not given up in one zone to start in another.
+    if missing or not all(row.spot_open for row in rows):
+        # What stands is not given up in one zone to start in another, and
+        # not while lost ones cannot be replaced.
         spots = [max(spot, row.spot) for spot, row in zip(spots, rows)]
     extras = _place(missing, rows, spots, scaling.most)
     return [
--- a/tests/test_entry_policy.py
+++ b/tests/test_entry_policy.py
@@ -183,6 +183,12 @@
     assert wanted["c"].on_demand < SMALL.most
 
 
+def test_nothing_is_given_back_while_a_zone_is_dry():
+    lost = supplies((2, 2, 0), closed=("c",))
+    plan = plan_engines(SMALL, lost, Load(9_000.0, 3.0), RATE)
+    assert [row.spot for row in plan if row.zone != "c"] == [2, 2]
+
+
 def test_on_demand_engines_that_start_are_not_moved():
     lost = supplies((2, 1, 0), closed=("c",))
     lost[1] = replace(lost[1], on_demand_starting=1)
