--- a/src/magnoliaflow/entry/beats.py
+++ b/src/magnoliaflow/entry/beats.py
@@ -28,7 +28,8 @@
 # A host that was silent this long is forgotten: longer than any partition
 # that a platform's bounds name.
 FORGET_S = 30.0
-# Addresses that never answered are asked this much less often.
+# Addresses that never answered are asked this much less often, once as many
+# rounds have passed: hosts that start together hear of each other soon.
 COLD_FACTOR = 8
 # Hosts that pass news on to one host beside the holder of the duties.
 HELPERS = 3
@@ -94,7 +95,7 @@
                 state, now, host, full=self.round % COLD_FACTOR == 1
             )
             self.links.send(address, beat)
-        if self.round % COLD_FACTOR == 1:
+        if self.round <= COLD_FACTOR or self.round % COLD_FACTOR == 1:
             own = state.site.peer_address
             for address in state.peer_addresses:
                 if address not in warm and address != own:
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -26,8 +26,9 @@
 # The same for on-demand engines: they start anew in four seconds, and cost
 # several times as much.
 ON_DEMAND_PEAK_S = 6.0
-# What stands is kept until this long after traffic was first seen, since
-# a process that has just started knows no load.
+# What stands is kept until this long after traffic was first seen or the
+# duties were taken over: a process that has just started knows no load, and
+# those that change hands mostly do so in trouble.
 UNKNOWN_S = 8.0
 # Time after this process's start until every engine that stands has had the
 # time to register: three of its heartbeats.  On-demand ones are not given
@@ -104,9 +105,10 @@
             self.held = False
             return
         if not self.held:
-            # Orders of the holder before are not known here.
+            # Orders of the holder before are not known here, and the load
+            # only as far as this process has heard of it.
             self.held = True
-            if self.first_load_at < inf:
+            if not self._unused():
                 self.held_at = now
             self.orders.clear()
             self.totals.clear()
@@ -161,6 +163,7 @@
             before=self.totals.get(service.name, 0),
             recent=recent,
             unused=self._unused(),
+            unsure=self._unsure(now),
         )
         self.totals[service.name] = sum(row.spot for row in plan)
         for row in plan:
@@ -174,6 +177,13 @@
         """
         return self.first_load_at == inf and self.state.keeper.fence == 0
 
+    def _unsure(self, now: float) -> bool:
+        """Return whether the load may be higher than it seems here."""
+        return any(
+            since <= now < since + UNKNOWN_S
+            for since in (self.first_load_at, self.held_at)
+        )
+
     def _supplies(self, service: Service, now: float) -> list[ZoneSupply]:
         rows = [
             row
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -74,6 +74,7 @@
     before: int = 0,
     recent: Load | None = None,
     unused: bool = False,
+    unsure: bool = False,
 ) -> list[Wanted]:
     """Return what to have in each zone.
 
@@ -86,6 +87,7 @@
     where it differs: they cost several times as much, so a peak that has
     passed keeps them for less long.  ``unused``: nothing has ever been
     asked of the service, and reclaimable engines will stand before it is.
+    ``unsure``: the load may be higher than what is known of it.
     """
     rows = sorted(
         supplies,
@@ -101,10 +103,10 @@
     missing = _missing(rows, recent or load, prefill_rate)
     if unused:
         missing = min(missing, UNUSED_ON_DEMAND)
-    if missing or not all(row.spot_open for row in rows):
+    if missing or unsure or not all(row.spot_open for row in rows):
         # What stands is not given up in one zone to start in another, and
         # not while lost ones cannot be replaced.
-        spots = [max(spot, row.spot) for spot, row in zip(spots, rows)]
+        spots = [max(spot, _spot(row)) for spot, row in zip(spots, rows)]
     extras = _place(missing, rows, spots, scaling.most)
     return [
         Wanted(row.zone, extra, min(spot, scaling.most - extra))
@@ -112,6 +114,11 @@
     ]
 
 
+def _spot(row: ZoneSupply) -> int:
+    """Return the reclaimable engines that stand or start in a zone."""
+    return row.spot + row.spot_starting
+
+
 def _place(
     count: int, rows: list[ZoneSupply], spots: list[int], most: int
 ) -> list[int]:
@@ -125,15 +132,15 @@
     extras = [0] * len(rows)
     rooms = (
         [
-            min(most - row.spot, row.on_demand + row.on_demand_starting)
+            min(most - _spot(row), row.on_demand + row.on_demand_starting)
             for row in rows
         ],
         [
-            most - (spot if row.spot_open else max(1, row.spot))
+            most - (spot if row.spot_open else max(1, _spot(row)))
             for row, spot in zip(rows, spots)
         ],
-        [most - max(1, row.spot) for row in rows],
-        [most - row.spot for row in rows],
+        [most - max(1, _spot(row)) for row in rows],
+        [most - _spot(row) for row in rows],
     )
     for room in rooms:
         for at, limit in enumerate(room):
@@ -154,7 +161,7 @@
     # until they do nothing is given up for them.
     missing = _short(strained, [row.spot for row in rows])
     begun = sum(row.on_demand + row.on_demand_starting for row in rows)
-    coming = [row.spot + row.spot_starting for row in rows]
+    coming = [_spot(row) for row in rows]
     return max(min(missing, begun), _short(strained, coming))
 
 
--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -190,6 +190,44 @@
     assert yard.kept < 30.0
 
 
+def restart(yard):
+    """Return the duty of a process that has just been started anew."""
+    state = yard.state
+    state.started_at = yard.now
+    state.flows.clear()
+    state.flows["llm"].demand.note(1.0, yard.now)
+    return OrderDuty(state, yard)
+
+
+def test_a_process_that_knows_no_load_yet_gives_nothing_back(yard):
+    """All hosts were killed at once: eight of eleven engines were lost."""
+    load = USUAL_PREFILL_RATE * 2.2
+    yard.leased = 7
+    settle(yard, load)
+    stood = len(yard.engines)
+    duty = restart(yard)
+    assert yard.run(duty, yard.now + 1.0, 0.0) == stood
+    assert yard.run(duty, yard.now + 30.0, load) * USUAL_PREFILL_RATE > load
+
+
+def test_a_takeover_gives_nothing_back_at_once(yard):
+    load = USUAL_PREFILL_RATE * 2.2
+    yard.leased = 7
+    duty = settle(yard, load)
+    stood = len(yard.engines)
+    duty.held = False
+    assert yard.run(duty, yard.now + 5.0, load / 4) == stood
+
+
+def test_an_idle_service_shrinks_after_a_restart(yard):
+    yard.leased = 7
+    settle(yard, USUAL_PREFILL_RATE * 2.2)
+    stood = len(yard.engines)
+    duty = restart(yard)
+    yard.run(duty, yard.now + 30.0, 0.0)
+    assert len(yard.engines) < stood
+
+
 def test_a_refused_order_is_not_sent_again_at_once(yard):
     duty = settle(yard, USUAL_PREFILL_RATE)
     yard.reclaim("a")
--- a/tests/test_entry_policy.py
+++ b/tests/test_entry_policy.py
@@ -183,6 +183,14 @@
     assert wanted["c"].on_demand < SMALL.most
 
 
+def test_engines_that_start_are_not_called_off_for_on_demand_ones():
+    """Three were ordered, one stood: the plan wanted one, to make room."""
+    lost = supplies((1, 0, 1), closed=("b", "c"))
+    lost[0] = replace(lost[0], spot_starting=2)
+    plan = plan_engines(SMALL, lost, Load(200_000.0, 30.0), RATE)
+    assert next(row for row in plan if row.zone == "a").spot == 3
+
+
 def test_nothing_is_given_back_while_a_zone_is_dry():
     lost = supplies((2, 2, 0), closed=("c",))
     plan = plan_engines(SMALL, lost, Load(9_000.0, 3.0), RATE)
