Keep the removal of an engine that was not known

The reader applied only the newest, a removal of an engine that it did not know, and forgot it; a beat of a peer then brought the older entry, and nothing took it away for 6 s. Hosts that never knew an engine could not tell others of its removal either.

Changed: such a removal is kept as a row and passed on.

--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -26,7 +26,9 @@
     ) -> EngineEntry | None:
         """Apply an entry, None for a removal; return the row if it changed.
 
-        An unreadable entry of a known engine counts as a removal.
+        An unreadable entry counts as a removal.  That of an engine which is
+        not known is kept too: an older entry of it may come from a peer, and
+        peers that hold one must learn of it.
         """
         known = self.rows.get(engine_id)
         if known is not None and offset <= known.offset:
@@ -34,7 +36,9 @@
         if known is None and offset < self.whole_from:
             return None
         if row is None:
-            if known is None or known.gone:
+            if known is None:
+                known = EngineEntry(engine_id, "", "", "", 0, False)
+            if known.gone:
                 return None
             row = replace(known, gone=True)
         if known is not None and _same(known, row):
--- a/tests/test_entry_beats.py
+++ b/tests/test_entry_beats.py
@@ -175,3 +175,28 @@
     receiver.hosts.get("e-0").heard_at = boot_time() - 9.0
     drop_loads(receiver, boot_time())
     assert receiver.view.engines["m1"].peer_running == 0
+
+
+def test_a_removal_read_first_holds_against_an_older_entry(hosts):
+    """A page held the entry and its removal; a peer then told of the first."""
+    ready = EngineEntry("m9", "llm", "10.1.0.9:80", "z1", 4, False)
+    reader, peer = hosts[0], hosts[1]
+    apply_registration(reader, "m9", None, 7)
+    apply_registration(peer, "m9", ready, 6)
+    apply_registration(reader, "m9", ready, 6)
+    assert "m9" not in reader.view.engines
+    # The peer, which holds the older entry, learns of the removal.
+    hold_duties(reader)
+    reader.registry.advance(8)
+    reader.fleet_at = boot_time()
+    tell(reader, peer)
+    assert "m9" not in peer.view.engines
+    assert peer.registry.rows["m9"].gone
+
+
+def test_an_engine_that_is_born_again_after_a_removal_takes_work(hosts):
+    state = hosts[0]
+    apply_registration(state, "m9", None, 7)
+    again = EngineEntry("m9", "llm", "10.1.0.9:80", "z1", 4, False, born=2)
+    apply_registration(state, "m9", again, 8)
+    assert "m9" in state.view.engines
