--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -32,7 +32,7 @@
 UNKNOWN_S = 8.0
 # Time after this process's start until every engine that stands has had the
 # time to register: three of its heartbeats.  On-demand ones are not given
-# back before.
+# back before, unless nobody has ever used the deployment.
 LISTED_S = 4.0
 # Use of the engines that stood at first which is assumed until then.
 ASSUMED_USE = 0.6
@@ -171,7 +171,11 @@
             self._order(service, scaling, row, supply, now)
 
     def _bought(self, name: str) -> int:
-        """Return the on-demand engines that were ever listed."""
+        """Return the on-demand engines that were ever listed.
+
+        Those given up since count as well: the deployment was sized with
+        them for a load that is not known yet.
+        """
         rows = self.state.registry.rows.values()
         return sum(row.backend == name and not row.spot for row in rows)
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,6 +22,7 @@
 import sys
 from tempfile import TemporaryDirectory
 from threading import Event
+from threading import Lock
 from threading import Thread
 from time import monotonic
 from time import sleep
@@ -127,6 +128,7 @@
         self.seed = seed
         self.rng = Random(seed)
         self.over = Event()
+        self.starting = Lock()
         self.faults = []
         self.seen = Seen()
         self.cloud = CloudApi()
@@ -193,10 +195,12 @@
             process.send_signal(SIGCONT)
             return
         process.wait(12)
-        if self.over.is_set():
-            return
-        path = self.site.folder / f"h-{number}.conf"
-        self.site.processes[number] = self.site.launch(path)
+        with self.starting:
+            # Another fault may have ended the same process and started it.
+            if self.over.is_set() or self.site.processes[number] != process:
+                return
+            path = self.site.folder / f"h-{number}.conf"
+            self.site.processes[number] = self.site.launch(path)
 
     def link(self, number, fault, hold_s):
         """Harm a host's way to the store."""
