Keep the first engines until all of them have registered

Cause: in a deployment that was never used the lease holder gave its on-demand engines back 1.5 s after the start. Only 8 of 62 had registered by then, and an order for a count also releases those that have not. Change: on-demand engines stay until none has registered for 2 s, the heartbeat interval of an engine and the delay of the listing.

--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -32,8 +32,11 @@
 UNKNOWN_LOAD_S = 8.0
 # Time after the start of this process in which every running engine has
 # registered: three of its heartbeats.  Until then no on-demand engine is
-# released, unless the deployment was never used.
+# released, since an order also releases those that are not registered yet.
 REGISTRATION_WAIT_S = 4.0
+# The same in a deployment that was never used, counted from the last on-demand
+# engine that registered: its heartbeat interval and the delay of the listing.
+REGISTRATION_SETTLE_S = 2.0
 # Assumed utilization of the on-demand engines while the load is unknown.
 ASSUMED_UTILIZATION = 0.6
 # Time after a takeover in which the previous holder's orders take effect.
@@ -72,6 +75,8 @@
         "cloud",
         "next_plan_at",
         "first_load_at",
+        "last_registered_at",
+        "registered",
         "holds_lease",
         "takeover_at",
         "orders",
@@ -86,6 +91,8 @@
         self.next_plan_at = -inf
         self.shortage_until: dict[tuple[str, str], float] = {}
         self.first_load_at = inf
+        self.last_registered_at = -inf
+        self.registered = 0
         self.holds_lease = False
         self.takeover_at = -inf
         self.orders: dict[tuple[str, str, bool], Order] = {}
@@ -102,6 +109,7 @@
         scaled = [
             service for service in services if service.scaling is not None
         ]
+        self._record_registrations(now)
         for service in scaled:
             self._record_load(service.name, now)
         if not self.state.lease_manager.holds(now):
@@ -118,17 +126,23 @@
         for service in scaled:
             self._plan(service, now)
 
+    def _record_registrations(self, now: float) -> None:
+        """Note when another on-demand engine registered first."""
+        entries = self.state.registry.entries.values()
+        registered = sum(not entry.spot for entry in entries)
+        if registered > self.registered:
+            self.last_registered_at = now
+        self.registered = registered
+
     def _record_load(self, name: str, now: float) -> None:
         """Record a service's load over all live hosts."""
         local_load = self.state.local_loads[name]
-        loads = [(local_load.demand.current(now), local_load.running)] + [
-            (service_load.tokens_rate, service_load.running)
-            for peer in self.state.live_peers(now)
-            for service_load in peer.heartbeat.services
-            if service_load.backend == name
-        ]
+        rate, running = self.state.others_demand(now).services.get(
+            name, (0.0, 0.0)
+        )
         load = Load(
-            sum(rate for rate, _ in loads), sum(count for _, count in loads)
+            local_load.demand.current(now) + max(0.0, rate),
+            local_load.running + max(0.0, running),
         )
         if load.tokens_per_s > 0 and self.first_load_at == inf:
             self.first_load_at = now
@@ -298,7 +312,7 @@
         for spot, count, registered in kinds:
             key = (service.name, wanted.zone, spot)
             order = self.orders.get(key)
-            uncertain = self._engines_uncertain(now) and not self._never_used()
+            uncertain = self._engines_uncertain(now)
             if not spot and count <= registered and uncertain:
                 continue
             if order is not None:
@@ -315,8 +329,12 @@
         This is so after the start of this process, and after a takeover,
         while engines that the previous holder ordered are still starting.
         """
+        started_at = self.state.started_at
+        if self._never_used():
+            since = max(started_at, self.last_registered_at)
+            return now < since + REGISTRATION_SETTLE_S
         return (
-            now < self.state.started_at + REGISTRATION_WAIT_S
+            now < started_at + REGISTRATION_WAIT_S
             or now < self.takeover_at + TAKEOVER_SETTLE_S
         )
 
