Bound answers without end, and check permissions at the send

Cause: an event that never ends grew without bound and was searched anew with each piece; a body beyond 64 MiB was cut and delivered as complete; interim responses could go on for ever; a caller that does not read let the host buffer its whole stream. A process that was suspended while it connected to the platform's API sent its order after its lease had run out. Change: events of at most 256 KiB, searched once; a body that is too large fails; at most 8 interim responses; the caller's connection pauses the engine's; calls of duties ask again for their permission once the connection is open.

--- a/src/magnoliaflow/platform/cloud.py
+++ b/src/magnoliaflow/platform/cloud.py
@@ -1,5 +1,6 @@
 """Client of the platform's API for the duties of the lease holder."""
 
+from collections.abc import Callable
 from json import dumps
 from typing import Any
 
@@ -15,9 +16,17 @@
 class CloudClient:
     """Makes the calls of the lease holder; each fails with PortError."""
 
-    __slots__ = ("address", "calls", "host", "timeout_s")
+    __slots__ = ("address", "calls", "host", "may_send", "timeout_s")
 
-    def __init__(self, address: str, host: str, *, timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        host: str,
+        *,
+        timeout_s: float,
+        may_send: Callable[[int], bool] = lambda fence: True,
+    ) -> None:
+        self.may_send = may_send
         self.address = address
         self.host = host
         self.timeout_s = timeout_s
@@ -61,6 +70,7 @@
                 (b"X-Fencing-Token", str(fence).encode()),
             ],
             timeout_s=self.timeout_s,
+            may_send=lambda: self.may_send(fence),
         )
         if reply.status == 409:
             raise StartRefusedError("no capacity for engines of this kind now")
--- a/src/magnoliaflow/policy/eventstream.py
+++ b/src/magnoliaflow/policy/eventstream.py
@@ -2,6 +2,15 @@
 
 from dataclasses import dataclass
 
+# Largest event that is buffered; events hold a few tokens.
+MAX_EVENT_BYTES = 256 * 1024
+# Bytes of the longest separator of events, less one.
+SEPARATOR_OVERLAP = 3
+
+
+class EventTooLargeError(ValueError):
+    """An event exceeds the size limit, and may never end."""
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -21,30 +30,49 @@
     b'id'
     """
 
-    __slots__ = ("buffer",)
+    __slots__ = ("_pending", "_searched")
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self._pending = bytearray()
+        self._searched = 0
+
+    @property
+    def buffer(self) -> bytes:
+        """Return the bytes of the incomplete event."""
+        return bytes(self._pending)
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add received bytes and return the events that they complete."""
-        self.buffer += data
+        """Add received bytes and return the events that they complete.
+
+        Raises EventTooLargeError if the incomplete event is too large.
+        """
+        self._pending += data
         events: list[Event] = []
+        start, search_from = 0, self._searched
         while True:
-            end, width = _find_boundary(self.buffer)
+            end, width = _find_boundary(self._pending, search_from)
             if end < 0:
-                return events
-            block = self.buffer[: end + width]
-            self.buffer = self.buffer[end + width :]
+                break
+            block = bytes(self._pending[start : end + width])
+            start = search_from = end + width
             events.append(Event(block, _event_id(block)))
+        del self._pending[:start]
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(
+                f"event exceeds the limit of {MAX_EVENT_BYTES} bytes"
+            )
+        # What was searched is not searched again, so that the cost does not
+        # grow with the square of an event's size.
+        self._searched = max(0, len(self._pending) - SEPARATOR_OVERLAP)
+        return events
 
 
-def _find_boundary(data: bytes) -> tuple[int, int]:
+def _find_boundary(data: bytearray, start: int) -> tuple[int, int]:
     """Return offset and length of the first blank line, or (-1, 0)."""
     matches = [
         (position, len(separator))
         for separator in (b"\n\n", b"\r\n\r\n")
-        if (position := data.find(separator)) >= 0
+        if (position := data.find(separator, start)) >= 0
     ]
     return min(matches, default=(-1, 0))
 
--- a/src/magnoliaflow/transport/client.py
+++ b/src/magnoliaflow/transport/client.py
@@ -4,6 +4,7 @@
 belong to no request and are dropped with the connection.
 """
 
+from collections.abc import Callable
 from socket import IPPROTO_TCP
 from socket import SO_KEEPALIVE
 from socket import SOL_SOCKET
@@ -36,6 +37,8 @@
 # Limits on the memory that one answer may use.
 MAX_HEAD_BYTES = 65536
 MAX_REPLY_BYTES = 64 * 1024 * 1024
+# Interim (1xx) responses before an answer; a faulty peer may go on with them.
+MAX_INTERIM_RESPONSES = 8
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -77,6 +80,7 @@
         )
         self.connection_opened = False
         self.finished = False
+        self.interim_responses = 0
         self.connector: Any = None
 
     def connectionMade(self) -> None:
@@ -137,6 +141,10 @@
                 return
             if isinstance(event, h11.Response):
                 self.listener.on_head(event.status_code, list(event.headers))
+            elif isinstance(event, h11.InformationalResponse):
+                self.interim_responses += 1
+                if self.interim_responses > MAX_INTERIM_RESPONSES:
+                    self._fail("too many interim responses")
             elif isinstance(event, h11.Data):
                 self.listener.on_data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -217,16 +225,29 @@
 class _Collector:
     """Exchange listener that collects the answer for ``fetch``."""
 
-    __slots__ = ("fut", "parts", "reply", "size")
+    __slots__ = ("cancel", "fut", "may_send", "parts", "reply", "size")
 
-    def __init__(self, fut: "Deferred[Reply]") -> None:
+    def __init__(
+        self,
+        fut: "Deferred[Reply]",
+        cancel: Callable[[], None],
+        may_send: Callable[[], bool],
+    ) -> None:
         self.fut = fut
+        self.cancel = cancel
+        self.may_send = may_send
         self.reply = Reply()
         self.parts: list[bytes] = []
         self.size = 0
 
     def on_open(self) -> None:
-        """Do nothing; the head has not arrived yet."""
+        """Check once more whether the call may be sent.
+
+        The process may have been suspended while it connected.
+        """
+        if not self.may_send():
+            self.cancel()
+            self.on_failure("no longer allowed to send", sent=False)
 
     def on_head(self, status: int, headers: Headers) -> None:
         """Store the head."""
@@ -234,10 +255,15 @@
         self.reply.headers = headers
 
     def on_data(self, data: bytes) -> None:
-        """Store a chunk; chunks beyond the size limit are dropped."""
+        """Store a chunk; an answer beyond the size limit fails."""
         self.size += len(data)
-        if self.size <= MAX_REPLY_BYTES:
-            self.parts.append(data)
+        if self.size > MAX_REPLY_BYTES:
+            self.cancel()
+            self.on_failure(
+                f"answer exceeds {MAX_REPLY_BYTES} bytes", sent=True
+            )
+            return
+        self.parts.append(data)
 
     def on_end(self) -> None:
         """Fire the Deferred with the complete answer."""
@@ -258,10 +284,12 @@
     body: bytes = b"",
     headers: Headers | None = None,
     timeout_s: float,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> "Deferred[Reply]":
     """Return the complete answer to one call; fails with PortError.
 
-    With NotSentError the call cannot have been executed.
+    With NotSentError the call cannot have been executed.  ``may_send`` is
+    asked right before the call is written.
     """
     lines = [(b"Host", address.encode()), *(headers or [])]
     if body or method != b"GET":
@@ -269,7 +297,10 @@
     exchange = Exchange(method, target, lines, body)
     fut: Deferred[Reply] = Deferred(lambda _: exchange.cancel())
     open_exchange(
-        address, exchange, _Collector(fut), connect_s=min(1.0, timeout_s)
+        address,
+        exchange,
+        _Collector(fut, exchange.cancel, may_send),
+        connect_s=min(1.0, timeout_s),
     )
     return fut.addTimeout(timeout_s, reactor, onTimeoutCancel=_timed_out)
 
--- a/src/magnoliaflow/transport/server.py
+++ b/src/magnoliaflow/transport/server.py
@@ -101,11 +101,20 @@
         if not self.closed:
             self.conn.write(h11.Data(data=data))
 
+    def read_from(self, source: Any) -> None:
+        """Pause a source, a transport, while the caller does not read."""
+        if self.closed:
+            return
+        transport = self.conn.transport
+        transport.unregisterProducer()
+        transport.registerProducer(source, True)
+
     def finish(self) -> None:
         """Complete the answer."""
         if self.answered or self.closed:
             return
         self.answered = True
+        self.conn.transport.unregisterProducer()
         self.conn.write(h11.EndOfMessage())
         self.conn.request_done()
 
