--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -116,7 +116,49 @@
   15: list<AccountDemand> demands, 16: list<UsageCount> usage,
   17: list<EngineLoad> engines, 18: list<ServiceLoad> services,
   19: list<EngineEntry> entries, 20: binary document,
-  21: i64 lease_offset, 22: double lease_age, 23: i64 entries_from
+  21: i64 lease_offset, 22: double lease_age, 23: i64 entries_from,
+  24: optional i64 number, 25: optional i64 heard_number,
+  26: optional bool groups
+}
+struct HostFact {
+  1: string host, 2: string identity, 3: string zone,
+  4: string caller_address, 5: string peer_address, 6: bool ready,
+  7: bool leaving
+}
+struct LoadSums {
+  1: list<string> engines, 2: list<i32> running, 3: list<i64> unread_tokens,
+  4: list<string> accounts, 5: list<double> rates, 6: list<double> spent,
+  7: list<string> services, 8: list<double> token_rates,
+  9: list<i32> service_running
+}
+struct Progress {
+  1: i64 version, 2: double config_age, 3: i64 fleet_end,
+  4: double fleet_age, 5: i64 fleet_change, 6: i64 fleet_complete_from
+}
+struct LeaseFact {
+  1: string holder, 2: i64 fence, 3: i64 offset, 4: double age
+}
+struct Report {
+  1: HostFact fact, 2: i64 number, 3: LoadSums loads, 4: Progress progress,
+  5: list<LeaseFact> leases, 6: double true_time, 7: bool wants_view,
+  8: string heard, 9: i64 heard_number
+}
+struct Digest {
+  1: string group, 2: string publisher, 3: i64 number, 4: i64 roster,
+  5: list<HostFact> hosts, 6: list<i64> numbers, 7: list<double> ages,
+  8: LoadSums loads, 9: Progress progress, 10: list<LeaseFact> leases,
+  11: double true_time, 12: list<string> heard, 13: list<i64> heard_numbers
+}
+struct View {
+  1: string host, 2: list<binary> digests, 3: list<double> ages,
+  4: list<HostFact> hosts
+}
+struct Changes {
+  1: string host, 2: i64 entries_from, 3: i64 fleet_end,
+  4: list<EngineEntry> entries, 5: binary document
+}
+struct UsageCounts {
+  1: string identity, 2: list<UsageCount> usage
 }
 struct PeerMessage {
   1: optional Heartbeat heartbeat, 2: optional Hold hold,
@@ -125,7 +167,9 @@
   7: optional Stop stop, 8: optional ClaimHandover claim_handover,
   9: optional NewsRequest news_request, 10: optional News news,
   11: optional Drop drop, 12: optional Find find, 13: optional Found found,
-  14: optional HostNotice host_notice, 15: optional Beat beat
+  14: optional HostNotice host_notice, 15: optional Beat beat,
+  16: optional Report report, 17: optional View view,
+  18: optional Changes changes, 19: optional UsageCounts usage_counts
 }
 service Peer {
   void deliver(1: string sender, 2: list<PeerMessage> messages)
--- a/src/magnoliaflow/cluster/leasemanager.py
+++ b/src/magnoliaflow/cluster/leasemanager.py
@@ -61,6 +61,11 @@
         """Return whether this process may act at monotonic ``now``."""
         return self.lease_table.held_by(self.name, self.holder, now)
 
+    def holder_identity(self) -> str:
+        """Return the last known holder of the lease, '' if there is none."""
+        lease = self.lease_table.leases.get(self.name)
+        return "" if lease is None else lease.holder
+
     @property
     def fence(self) -> int:
         """Return the current fencing token."""
--- a/src/magnoliaflow/cluster/peers.py
+++ b/src/magnoliaflow/cluster/peers.py
@@ -16,16 +16,22 @@
 from magnoliaflow.common.codec import message_to_wire
 from magnoliaflow.common.errors import RecordError
 from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.messages import Beat
 from magnoliaflow.common.messages import Message
+from magnoliaflow.common.messages import Report
+from magnoliaflow.common.messages import View
 from magnoliaflow.wire import Peer
 
 REPLY_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1
 MAX_QUEUED_MESSAGES = 20_000
+# Messages that replace an earlier one that still waits for the connection.
+SUPERSEDING = (Beat, Report, View)
 RETRY_DELAY_S = 0.1
 PROTOCOL = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
 
 MessageCallback = Callable[[str, Message], None]
+FailureCallback = Callable[[str, str], None]
 
 
 @implementer(Peer.Iface)
@@ -65,23 +71,47 @@
 class PeerLink:
     """Sends messages to one address in order, one batch at a time.
 
-    If a batch is not acknowledged in time, its messages and the connection
-    are dropped; the sender repeats what is still needed.
+    ``on_failure`` is called at the first failure of a series.  If a batch is
+    not acknowledged in time, its messages and the connection are dropped; the
+    sender repeats what is still needed.
     """
 
-    __slots__ = ("address", "busy", "conn", "queue", "sender")
+    __slots__ = (
+        "address",
+        "busy",
+        "conn",
+        "failing",
+        "on_failure",
+        "queue",
+        "sender",
+    )
 
-    def __init__(self, address: str, sender: str) -> None:
+    def __init__(
+        self, address: str, sender: str, on_failure: FailureCallback
+    ) -> None:
         self.address = address
         self.sender = sender
+        self.on_failure = on_failure
         self.queue: list[Message] = []
         self.conn: Any = None
         self.busy = False
+        self.failing = False
 
     def send(self, message: Message) -> None:
-        """Queue a message; drop it if the queue is full."""
-        if len(self.queue) < MAX_QUEUED_MESSAGES:
-            self.queue.append(message)
+        """Queue a message; drop the oldest if the queue is full.
+
+        A heartbeat, report or view replaces one that waits.
+        """
+        if isinstance(message, SUPERSEDING):
+            self.queue = [
+                queued
+                for queued in self.queue
+                if type(queued) is not type(message)
+            ]
+        elif len(self.queue) >= MAX_QUEUED_MESSAGES:
+            self.on_failure(self.address, "queue is full; oldest dropped")
+            self.queue.pop(0)
+        self.queue.append(message)
         if not self.busy:
             self.busy = True
             reactor.callLater(0, self._send_queued)
@@ -94,7 +124,14 @@
             self.queue = []
             try:
                 yield self._send_batch(batch)
-            except Exception:
+                self.failing = False
+            except Exception as exc:
+                # Thrift, Twisted and the peer raise errors of many types.
+                if not self.failing:
+                    self.on_failure(
+                        self.address, f"{len(batch)} messages lost: {exc!r}"
+                    )
+                self.failing = True
                 self._drop_connection()
                 break
         self.busy = False
@@ -118,17 +155,22 @@
 class PeerLinks:
     """Peer links by address, opened on first use."""
 
-    __slots__ = ("links", "sender")
+    __slots__ = ("links", "on_failure", "sender")
 
-    def __init__(self, sender: str) -> None:
+    def __init__(
+        self,
+        sender: str,
+        on_failure: FailureCallback = lambda address, reason: None,
+    ) -> None:
         self.sender = sender
+        self.on_failure = on_failure
         self.links: dict[str, PeerLink] = {}
 
     def send(self, address: str, message: Message) -> None:
         """Queue a message to an address."""
         link = self.links.get(address)
         if link is None:
-            link = PeerLink(address, self.sender)
+            link = PeerLink(address, self.sender, self.on_failure)
             self.links[address] = link
         link.send(message)
 
--- a/src/magnoliaflow/common/codec.py
+++ b/src/magnoliaflow/common/codec.py
@@ -1,8 +1,11 @@
 """Conversion between typed values and thrift compact bytes."""
 
 from dataclasses import fields
+from dataclasses import MISSING
+from operator import attrgetter
 import re
 from typing import Any
+from typing import TypeVar
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
@@ -12,6 +15,8 @@
 from magnoliaflow.common import records
 from magnoliaflow.wire import ttypes
 
+T = TypeVar("T")
+
 
 def snake_case(name: str) -> str:
     """Return the name of the wire field for a type name.
@@ -39,6 +44,21 @@
     name: tuple(field.name for field in fields(record_type))
     for name, record_type in TYPES.items()
 }
+# Defaults of fields that earlier versions do not send.
+DEFAULTS = {
+    name: {
+        field.name: field.default
+        for field in fields(record_type)
+        if field.default is not MISSING
+    }
+    for name, record_type in TYPES.items()
+}
+PRIMITIVES = (str, bytes, int, float)
+NAMES_BY_WIRE_TYPE = {
+    wire_type: name for name, wire_type in WIRE_TYPES.items()
+}
+# Functions that return all fields of a value; a single one is not in a tuple.
+GETTERS = {name: attrgetter(*names) for name, names in FIELD_NAMES.items()}
 RECORD_FIELDS = tuple(
     name for name in ttypes.Record.__slots__ if name != "record_id"
 )
@@ -48,6 +68,8 @@
 def to_wire(value: Any) -> Any:
     """Return the thrift form of a typed value."""
     if isinstance(value, tuple):
+        if value and isinstance(value[0], PRIMITIVES):
+            return list(value)
         return [to_wire(item) for item in value]
     name = type(value).__name__
     wire_type = WIRE_TYPES.get(name)
@@ -67,23 +89,39 @@
     Raises RecordError if a field is missing.
     """
     if isinstance(value, list):
-        return tuple(from_wire(item) for item in value)
-    name = type(value).__name__
-    if name not in WIRE_TYPES:
+        if value and isinstance(value[0], PRIMITIVES):
+            return tuple(value)
+        return tuple([from_wire(item) for item in value])
+    name = NAMES_BY_WIRE_TYPE.get(type(value))
+    if name is None:
         return value
-    values = {
-        field_name: from_wire(getattr(value, field_name))
-        for field_name in FIELD_NAMES[name]
-    }
-    missing = [
-        field_name for field_name, item in values.items() if item is None
-    ]
-    if missing:
+    values = GETTERS[name](value)
+    if len(FIELD_NAMES[name]) == 1:
+        values = (values,)
+    if None in values:
+        values = _with_defaults(name, values)
+    return TYPES[name](
+        *[
+            item if isinstance(item, PRIMITIVES) else from_wire(item)
+            for item in values
+        ]
+    )
+
+
+def _with_defaults(name: str, values: tuple[Any, ...]) -> tuple[Any, ...]:
+    """Return a value's fields with defaults for those that are missing."""
+    defaults = DEFAULTS[name]
+    filled = tuple(
+        defaults.get(field_name) if item is None else item
+        for field_name, item in zip(FIELD_NAMES[name], values)
+    )
+    if None in filled:
+        field_name = FIELD_NAMES[name][filled.index(None)]
         raise RecordError(
-            f"{name}: required field {missing[0]} is missing; "
+            f"{name}: required field {field_name} is missing; "
             "its writer is faulty"
         )
-    return TYPES[name](**values)
+    return filled
 
 
 def encode_record(record: records.Record) -> bytes:
@@ -125,6 +163,29 @@
     return records.Record(wire.record_id, from_wire(body))
 
 
+def encode_value(value: Any) -> bytes:
+    """Return a typed value as bytes, without its type."""
+    buffer = TMemoryBuffer()
+    to_wire(value).write(TCompactProtocolAccelerated(buffer, fallback=True))
+    return bytes(buffer.getvalue())
+
+
+def decode_value(value_type: type[T], data: bytes) -> T:
+    """Return the value of a known type; raises RecordError."""
+    name = value_type.__name__
+    wire = WIRE_TYPES[name]()
+    try:
+        wire.read(
+            TCompactProtocolAccelerated(TMemoryBuffer(data), fallback=True)
+        )
+    except Exception as exc:
+        raise RecordError(
+            f"cannot decode {name} of {len(data)} bytes: {exc}"
+        ) from exc
+    value: T = from_wire(wire)
+    return value
+
+
 def message_to_wire(message: messages.Message) -> Any:
     """Return a peer message in its thrift envelope."""
     field_name = snake_case(type(message).__name__)
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -244,7 +244,10 @@
     ``entries`` are all that changed from the offset ``entries_from`` on,
     which is -1 if the entries are not complete from any offset.
     ``lease_fence`` is -1 if the sender holds no lease.  ``true_time`` is
-    the sender's estimate of the time of day.
+    the sender's estimate of the time of day.  ``number`` counts the
+    heartbeats to this receiver; ``heard_number`` is that of the last one
+    received from it, -1 if there is none.  ``groups`` tells whether the
+    sender can exchange reports and views.
     """
 
     identity: str
@@ -270,6 +273,161 @@
     entries_from: int
     entries: tuple[EngineEntry, ...]
     document: bytes
+    number: int = -1
+    heard_number: int = -1
+    groups: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HostFact:
+    """Identity, place, addresses and state of an entry process."""
+
+    host: str
+    identity: str
+    zone: str
+    caller_address: str
+    peer_address: str
+    ready: bool
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSums:
+    """Load of one or more hosts, as parallel columns.
+
+    Per engine: open requests and prompt tokens without a first token.  Per
+    account: demand per second and the total ``spent`` of its cap, in the
+    cap's unit.  Per service: prompt tokens per second and open requests.
+    """
+
+    engines: tuple[str, ...] = ()
+    running: tuple[int, ...] = ()
+    unread_tokens: tuple[int, ...] = ()
+    accounts: tuple[str, ...] = ()
+    rates: tuple[float, ...] = ()
+    spent: tuple[float, ...] = ()
+    services: tuple[str, ...] = ()
+    token_rates: tuple[float, ...] = ()
+    service_running: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """How current a host's configuration and registrations are.
+
+    ``version`` is -1 without a configuration.  Ages are seconds since the
+    confirmation as the newest.  ``fleet_change`` is the offset of the last
+    change up to ``fleet_end``; changes from ``fleet_complete_from`` on are
+    known without gaps, -1 if that is not known.
+    """
+
+    version: int
+    config_age: float
+    fleet_end: int
+    fleet_age: float
+    fleet_change: int
+    fleet_complete_from: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseFact:
+    """The duty lease as its holder knows it.
+
+    ``age`` is in seconds since the holder began to append the last record,
+    which is at ``offset``.
+    """
+
+    holder: str
+    fence: int
+    offset: int
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """A host's load and state for the aggregators of its group.
+
+    ``number`` counts the reports of a process.  ``leases`` is empty unless
+    the sender holds the lease.  ``wants_view`` asks for a view in return.
+    ``heard`` and ``heard_number`` are the publisher and the number of the
+    last digest of its group that the sender received.
+    """
+
+    fact: HostFact
+    number: int
+    loads: LoadSums
+    progress: Progress
+    leases: tuple[LeaseFact, ...]
+    true_time: float
+    wants_view: bool
+    heard: str
+    heard_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """The sums of one group of hosts, made by one of its aggregators.
+
+    ``number`` counts the digests of the publisher.  ``hosts`` is empty if
+    the roster with the number ``roster`` was sent before; ``numbers`` and
+    ``ages`` (seconds) are those of the last report of each of its hosts.
+    ``loads.spent`` counts from the start of the publisher.  ``heard`` and
+    ``heard_numbers`` name the publishers and the numbers of the last digests
+    received from other groups.
+    """
+
+    group: str
+    publisher: str
+    number: int
+    roster: int
+    hosts: tuple[HostFact, ...]
+    numbers: tuple[int, ...]
+    ages: tuple[float, ...]
+    loads: LoadSums
+    progress: Progress
+    leases: tuple[LeaseFact, ...]
+    true_time: float
+    heard: tuple[str, ...]
+    heard_numbers: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Encoded digests with their ages, forwarded as they were received.
+
+    An age is the longest possible one in seconds, 1e6 if it is unknown.
+    ``host`` is the sender.  ``hosts`` are the live hosts that it knows, if
+    the receiver has asked for the view, else none.
+    """
+
+    host: str
+    digests: tuple[bytes, ...]
+    ages: tuple[float, ...]
+    hosts: tuple[HostFact, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Registrations and the configuration that the receiver lacks.
+
+    ``entries`` are all that changed from the offset ``entries_from`` up to
+    ``fleet_end``; ``entries_from`` is -1 if they are not complete.
+    ``document`` is empty if the configuration is not sent.
+    """
+
+    host: str
+    entries_from: int
+    fleet_end: int
+    entries: tuple[EngineEntry, ...]
+    document: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class UsageCounts:
+    """Usage counts of one process, for the lease holder."""
+
+    identity: str
+    usage: tuple[UsageCount, ...]
 
 
 Message = Union[
@@ -288,4 +446,8 @@
     NewsRequest,
     News,
     Beat,
+    Report,
+    View,
+    Changes,
+    UsageCounts,
 ]
--- a/src/magnoliaflow/entry/admission.py
+++ b/src/magnoliaflow/entry/admission.py
@@ -110,7 +110,7 @@
         "rate": round(limit.rate, 1),
         "burst": round(limit.burst, 1),
         "share": round(limit.share, 3),
-        "level": round(limit.level, 1),
+        "left": round(limit.level, 1),
     }
 
 
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -1,6 +1,7 @@
 """One attempt to have a request answered by an engine."""
 
 from enum import Enum
+from math import inf
 from typing import Any
 
 from magnoliaflow.common.clocks import boot_time
@@ -8,11 +9,13 @@
 from magnoliaflow.platform.headers import encode_forward
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.eventstream import EventSplitter
+from magnoliaflow.policy.eventstream import EventTooLargeError
 from magnoliaflow.policy.placement import first_token_s
 from magnoliaflow.policy.routes import RouteKind
 from magnoliaflow.transport.client import Exchange
 from magnoliaflow.transport.client import Headers
 from magnoliaflow.transport.client import open_exchange
+from magnoliaflow.transport.server import InboundRequest
 from magnoliaflow.work.calls import Call
 from magnoliaflow.work.calls import EngineResponseHead
 from magnoliaflow.work.calls import ForwardContext
@@ -26,8 +29,13 @@
 # Failures in a row, refused connections aside, before an engine is avoided:
 # healthy engines lose or corrupt single answers too.
 TOLERATED_FAILURES = 2
-# An answer that is not a stream is buffered until it is complete.
+# An answer that is not a stream is buffered until it is complete; the bounds
+# are for one answer and for all on a host.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# A connection that took longer was opened before a suspension of the process:
+# its request states a remaining time that is no longer true.
+MAX_OPEN_DELAY_S = 2 * CONNECT_TIMEOUT_S
 
 
 class Failure(Enum):
@@ -49,6 +57,8 @@
         "head",
         "opened_at",
         "ended",
+        "started_at",
+        "throttled",
         "prompt_read",
         "handler",
         "sent",
@@ -68,6 +78,8 @@
         self.body: list[bytes] = []
         self.body_size = 0
         self.splitter: EventSplitter | None = None
+        self.started_at = boot_time()
+        self.throttled = False
         self.opened_at = 0.0
         self.sent = False
         self.prompt_read = False
@@ -89,10 +101,25 @@
             connect_s=CONNECT_TIMEOUT_S,
         )
 
+    def throttle_by(self, inbound: InboundRequest) -> None:
+        """Read from the engine no faster than the caller reads."""
+        if not self.throttled and self.exchange is not None:
+            self.throttled = True
+            inbound.read_from(self.exchange.transport)
+
     def on_open(self) -> None:
         """Count the send; the request is written in this reactor iteration."""
         if self.ended:
             return
+        state = self.handler.state
+        outdated = (
+            boot_time() - self.started_at > MAX_OPEN_DELAY_S
+            or self.engine.leaving_at < inf
+            or state.routing.engines.get(self.engine.name) is not self.engine
+        )
+        if outdated:
+            self._fail(Failure.UNSENT, "outdated before it was sent")
+            return
         if not self.handler.may_send():
             self._release_engine()
             if self.exchange is not None:
@@ -138,22 +165,36 @@
         if self.ended:
             return
         if self.splitter is None:
-            self.body_size += len(data)
-            if self.body_size > MAX_BODY_BYTES:
-                self._fail(
-                    Failure.MAY_HAVE_RUN,
-                    "answer body exceeds the size limit",
-                    engine_fault=True,
-                )
-                return
-            self.body.append(data)
+            self._buffer(data)
+            return
+        try:
+            events = self.splitter.feed(data)
+        except EventTooLargeError as exc:
+            self._fail(Failure.MAY_HAVE_RUN, str(exc), engine_fault=True)
             return
-        for event in self.splitter.feed(data):
+        for event in events:
             self._record_first_token()
             if not self.handler.forward_event(self, event):
                 self._fail(Failure.MAY_HAVE_RUN, "gap in the event ids")
                 return
 
+    def _buffer(self, data: bytes) -> None:
+        """Keep a part of a body within the bounds of this host's memory."""
+        state = self.handler.state
+        self.body_size += len(data)
+        state.buffered_bytes += len(data)
+        if (
+            self.body_size > MAX_BODY_BYTES
+            or state.buffered_bytes > MAX_BUFFERED_BYTES
+        ):
+            self._fail(
+                Failure.MAY_HAVE_RUN,
+                "answer body exceeds the size limit",
+                engine_fault=True,
+            )
+            return
+        self.body.append(data)
+
     def on_end(self) -> None:
         """Finish a complete answer."""
         if self.ended:
@@ -237,6 +278,7 @@
         if self.ended:
             return
         self.ended = True
+        self.handler.state.buffered_bytes -= self.body_size
         self.engine.record_ended()
         if not self.prompt_read:
             self.engine.record_prompt_read(self.uncached)
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -413,6 +413,7 @@
             self.response_started = True
             self.first_byte_at = boot_time()
             self.inbound.begin(attempt.head.status, attempt.head.headers)
+        attempt.throttle_by(self.inbound)
         if event.event_id >= 0:
             self.last_event = event.event_id
         self.inbound.send(event.data)
--- a/src/magnoliaflow/entry/capshares.py
+++ b/src/magnoliaflow/entry/capshares.py
@@ -2,8 +2,7 @@
 
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.entry.state import EntryState
-from magnoliaflow.entry.state import heartbeat_interval
-from magnoliaflow.entry.state import PeerHost
+from magnoliaflow.entry.state import load_age
 from magnoliaflow.entry.systems import system
 from magnoliaflow.policy.caps import Bucket
 from magnoliaflow.policy.caps import granted_limit
@@ -21,24 +20,24 @@
         account.burst,
         overage=host_settings.cap_overage,
         tolerance=host_settings.cap_tolerance if account.by_tokens else 0.0,
-        heartbeat_interval_s=heartbeat_interval(len(state.peers)),
+        heartbeat_interval_s=load_age(state),
     )
 
 
 def update_cap_shares(state: EntryState, now: float) -> None:
     """Recompute this host's cap shares before it reports its usage."""
-    live_peers = state.live_peers(now)
-    live_share = _live_share(state, live_peers)
-    reported = [
-        {demand.account: demand.rate for demand in peer.heartbeat.demands}
-        for peer in live_peers
-    ]
+    live_hosts = len(state.live_hosts(now))
+    live_share = _live_share(state, live_hosts)
+    others = state.others_demand(now)
     accounts = {} if state.route_table is None else state.route_table.accounts
     for name, cap in state.caps.items():
         limit = account_limit(state, accounts[name])
         cap.rate, cap.burst = limit.rate, limit.burst
-        others = [rates.get(name, 0.0) for rates in reported]
-        share = host_share(state.reported_demands.get(name, 0.0), others)
+        share = host_share(
+            state.reported_demands.get(name, 0.0),
+            others.rates.get(name, 0.0),
+            live_hosts,
+        )
         cap.set_shares(share, live_share, now)
 
 
@@ -46,13 +45,10 @@
 def update_rate_limits(state: EntryState) -> None:
     """Set this host's admission rates from the last reported demands."""
     now = boot_time()
-    live_peers = state.live_peers(now)
-    live_share = _live_share(state, live_peers)
+    live_hosts = len(state.live_hosts(now))
+    live_share = _live_share(state, live_hosts)
     services = {} if state.route_table is None else state.route_table.services
-    reported = [
-        {load.backend: load.tokens_rate for load in peer.heartbeat.services}
-        for peer in live_peers
-    ]
+    others = state.others_demand(now)
     for name, service in services.items():
         if not service.model:
             continue
@@ -63,7 +59,8 @@
         ]
         share = live_share * host_share(
             state.local_loads[name].demand.current(now),
-            [rates.get(name, 0.0) for rates in reported],
+            others.services.get(name, (0.0, 0.0))[0],
+            live_hosts,
         )
         bucket = state.rate_limits.get(name)
         if bucket is None:
@@ -74,12 +71,11 @@
         set_rate_limit(bucket, engines, share)
 
 
-def _live_share(state: EntryState, live_peers: list[PeerHost]) -> float:
-    """Return the share of a limit that this host and its live peers divide.
+def _live_share(state: EntryState, live_hosts: int) -> float:
+    """Return the share of a limit that this host and the live ones divide.
 
     Each silent host keeps an even share, since it may still be serving; a
     leaving host keeps none.
     """
-    leaving = sum(1 for peer in state.peers if peer.heartbeat.leaving)
-    hosts = max(1 + len(state.peers) - leaving, 1 + len(live_peers))
-    return (1 + len(live_peers)) / hosts
+    hosts = max(state.host_count() - state.leaving_hosts(), 1 + live_hosts)
+    return (1 + live_hosts) / hosts
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -17,14 +17,19 @@
 
 from magnoliaflow.cluster.hostsettings import HostSettings
 from magnoliaflow.cluster.peers import peer_factory
+from magnoliaflow.cluster.peers import PeerLinks
 from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.codec import decode_value
+from magnoliaflow.common.codec import encode_value
 from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.errors import RecordError
 from magnoliaflow.common.errors import SettingsError
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.eventlog import open_logger
 from magnoliaflow.common.lifecycle import Phase
 from magnoliaflow.common.logsink import LogSink
 from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.messages import Message
 from magnoliaflow.entry.calls import CallHandler
 from magnoliaflow.entry import capshares
@@ -38,6 +43,7 @@
 from magnoliaflow.entry.heartbeats import HeartbeatSender
 from magnoliaflow.entry import maintenance
 from magnoliaflow.entry.orders import OrderDuty
+from magnoliaflow.entry.reports import ReportSender
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.systems import ENTRY_SYSTEMS
 from magnoliaflow.platform.cloud import CloudClient
@@ -70,6 +76,7 @@
 LISTEN_BACKLOG = 1024
 # Interval of peer discovery through the store while no peer is known.
 DISCOVERY_INTERVAL_S = 5.0
+FIRST_DISCOVERY_INTERVAL_S = 1.0
 METRICS_CONTENT_TYPE = CONTENT_TYPE_LATEST.encode()
 
 
@@ -98,8 +105,11 @@
             host_settings.cloud_address,
             host_settings.host,
             timeout_s=CLOUD_TIMEOUT_S,
+            may_send=self.may_act,
         )
-        self.heartbeat_sender = HeartbeatSender(self.state)
+        links = PeerLinks(identity, on_failure=self.on_link_failure)
+        self.heartbeat_sender = HeartbeatSender(self.state, links)
+        self.report_sender = ReportSender(self.state, links)
         self.duty_log = DutyLog(self.state, self.store)
         self.usage_duty = UsageDuty(self.state, self.duty_log, self.cloud)
         self.order_duty = OrderDuty(self.state, self.cloud)
@@ -185,6 +195,21 @@
         self.state.metrics.refusals.labels(f"HTTP_{status}").inc()
         self.state.log(LogEvent.CALL_REJECTED, status=status)
 
+    def may_act(self, fence: int) -> bool:
+        """Return whether a call of a duty may still be sent.
+
+        ``fence`` is the one in the call; the lease may have expired since.
+        """
+        lease_manager = self.state.lease_manager
+        return (
+            lease_manager.holds(boot_time())
+            and lease_manager.fence + 1 == fence
+        )
+
+    def on_link_failure(self, address: str, reason: str) -> None:
+        """Log that messages to a peer were lost."""
+        self.state.log(LogEvent.LINK_SILENT, address=address, reason=reason)
+
     def on_failure(self, failure: Any) -> None:
         """Log an unexpected error in a loop and stop the process."""
         self.state.log(
@@ -203,6 +228,7 @@
             self.server_limits.head_timeout_s = limits.head_timeout_s
             self.server_limits.idle_timeout_s = limits.idle_timeout_s
         self.heartbeat_sender.tick(now)
+        self.report_sender.tick(now)
         self._discover_peers(now)
         for _, _, function in ENTRY_SYSTEMS:
             function(state)
@@ -213,15 +239,27 @@
             self.order_duty.tick(now)
 
     def _discover_peers(self, now: float) -> None:
-        """Find peers through the store while none is known."""
-        if now < self.next_discovery_at or self.state.peers:
+        """Find peers through the store while none is heard.
+
+        Hosts that start together read the topic again soon, since the first
+        ones find few others there.
+        """
+        state = self.state
+        isolated = not state.peers and (
+            now - state.view.last_view_at > DISCOVERY_INTERVAL_S
+            and not state.view.members
+        )
+        if now < self.next_discovery_at or not isolated:
             return
         first = self.next_discovery_at == 0.0
-        self.next_discovery_at = now + DISCOVERY_INTERVAL_S
-        address = self.host_settings.peer_address
+        self.next_discovery_at = now + (
+            FIRST_DISCOVERY_INTERVAL_S if first else DISCOVERY_INTERVAL_S
+        )
         if first:
             self.store.put(
-                HOSTS_TOPIC, self.host_settings.host, address.encode()
+                HOSTS_TOPIC,
+                self.host_settings.host,
+                encode_value(state.own_fact(now)),
             ).addCallbacks(lambda _: None, self._on_discovery_failure)
         self.store.read_newest(HOSTS_TOPIC).addCallbacks(
             self._add_discovered, self._on_discovery_failure
@@ -230,9 +268,14 @@
     def _add_discovered(self, page: Any) -> None:
         now = boot_time()
         for entry in page.entries:
-            address = (entry.value or b"").decode("latin-1")
-            if address and address != self.host_settings.peer_address:
-                self.state.peer_addresses.setdefault(address, now)
+            try:
+                fact = decode_value(HostFact, entry.value or b"")
+            except RecordError as exc:
+                self.state.log(LogEvent.RECORD_UNREADABLE, reason=str(exc))
+                continue
+            if fact.host != self.host_settings.host:
+                self.state.peer_addresses.setdefault(fact.peer_address, now)
+                self.state.view.meet(fact, now)
 
     def _on_discovery_failure(self, failure: Any) -> None:
         failure.trap(PortError)
@@ -262,6 +305,8 @@
         self.drain_started_at = boot_time()
         self.caller_factory.drain()
         self.heartbeat_sender.send_round(self.drain_started_at)
+        if self.state.uses_groups():
+            self.report_sender.send_round(self.drain_started_at)
         self.state.log(
             LogEvent.PROCESS_DRAINING, in_flight=len(self.state.calls)
         )
--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -42,6 +42,10 @@
 # the log at this interval.
 RENEWAL_CHECK_SHARE = 0.7
 RENEWAL_CHECK_INTERVAL_S = 0.8
+# The same in groups, where renewals pass several hosts.  Hosts that are not
+# aggregators claim only if every aggregator fails to.
+AGGREGATOR_RENEWAL_CHECK_SHARE = 1.0
+MEMBER_RENEWAL_CHECK_SHARE = 2.0
 # Retry delay after a failed usage report; several fit into the allowed delay.
 REPORT_RETRY_DELAY_S = 0.5
 # Candidates delay their claims by a random part of this time, scaled by the
@@ -107,13 +111,19 @@
             or now < self.last_read_at + RENEWAL_CHECK_INTERVAL_S
         ):
             return False
-        return (
-            now > lease.last_read_at + lease_table.ttl_s * RENEWAL_CHECK_SHARE
-        )
+        share = RENEWAL_CHECK_SHARE
+        if self.state.uses_groups():
+            share = (
+                AGGREGATOR_RENEWAL_CHECK_SHARE
+                if self.state.view.is_aggregator()
+                else MEMBER_RENEWAL_CHECK_SHARE
+            )
+        return now > lease.last_read_at + lease_table.ttl_s * share
 
     def _claim_due(self, now: float) -> bool:
         """Return whether this candidate may claim the lease now."""
-        jitter_share = min(1.0, len(self.state.peers) / FULL_JITTER_HOSTS)
+        others = self.state.host_count() - 1
+        jitter_share = min(1.0, others / FULL_JITTER_HOSTS)
         return (
             self.state.lease_manager.lease_table.may_claim(
                 self.state.lease_manager.name,
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -32,10 +32,12 @@
 # Long poll timeout: a quarter of the revocation bound, so that two lost reads
 # in a row leave the configuration fresh enough.
 CONFIG_POLL_WAIT_S = 1.2
-# With many hosts, whose heartbeats confirm each other's configuration, a long
-# poll may wait longer.
-MANY_HOSTS = 8
-MANY_HOSTS_POLL_WAIT_S = 2.4
+# In a large deployment only the aggregators of the groups keep a long poll.
+# Another host reads the configuration itself when its confirmation is older
+# than this share of the revocation bound.
+SELF_READ_AGE_SHARE = 0.5
+# How often such a host checks whether it has to read.
+READ_CHECK_INTERVAL_S = 0.1
 # Backoff after failed reads: the minimum finds a recovered store at once, the
 # maximum keeps a deployment far below the store's rate limits.
 MIN_RETRY_DELAY_S = 0.1
@@ -45,10 +47,11 @@
 # getting work.
 REGISTRY_READ_INTERVAL_S = 0.35
 # A host reads registrations itself when those from its peers are older than
-# this.  The limit grows with the number of hosts, as the heartbeat interval
-# does.
+# this.  In a large deployment confirmations pass several hosts, first the
+# aggregators.
 MAX_REGISTRY_AGE_S = 1.0
-MAX_REGISTRY_AGE_PER_HOST_S = 0.03
+MAX_AGGREGATOR_REGISTRY_AGE_S = 2.0
+MAX_MEMBER_REGISTRY_AGE_S = 3.0
 # Delay of removals that are read after a store outage: a registration that
 # expired in the outage is renewed at once.
 LAPSED_REMOVAL_DELAY_S = 1.5
@@ -71,6 +74,9 @@
     def run(self) -> Any:
         """Read the configuration topic until the process ends."""
         while True:
+            if not self._is_due():
+                yield _pause(self.state, READ_CHECK_INTERVAL_S)
+                continue
             began = boot_time()
             try:
                 page = yield self._read()
@@ -90,12 +96,26 @@
             self._apply_page(page)
             self._advance(page, began)
 
+    def _keeps_poll(self) -> bool:
+        """Return whether this host always waits for the next version."""
+        state = self.state
+        return not state.uses_groups() or state.view.is_aggregator()
+
+    def _is_due(self) -> bool:
+        """Return whether to read the configuration now."""
+        state = self.state
+        max_age_s = state.host_settings.revocation_s * SELF_READ_AGE_SHARE
+        return (
+            self._keeps_poll()
+            or state.route_table is None
+            or state.config_age(boot_time()) > max_age_s
+        )
+
     def _read(self) -> Any:
         if self.offset < 0:
             return self.store.read_newest(CONFIG_TOPIC)
-        return self.store.read(
-            CONFIG_TOPIC, self.offset, wait_s=CONFIG_POLL_WAIT_S
-        )
+        wait_s = CONFIG_POLL_WAIT_S if self._keeps_poll() else 0.0
+        return self.store.read(CONFIG_TOPIC, self.offset, wait_s=wait_s)
 
     def _advance(self, page: Page, began: float) -> None:
         """Advance the offset; a read to the log's end is a confirmation."""
@@ -163,9 +183,13 @@
         now = boot_time()
         if self.state.lease_manager.holds(now):
             return True
-        stale_s = MAX_REGISTRY_AGE_S + MAX_REGISTRY_AGE_PER_HOST_S * len(
-            self.state.peers
-        )
+        stale_s = MAX_REGISTRY_AGE_S
+        if self.state.uses_groups():
+            stale_s = (
+                MAX_AGGREGATOR_REGISTRY_AGE_S
+                if self.state.view.is_aggregator()
+                else MAX_MEMBER_REGISTRY_AGE_S
+            )
         return now - self.state.registry_confirmed_at > stale_s
 
     @inlineCallbacks
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -1,9 +1,11 @@
 """Heartbeats between entry hosts, with the state that they share."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
+from typing import Any
 
-from xxhash import xxh64_intdigest
-
+from magnoliaflow.cluster.groups import rendezvous_score
 from magnoliaflow.cluster.peers import PeerLinks
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
@@ -11,12 +13,21 @@
 from magnoliaflow.common.lifecycle import Phase
 from magnoliaflow.common.messages import AccountDemand
 from magnoliaflow.common.messages import Beat
+from magnoliaflow.common.messages import Changes
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import EngineLoad
 from magnoliaflow.common.messages import Message
+from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import ServiceLoad
 from magnoliaflow.common.messages import UsageCount
+from magnoliaflow.common.messages import UsageCounts
+from magnoliaflow.common.messages import View
 from magnoliaflow.entry.capshares import update_cap_shares
+from magnoliaflow.entry.reports import handle_changes
+from magnoliaflow.entry.reports import handle_report
+from magnoliaflow.entry.reports import handle_usage_counts
+from magnoliaflow.entry.reports import handle_view
+from magnoliaflow.entry.reports import OTHERS
 from magnoliaflow.entry.state import DUTY_LEASE
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.state import heartbeat_interval
@@ -46,6 +57,8 @@
 # Smaller differences come from network delay and busy ticks, not from a clock
 # jump.
 CLOCK_TOLERANCE_S = 0.02
+# A heartbeat that may be older says nothing about the sender's clock.
+MAX_CLOCK_SAMPLE_AGE_S = 1.0
 
 
 class HeartbeatSender:
@@ -60,9 +73,9 @@
         "state",
     )
 
-    def __init__(self, state: EntryState) -> None:
+    def __init__(self, state: EntryState, links: PeerLinks) -> None:
         self.state = state
-        self.links = PeerLinks(state.identity)
+        self.links = links
         self.next_round_at = 0.0
         self.last_round_at = 0.0
         self.last_round_offset = -1
@@ -90,14 +103,18 @@
         self.round_number += 1
         _expire_peers(state, now)
         drop_silent_peer_loads(state, now)
-        state.routing.load_factor = 1.0 + len(state.peers)
-        state.reported_demands = {
-            name: demand.current(now)
-            for name, demand in state.account_demands.items()
-        }
-        update_cap_shares(state, now)
+        grouped = state.uses_groups()
+        if not grouped:
+            state.routing.load_factor = 1.0 + len(state.peers)
+            state.reported_demands = {
+                name: demand.current(now)
+                for name, demand in state.account_demands.items()
+            }
+            update_cap_shares(state, now)
         peers_by_address = {
-            peer.heartbeat.peer_address: peer for peer in state.peers
+            peer.heartbeat.peer_address: peer
+            for peer in state.peers
+            if not (grouped and peer.heartbeat.groups)
         }
         for address, peer in peers_by_address.items():
             heartbeat = make_heartbeat(
@@ -107,7 +124,7 @@
                 with_addresses=self.round_number % FULL_ROUND_INTERVAL == 1,
             )
             self.links.send(address, heartbeat)
-        if (
+        if not grouped and (
             self.round_number <= FULL_ROUND_INTERVAL
             or self.round_number % FULL_ROUND_INTERVAL == 1
         ):
@@ -133,17 +150,13 @@
     deployment sending them.
     """
     others = [other.name for other in state.peers if other.name != peer.name]
-    own_score = _relay_score(state.host_settings.host, peer.name)
+    own_score = rendezvous_score(peer.name, state.host_settings.host)
     higher = sum(
-        1 for name in others if _relay_score(name, peer.name) > own_score
+        1 for name in others if rendezvous_score(peer.name, name) > own_score
     )
     return higher < RELAYS_PER_HOST
 
 
-def _relay_score(relay_host: str, host: str) -> int:
-    return int(xxh64_intdigest(f"{relay_host}>{host}".encode()))
-
-
 @dataclass(frozen=True, slots=True)
 class Gossip:
     """Changes that a heartbeat passes on to a peer."""
@@ -191,6 +204,10 @@
     ``with_addresses``: include the addresses of the other peers.
     """
     route_table = state.route_table
+    number = heard_number = -1
+    if peer is not None:
+        number = state.sent_heartbeats[peer.name].add(now)
+        heard_number = peer.heartbeat.number
     gossip = Gossip() if peer is None else _gossip_for(state, now, peer)
     usage = []
     if peer is not None and needs_usage_counts(state, peer):
@@ -241,6 +258,9 @@
         entries_from=gossip.entries_from,
         entries=gossip.entries,
         document=gossip.document,
+        number=number,
+        heard_number=heard_number,
+        groups=True,
     )
 
 
@@ -257,12 +277,29 @@
     )
 
 
+MESSAGE_HANDLERS: dict[type, Callable[[EntryState, Any], None]] = {
+    Report: handle_report,
+    View: handle_view,
+    Changes: handle_changes,
+    UsageCounts: handle_usage_counts,
+}
+
+
 def handle_message(state: EntryState, sender: str, message: Message) -> None:
-    """Apply a peer's message; entry hosts send only heartbeats."""
-    if (
-        not isinstance(message, Beat)
-        or message.host == state.host_settings.host
-    ):
+    """Apply a peer's message; the product's other messages are ignored."""
+    if sender == state.identity:
+        return
+    if isinstance(message, Beat):
+        handle_heartbeat(state, message)
+        return
+    handler = MESSAGE_HANDLERS.get(type(message))
+    if handler is not None:
+        handler(state, message)
+
+
+def handle_heartbeat(state: EntryState, message: Beat) -> None:
+    """Apply a peer's heartbeat."""
+    if message.host == state.host_settings.host:
         return
     now = boot_time()
     previous = state.peers.get(message.host)
@@ -270,12 +307,12 @@
         state.log(
             LogEvent.PEER_ALIVE, host=message.host, identity=message.identity
         )
-    _update_peer(state, message, previous, now)
+    made_after = _update_peer(state, message, previous, now)
     state.peer_addresses[message.peer_address] = now
     for address in message.peers:
         state.peer_addresses.setdefault(address, now)
-    _apply_config(state, message, now)
-    _apply_registrations(state, message, now)
+    _apply_config(state, message, made_after)
+    _apply_registrations(state, message, made_after)
     for usage in message.usage:
         state.usage.merge(
             message.identity, usage.account, usage.window, usage.count
@@ -294,10 +331,12 @@
 
 def _update_peer(
     state: EntryState, heartbeat: Beat, previous: PeerHost | None, now: float
-) -> None:
+) -> float:
     """Record a peer and what it has taken from the caps since its last.
 
-    What it took before its first heartbeat here does not count.
+    What it took before its first heartbeat here does not count.  Return the
+    earliest time at which the heartbeat may have been made: after the last
+    one that its sender had received from this host.
     """
     spent: dict[str, float] = {}
     if (
@@ -312,12 +351,18 @@
                 demand.spent - spent.get(demand.account, 0.0), now
             )
         spent[demand.account] = demand.spent
+    sent = state.sent_heartbeats[heartbeat.host]
+    made_after = sent.times.get(heartbeat.heard_number, -inf)
     state.peers.put(
-        heartbeat.host, PeerHost(heartbeat.host, heartbeat, now, spent)
+        heartbeat.host,
+        PeerHost(heartbeat.host, heartbeat, now, spent, made_after),
     )
+    return made_after
 
 
-def _apply_config(state: EntryState, heartbeat: Beat, now: float) -> None:
+def _apply_config(
+    state: EntryState, heartbeat: Beat, made_after: float
+) -> None:
     """Apply a newer configuration, or the confirmation of this one."""
     version = -1 if state.route_table is None else state.route_table.version
     if heartbeat.document and heartbeat.version > version:
@@ -329,12 +374,12 @@
         apply_config(state, route_table, heartbeat.document)
         version = route_table.version
     if heartbeat.version == version:
-        confirmed = now - heartbeat.config_age
+        confirmed = made_after - heartbeat.config_age
         state.config_confirmed_at = max(state.config_confirmed_at, confirmed)
 
 
 def _apply_registrations(
-    state: EntryState, heartbeat: Beat, now: float
+    state: EntryState, heartbeat: Beat, made_after: float
 ) -> None:
     """Apply registrations that are newer than the known ones."""
     if not state.registry.entries and not heartbeat.entries:
@@ -351,7 +396,7 @@
     if complete or heartbeat.fleet_end == end:
         state.registry.advance(heartbeat.fleet_end)
         state.registry_confirmed_at = max(
-            state.registry_confirmed_at, now - heartbeat.fleet_age
+            state.registry_confirmed_at, made_after - heartbeat.fleet_age
         )
 
 
@@ -375,7 +420,7 @@
     """Drop the reported open requests of peers that are not live."""
     live = {peer.name for peer in state.live_peers(now)}
     for engine in state.routing.engines.values():
-        for name in [name for name in engine.peers if name not in live]:
+        for name in engine.peers.keys() - live - {OTHERS}:
             engine.update_peer_load(name, 0, 0, now)
 
 
@@ -389,6 +434,8 @@
         + [
             peer.heartbeat.true_time - state.true_time(peer.last_heartbeat_at)
             for peer in state.live_peers(now)
+            if peer.last_heartbeat_at - peer.made_after
+            < MAX_CLOCK_SAMPLE_AGE_S
         ]
     )
     difference = differences[len(differences) // 2]
--- a/src/magnoliaflow/entry/maintenance.py
+++ b/src/magnoliaflow/entry/maintenance.py
@@ -15,7 +15,7 @@
     """Set this host's even share of each service's retry budget."""
     if state.route_table is None:
         return
-    hosts = 1 + len(state.peers)
+    hosts = state.host_count()
     burst = max(1, int(state.host_settings.retry_extra * BUDGET_SHARE / hosts))
     for name in state.route_table.services:
         budget = state.retry_budgets.get(name)
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -1,6 +1,5 @@
 """State of one entry process, which its systems read and update."""
 
-from collections.abc import Callable
 from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import field
@@ -12,6 +11,8 @@
 from magnoliaflow.cluster.hostsettings import HostSettings
 from magnoliaflow.cluster.leasemanager import LeaseManager
 from magnoliaflow.cluster.registry import EngineRegistry
+from magnoliaflow.cluster.views import ClusterView
+from magnoliaflow.cluster.views import Sums
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.clocks import wall_time
 from magnoliaflow.common.eventlog import log_event
@@ -20,6 +21,7 @@
 from magnoliaflow.common.lifecycle import new_life_cycle
 from magnoliaflow.common.lifecycle import Phase
 from magnoliaflow.common.messages import Beat
+from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.tables import Table
 from magnoliaflow.entry.entrymetrics import EntryMetrics
 from magnoliaflow.policy.budget import RetryBudget
@@ -50,6 +52,13 @@
 LEASE_TTL_SHARE = 0.8
 LEASE_MARGIN_S = 0.3
 DUTY_LEASE = "duty"
+# Heartbeats to each peer whose times of sending are kept.
+KEPT_HEARTBEATS = 16
+# Usual age of the others' load in groups: half of the time of three hops, and
+# the time on the way.
+VIEW_AGE_S = 0.8
+# Hosts up to which all exchange heartbeats; more form groups.
+MESH_HOSTS = 8
 # Capacity of an engine's prefix cache unless the configuration sets it.
 DEFAULT_CACHE_TOKENS = 300_000
 
@@ -61,18 +70,42 @@
     )
 
 
+def load_age(state: "EntryState") -> float:
+    """Return the usual age in seconds of what is known of other hosts."""
+    if state.uses_groups():
+        return VIEW_AGE_S
+    return heartbeat_interval(len(state.peers))
+
+
 @dataclass(slots=True)
 class PeerHost:
     """Another entry host and its last heartbeat.
 
     ``spent`` is what its process reports to have taken from each account's
-    cap.
+    cap.  ``made_after`` is the earliest time at which the heartbeat may have
+    been made, -inf if that is not known.
     """
 
     name: str
     heartbeat: Beat
     last_heartbeat_at: float
     spent: dict[str, float] = field(default_factory=dict)
+    made_after: float = -inf
+
+
+@dataclass(slots=True)
+class SentHeartbeats:
+    """Number and times of the last heartbeats sent to one peer."""
+
+    number: int = 0
+    times: dict[int, float] = field(default_factory=dict)
+
+    def add(self, now: float) -> int:
+        """Record a heartbeat as sent and return its number."""
+        self.number += 1
+        self.times[self.number] = now
+        self.times.pop(self.number - KEPT_HEARTBEATS, None)
+        return self.number
 
 
 @dataclass(slots=True)
@@ -95,19 +128,21 @@
         "config_applied_at",
         "config_document",
         "retry_budgets",
+        "buffered_bytes",
         "calls",
         "caps",
         "clock_offset",
+        "clock_samples",
         "config_confirmed_at",
         "account_demands",
         "local_loads",
         "registry_confirmed_at",
-        "engine_callbacks",
         "peers",
         "identity",
         "lease_manager",
         "lifecycle",
         "logger",
+        "sent_heartbeats",
         "metrics",
         "rate_limits",
         "peer_addresses",
@@ -119,6 +154,8 @@
         "store_down_since",
         "reported_demands",
         "usage",
+        "view",
+        "view_sums",
         "routing",
         "waiting_calls",
     )
@@ -146,16 +183,24 @@
         self.config_confirmed_at = -inf
         self.registry = EngineRegistry()
         self.registry_confirmed_at = -inf
-        self.engine_callbacks: list[Callable[[], None]] = []
         self.store_down_since = inf
         self.routing = RoutingState(
             name=identity, weights=CostWeights(0.0, 1.0), rng=rng
         )
         self.routing.prefixes = PrefixIndex(capacity=DEFAULT_CACHE_TOKENS)
         self.peers: Table[str, PeerHost] = Table()
+        self.sent_heartbeats: dict[str, SentHeartbeats] = defaultdict(
+            SentHeartbeats
+        )
         self.peer_addresses: dict[str, float] = dict.fromkeys(
             host_settings.seeds, now
         )
+        self.view = ClusterView(
+            host_settings.host, identity, host_settings.zone
+        )
+        self.view_sums = Sums()
+        self.clock_samples: dict[str, tuple[float, float]] = {}
+        self.buffered_bytes = 0
         self.calls: Table[int, Any] = Table()
         self.waiting_calls: dict[int, Any] = {}
         self.local_loads: dict[str, LocalLoad] = defaultdict(LocalLoad)
@@ -212,6 +257,103 @@
             and not peer.heartbeat.leaving
         ]
 
+    def uses_groups(self) -> bool:
+        """Return whether hosts exchange reports and views in groups."""
+        return self.host_count() > MESH_HOSTS
+
+    def host_count(self) -> int:
+        """Return the number of known hosts, including this one."""
+        return 1 + len(self.peers.rows.keys() | self.view.hosts.keys())
+
+    def own_fact(self, now: float) -> HostFact:
+        """Return what other hosts need to know of this one."""
+        host_settings = self.host_settings
+        return HostFact(
+            host_settings.host,
+            self.identity,
+            host_settings.zone,
+            host_settings.caller_address,
+            host_settings.peer_address,
+            self.is_ready(now),
+            self.phase >= Phase.DRAINING,
+        )
+
+    def own_sums(self, now: float) -> Sums:
+        """Return this host's load."""
+        return Sums(
+            engines={
+                engine.name: [engine.local_running, engine.unread_tokens]
+                for engine in self.routing.engines.values()
+                if engine.local_running
+            },
+            rates=dict(self.reported_demands),
+            services={
+                name: [load.demand.current(now), load.running]
+                for name, load in self.local_loads.items()
+            },
+        )
+
+    def _counted_peers(self, now: float) -> list[PeerHost]:
+        """Return the live peers that no digest includes."""
+        grouped = self.uses_groups()
+        return [
+            peer
+            for peer in self.live_peers(now)
+            if not (grouped and peer.heartbeat.groups)
+        ]
+
+    def live_hosts(self, now: float) -> list[HostFact]:
+        """Return the other hosts that are live and not leaving."""
+        facts = {
+            peer.name: HostFact(
+                peer.name,
+                peer.heartbeat.identity,
+                peer.heartbeat.zone,
+                peer.heartbeat.caller_address,
+                peer.heartbeat.peer_address,
+                peer.heartbeat.ready,
+                peer.heartbeat.leaving,
+            )
+            for peer in self._counted_peers(now)
+        }
+        if self.uses_groups():
+            facts.update(
+                (fact.host, fact) for fact in self.view.live_hosts(now)
+            )
+        return list(facts.values())
+
+    def leaving_hosts(self) -> int:
+        """Return the number of other hosts that are known to leave."""
+        leaving = {peer.name for peer in self.peers if peer.heartbeat.leaving}
+        leaving |= {
+            host
+            for host, known in self.view.hosts.items()
+            if known.fact.leaving
+        }
+        return len(leaving)
+
+    def others_demand(self, now: float) -> Sums:
+        """Return the demand at the other hosts, by account and service."""
+        sums = Sums()
+        if self.uses_groups():
+            sums = Sums(
+                rates=dict(self.view_sums.rates),
+                services={
+                    name: list(load)
+                    for name, load in self.view_sums.services.items()
+                },
+            )
+        for peer in self._counted_peers(now):
+            for demand in peer.heartbeat.demands:
+                sums.rates[demand.account] = (
+                    sums.rates.get(demand.account, 0.0) + demand.rate
+                )
+            for load in peer.heartbeat.services:
+                service = sums.services.setdefault(load.backend, [0.0, 0.0])
+                service[0] += load.tokens_rate
+                service[1] += load.running
+        return sums
+
     def log(self, event: LogEvent, **details: Any) -> None:
         """Write a numbered log event."""
         log_event(self.logger, event, **details)
--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -56,7 +56,7 @@
     limit = account_limit(state, account)
     previous = state.caps.get(account.name)
     if previous is None:
-        hosts = max(1 + len(state.peers), len(state.host_settings.seeds))
+        hosts = max(state.host_count(), len(state.host_settings.seeds))
         level = limit.burst * INITIAL_FILL / hosts
         return Cap(
             limit.rate, limit.burst, level, allowance=level, updated_at=now
@@ -99,8 +99,6 @@
     if engine is None or engine.leaving_at < inf:
         state.routing.remove(name)
         state.routing.add(new_engine(_backend_server(state, changed)))
-    for notify in list(state.engine_callbacks):
-        notify()
 
 
 def _moved(previous: EngineEntry | None, entry: EngineEntry) -> bool:
--- a/src/magnoliaflow/platform/store.py
+++ b/src/magnoliaflow/platform/store.py
@@ -19,7 +19,7 @@
 CONFIG_KEY = "config"
 ENGINES_TOPIC = "keyed.servers"
 DUTY_TOPIC = "duty"
-HOSTS_TOPIC = "keyed.hosts"
+HOSTS_TOPIC = "keyed.members"
 
 LENGTH_PREFIX = Struct(">I")
 READ_HEADER = Struct(">QQ")
--- a/src/magnoliaflow/policy/caps.py
+++ b/src/magnoliaflow/policy/caps.py
@@ -186,17 +186,20 @@
         self.allowance = self.level * share
 
 
-def host_share(local_rate: float, peer_rates: list[float]) -> float:
+def host_share(
+    local_rate: float, others_rate: float, other_hosts: int
+) -> float:
     """Return the local host's share of a limit among the live hosts.
 
-    ``local_rate`` and ``peer_rates`` are the demands last reported.
+    ``local_rate`` and ``others_rate`` are the demands last reported, the
+    latter the sum over the other live hosts.
 
-    >>> round(host_share(3.0, [1.0]), 4)
+    >>> round(host_share(3.0, 1.0, 1), 4)
     0.7125
-    >>> host_share(3.0, [])
+    >>> host_share(3.0, 0.0, 0)
     1.0
     """
-    even = 1.0 / (1 + len(peer_rates))
-    total = local_rate + sum(peer_rates)
+    even = 1.0 / (1 + other_hosts)
+    total = local_rate + max(0.0, others_rate)
     fair = local_rate / total if total > 0 else even
     return DEMAND_WEIGHT * fair + (1 - DEMAND_WEIGHT) * even
--- a/src/magnoliaflow/policy/usage.py
+++ b/src/magnoliaflow/policy/usage.py
@@ -46,6 +46,10 @@
             if name == identity
         ]
 
+    def identities(self) -> set[str]:
+        """Return the incarnations with a count in any window."""
+        return {name for counts in self.counts.values() for name, _ in counts}
+
     def totals(self, window: int) -> dict[str, int]:
         """Return the counts of a window by account, over all incarnations."""
         sums: dict[str, int] = defaultdict(int)
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = PeerMessage()
-                        _elem105.read(iprot)
-                        self.messages.append(_elem105)
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = PeerMessage()
+                        _elem252.read(iprot)
+                        self.messages.append(_elem252)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter106 in self.messages:
-                iter106.write(oprot)
+            for iter253 in self.messages:
+                iter253.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -4145,6 +4145,9 @@
      - lease_offset
      - lease_age
      - entries_from
+     - number
+     - heard_number
+     - groups
 
     """
 
@@ -4172,10 +4175,13 @@
         'lease_offset',
         'lease_age',
         'entries_from',
+        'number',
+        'heard_number',
+        'groups',
     )
 
 
-    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None, lease_offset=None, lease_age=None, entries_from=None,):
+    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None, lease_offset=None, lease_age=None, entries_from=None, number=None, heard_number=None, groups=None,):
         self.identity = identity
         self.host = host
         self.zone = zone
@@ -4199,6 +4205,9 @@
         self.lease_offset = lease_offset
         self.lease_age = lease_age
         self.entries_from = entries_from
+        self.number = number
+        self.heard_number = heard_number
+        self.groups = groups
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4359,6 +4368,1422 @@
                     self.entries_from = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.I64:
+                    self.heard_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.BOOL:
+                    self.groups = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Beat')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.caller_address is not None:
+            oprot.writeFieldBegin('caller_address', TType.STRING, 4)
+            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
+            oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 5)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 6)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.true_time is not None:
+            oprot.writeFieldBegin('true_time', TType.DOUBLE, 8)
+            oprot.writeDouble(self.true_time)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 9)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.config_age is not None:
+            oprot.writeFieldBegin('config_age', TType.DOUBLE, 10)
+            oprot.writeDouble(self.config_age)
+            oprot.writeFieldEnd()
+        if self.fleet_end is not None:
+            oprot.writeFieldBegin('fleet_end', TType.I64, 11)
+            oprot.writeI64(self.fleet_end)
+            oprot.writeFieldEnd()
+        if self.fleet_age is not None:
+            oprot.writeFieldBegin('fleet_age', TType.DOUBLE, 12)
+            oprot.writeDouble(self.fleet_age)
+            oprot.writeFieldEnd()
+        if self.lease_fence is not None:
+            oprot.writeFieldBegin('lease_fence', TType.I64, 13)
+            oprot.writeI64(self.lease_fence)
+            oprot.writeFieldEnd()
+        if self.peers is not None:
+            oprot.writeFieldBegin('peers', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.peers))
+            for iter94 in self.peers:
+                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter95 in self.demands:
+                iter95.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter96 in self.usage:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.engines))
+            for iter97 in self.engines:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter98 in self.services:
+                iter98.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter99 in self.entries:
+                iter99.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 20)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        if self.lease_offset is not None:
+            oprot.writeFieldBegin('lease_offset', TType.I64, 21)
+            oprot.writeI64(self.lease_offset)
+            oprot.writeFieldEnd()
+        if self.lease_age is not None:
+            oprot.writeFieldBegin('lease_age', TType.DOUBLE, 22)
+            oprot.writeDouble(self.lease_age)
+            oprot.writeFieldEnd()
+        if self.entries_from is not None:
+            oprot.writeFieldBegin('entries_from', TType.I64, 23)
+            oprot.writeI64(self.entries_from)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 24)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.heard_number is not None:
+            oprot.writeFieldBegin('heard_number', TType.I64, 25)
+            oprot.writeI64(self.heard_number)
+            oprot.writeFieldEnd()
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.BOOL, 26)
+            oprot.writeBool(self.groups)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostFact(object):
+    """
+    Attributes:
+     - host
+     - identity
+     - zone
+     - caller_address
+     - peer_address
+     - ready
+     - leaving
+
+    """
+
+    __slots__ = (
+        'host',
+        'identity',
+        'zone',
+        'caller_address',
+        'peer_address',
+        'ready',
+        'leaving',
+    )
+
+
+    def __init__(self, host=None, identity=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None,):
+        self.host = host
+        self.identity = identity
+        self.zone = zone
+        self.caller_address = caller_address
+        self.peer_address = peer_address
+        self.ready = ready
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.caller_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostFact')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 2)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.caller_address is not None:
+            oprot.writeFieldBegin('caller_address', TType.STRING, 4)
+            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
+            oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 5)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 6)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadSums(object):
+    """
+    Attributes:
+     - engines
+     - running
+     - unread_tokens
+     - accounts
+     - rates
+     - spent
+     - services
+     - token_rates
+     - service_running
+
+    """
+
+    __slots__ = (
+        'engines',
+        'running',
+        'unread_tokens',
+        'accounts',
+        'rates',
+        'spent',
+        'services',
+        'token_rates',
+        'service_running',
+    )
+
+
+    def __init__(self, engines=None, running=None, unread_tokens=None, accounts=None, rates=None, spent=None, services=None, token_rates=None, service_running=None,):
+        self.engines = engines
+        self.running = running
+        self.unread_tokens = unread_tokens
+        self.accounts = accounts
+        self.rates = rates
+        self.spent = spent
+        self.services = services
+        self.token_rates = token_rates
+        self.service_running = service_running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.engines.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.running = []
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = iprot.readI32()
+                        self.running.append(_elem111)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.unread_tokens = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI64()
+                        self.unread_tokens.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.accounts.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.rates = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = iprot.readDouble()
+                        self.rates.append(_elem129)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.spent = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = iprot.readDouble()
+                        self.spent.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem141)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.token_rates = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = iprot.readDouble()
+                        self.token_rates.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.service_running = []
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = iprot.readI32()
+                        self.service_running.append(_elem153)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadSums')
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.engines))
+            for iter154 in self.engines:
+                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.running))
+            for iter155 in self.running:
+                oprot.writeI32(iter155)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unread_tokens is not None:
+            oprot.writeFieldBegin('unread_tokens', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.unread_tokens))
+            for iter156 in self.unread_tokens:
+                oprot.writeI64(iter156)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.accounts))
+            for iter157 in self.accounts:
+                oprot.writeString(iter157.encode('utf-8') if sys.version_info[0] == 2 else iter157)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rates is not None:
+            oprot.writeFieldBegin('rates', TType.LIST, 5)
+            oprot.writeListBegin(TType.DOUBLE, len(self.rates))
+            for iter158 in self.rates:
+                oprot.writeDouble(iter158)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.LIST, 6)
+            oprot.writeListBegin(TType.DOUBLE, len(self.spent))
+            for iter159 in self.spent:
+                oprot.writeDouble(iter159)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.services))
+            for iter160 in self.services:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.token_rates is not None:
+            oprot.writeFieldBegin('token_rates', TType.LIST, 8)
+            oprot.writeListBegin(TType.DOUBLE, len(self.token_rates))
+            for iter161 in self.token_rates:
+                oprot.writeDouble(iter161)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.service_running is not None:
+            oprot.writeFieldBegin('service_running', TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.service_running))
+            for iter162 in self.service_running:
+                oprot.writeI32(iter162)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Progress(object):
+    """
+    Attributes:
+     - version
+     - config_age
+     - fleet_end
+     - fleet_age
+     - fleet_change
+     - fleet_complete_from
+
+    """
+
+    __slots__ = (
+        'version',
+        'config_age',
+        'fleet_end',
+        'fleet_age',
+        'fleet_change',
+        'fleet_complete_from',
+    )
+
+
+    def __init__(self, version=None, config_age=None, fleet_end=None, fleet_age=None, fleet_change=None, fleet_complete_from=None,):
+        self.version = version
+        self.config_age = config_age
+        self.fleet_end = fleet_end
+        self.fleet_age = fleet_age
+        self.fleet_change = fleet_change
+        self.fleet_complete_from = fleet_complete_from
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.config_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.fleet_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.fleet_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.fleet_change = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.fleet_complete_from = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Progress')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.config_age is not None:
+            oprot.writeFieldBegin('config_age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.config_age)
+            oprot.writeFieldEnd()
+        if self.fleet_end is not None:
+            oprot.writeFieldBegin('fleet_end', TType.I64, 3)
+            oprot.writeI64(self.fleet_end)
+            oprot.writeFieldEnd()
+        if self.fleet_age is not None:
+            oprot.writeFieldBegin('fleet_age', TType.DOUBLE, 4)
+            oprot.writeDouble(self.fleet_age)
+            oprot.writeFieldEnd()
+        if self.fleet_change is not None:
+            oprot.writeFieldBegin('fleet_change', TType.I64, 5)
+            oprot.writeI64(self.fleet_change)
+            oprot.writeFieldEnd()
+        if self.fleet_complete_from is not None:
+            oprot.writeFieldBegin('fleet_complete_from', TType.I64, 6)
+            oprot.writeI64(self.fleet_complete_from)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LeaseFact(object):
+    """
+    Attributes:
+     - holder
+     - fence
+     - offset
+     - age
+
+    """
+
+    __slots__ = (
+        'holder',
+        'fence',
+        'offset',
+        'age',
+    )
+
+
+    def __init__(self, holder=None, fence=None, offset=None, age=None,):
+        self.holder = holder
+        self.fence = fence
+        self.offset = offset
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.holder = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeaseFact')
+        if self.holder is not None:
+            oprot.writeFieldBegin('holder', TType.STRING, 1)
+            oprot.writeString(self.holder.encode('utf-8') if sys.version_info[0] == 2 else self.holder)
+            oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 2)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 4)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Report(object):
+    """
+    Attributes:
+     - fact
+     - number
+     - loads
+     - progress
+     - leases
+     - true_time
+     - wants_view
+     - heard
+     - heard_number
+
+    """
+
+    __slots__ = (
+        'fact',
+        'number',
+        'loads',
+        'progress',
+        'leases',
+        'true_time',
+        'wants_view',
+        'heard',
+        'heard_number',
+    )
+
+
+    def __init__(self, fact=None, number=None, loads=None, progress=None, leases=None, true_time=None, wants_view=None, heard=None, heard_number=None,):
+        self.fact = fact
+        self.number = number
+        self.loads = loads
+        self.progress = progress
+        self.leases = leases
+        self.true_time = true_time
+        self.wants_view = wants_view
+        self.heard = heard
+        self.heard_number = heard_number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.fact = HostFact()
+                    self.fact.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.loads = LoadSums()
+                    self.loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.progress = Progress()
+                    self.progress.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.leases = []
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = LeaseFact()
+                        _elem168.read(iprot)
+                        self.leases.append(_elem168)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.true_time = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.wants_view = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.heard = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.heard_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Report')
+        if self.fact is not None:
+            oprot.writeFieldBegin('fact', TType.STRUCT, 1)
+            self.fact.write(oprot)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.STRUCT, 3)
+            self.loads.write(oprot)
+            oprot.writeFieldEnd()
+        if self.progress is not None:
+            oprot.writeFieldBegin('progress', TType.STRUCT, 4)
+            self.progress.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leases is not None:
+            oprot.writeFieldBegin('leases', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.leases))
+            for iter169 in self.leases:
+                iter169.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.true_time is not None:
+            oprot.writeFieldBegin('true_time', TType.DOUBLE, 6)
+            oprot.writeDouble(self.true_time)
+            oprot.writeFieldEnd()
+        if self.wants_view is not None:
+            oprot.writeFieldBegin('wants_view', TType.BOOL, 7)
+            oprot.writeBool(self.wants_view)
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.STRING, 8)
+            oprot.writeString(self.heard.encode('utf-8') if sys.version_info[0] == 2 else self.heard)
+            oprot.writeFieldEnd()
+        if self.heard_number is not None:
+            oprot.writeFieldBegin('heard_number', TType.I64, 9)
+            oprot.writeI64(self.heard_number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Digest(object):
+    """
+    Attributes:
+     - group
+     - publisher
+     - number
+     - roster
+     - hosts
+     - numbers
+     - ages
+     - loads
+     - progress
+     - leases
+     - true_time
+     - heard
+     - heard_numbers
+
+    """
+
+    __slots__ = (
+        'group',
+        'publisher',
+        'number',
+        'roster',
+        'hosts',
+        'numbers',
+        'ages',
+        'loads',
+        'progress',
+        'leases',
+        'true_time',
+        'heard',
+        'heard_numbers',
+    )
+
+
+    def __init__(self, group=None, publisher=None, number=None, roster=None, hosts=None, numbers=None, ages=None, loads=None, progress=None, leases=None, true_time=None, heard=None, heard_numbers=None,):
+        self.group = group
+        self.publisher = publisher
+        self.number = number
+        self.roster = roster
+        self.hosts = hosts
+        self.numbers = numbers
+        self.ages = ages
+        self.loads = loads
+        self.progress = progress
+        self.leases = leases
+        self.true_time = true_time
+        self.heard = heard
+        self.heard_numbers = heard_numbers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.publisher = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.roster = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = HostFact()
+                        _elem175.read(iprot)
+                        self.hosts.append(_elem175)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.numbers = []
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = iprot.readI64()
+                        self.numbers.append(_elem181)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.ages = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = iprot.readDouble()
+                        self.ages.append(_elem187)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.loads = LoadSums()
+                    self.loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.progress = Progress()
+                    self.progress.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.leases = []
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = LeaseFact()
+                        _elem193.read(iprot)
+                        self.leases.append(_elem193)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.true_time = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.heard = []
+                    (_etype197, _size194) = iprot.readListBegin()
+                    for _i198 in range(_size194):
+                        _elem199 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem199)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.heard_numbers = []
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = iprot.readI64()
+                        self.heard_numbers.append(_elem205)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Digest')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.publisher is not None:
+            oprot.writeFieldBegin('publisher', TType.STRING, 2)
+            oprot.writeString(self.publisher.encode('utf-8') if sys.version_info[0] == 2 else self.publisher)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.roster is not None:
+            oprot.writeFieldBegin('roster', TType.I64, 4)
+            oprot.writeI64(self.roster)
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.hosts))
+            for iter206 in self.hosts:
+                iter206.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.numbers is not None:
+            oprot.writeFieldBegin('numbers', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.numbers))
+            for iter207 in self.numbers:
+                oprot.writeI64(iter207)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.LIST, 7)
+            oprot.writeListBegin(TType.DOUBLE, len(self.ages))
+            for iter208 in self.ages:
+                oprot.writeDouble(iter208)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.STRUCT, 8)
+            self.loads.write(oprot)
+            oprot.writeFieldEnd()
+        if self.progress is not None:
+            oprot.writeFieldBegin('progress', TType.STRUCT, 9)
+            self.progress.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leases is not None:
+            oprot.writeFieldBegin('leases', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.leases))
+            for iter209 in self.leases:
+                iter209.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.true_time is not None:
+            oprot.writeFieldBegin('true_time', TType.DOUBLE, 11)
+            oprot.writeDouble(self.true_time)
+            oprot.writeFieldEnd()
+        if self.heard is not None:
+            oprot.writeFieldBegin('heard', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRING, len(self.heard))
+            for iter210 in self.heard:
+                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heard_numbers is not None:
+            oprot.writeFieldBegin('heard_numbers', TType.LIST, 13)
+            oprot.writeListBegin(TType.I64, len(self.heard_numbers))
+            for iter211 in self.heard_numbers:
+                oprot.writeI64(iter211)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class View(object):
+    """
+    Attributes:
+     - host
+     - digests
+     - ages
+     - hosts
+
+    """
+
+    __slots__ = (
+        'host',
+        'digests',
+        'ages',
+        'hosts',
+    )
+
+
+    def __init__(self, host=None, digests=None, ages=None, hosts=None,):
+        self.host = host
+        self.digests = digests
+        self.ages = ages
+        self.hosts = hosts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.digests = []
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = iprot.readBinary()
+                        self.digests.append(_elem217)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.ages = []
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = iprot.readDouble()
+                        self.ages.append(_elem223)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = HostFact()
+                        _elem229.read(iprot)
+                        self.hosts.append(_elem229)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('View')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.digests is not None:
+            oprot.writeFieldBegin('digests', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.digests))
+            for iter230 in self.digests:
+                oprot.writeBinary(iter230)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.LIST, 3)
+            oprot.writeListBegin(TType.DOUBLE, len(self.ages))
+            for iter231 in self.ages:
+                oprot.writeDouble(iter231)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.hosts))
+            for iter232 in self.hosts:
+                iter232.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Changes(object):
+    """
+    Attributes:
+     - host
+     - entries_from
+     - fleet_end
+     - entries
+     - document
+
+    """
+
+    __slots__ = (
+        'host',
+        'entries_from',
+        'fleet_end',
+        'entries',
+        'document',
+    )
+
+
+    def __init__(self, host=None, entries_from=None, fleet_end=None, entries=None, document=None,):
+        self.host = host
+        self.entries_from = entries_from
+        self.fleet_end = fleet_end
+        self.entries = entries
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.entries_from = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.fleet_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = EngineEntry()
+                        _elem238.read(iprot)
+                        self.entries.append(_elem238)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4368,116 +5793,118 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Beat')
-        if self.identity is not None:
-            oprot.writeFieldBegin('identity', TType.STRING, 1)
-            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('Changes')
         if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeFieldBegin('host', TType.STRING, 1)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
             oprot.writeFieldEnd()
-        if self.zone is not None:
-            oprot.writeFieldBegin('zone', TType.STRING, 3)
-            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
-            oprot.writeFieldEnd()
-        if self.caller_address is not None:
-            oprot.writeFieldBegin('caller_address', TType.STRING, 4)
-            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
-            oprot.writeFieldEnd()
-        if self.peer_address is not None:
-            oprot.writeFieldBegin('peer_address', TType.STRING, 5)
-            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
-            oprot.writeFieldEnd()
-        if self.ready is not None:
-            oprot.writeFieldBegin('ready', TType.BOOL, 6)
-            oprot.writeBool(self.ready)
-            oprot.writeFieldEnd()
-        if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
-            oprot.writeBool(self.leaving)
-            oprot.writeFieldEnd()
-        if self.true_time is not None:
-            oprot.writeFieldBegin('true_time', TType.DOUBLE, 8)
-            oprot.writeDouble(self.true_time)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.I64, 9)
-            oprot.writeI64(self.version)
-            oprot.writeFieldEnd()
-        if self.config_age is not None:
-            oprot.writeFieldBegin('config_age', TType.DOUBLE, 10)
-            oprot.writeDouble(self.config_age)
+        if self.entries_from is not None:
+            oprot.writeFieldBegin('entries_from', TType.I64, 2)
+            oprot.writeI64(self.entries_from)
             oprot.writeFieldEnd()
         if self.fleet_end is not None:
-            oprot.writeFieldBegin('fleet_end', TType.I64, 11)
+            oprot.writeFieldBegin('fleet_end', TType.I64, 3)
             oprot.writeI64(self.fleet_end)
             oprot.writeFieldEnd()
-        if self.fleet_age is not None:
-            oprot.writeFieldBegin('fleet_age', TType.DOUBLE, 12)
-            oprot.writeDouble(self.fleet_age)
-            oprot.writeFieldEnd()
-        if self.lease_fence is not None:
-            oprot.writeFieldBegin('lease_fence', TType.I64, 13)
-            oprot.writeI64(self.lease_fence)
-            oprot.writeFieldEnd()
-        if self.peers is not None:
-            oprot.writeFieldBegin('peers', TType.LIST, 14)
-            oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter94 in self.peers:
-                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.demands is not None:
-            oprot.writeFieldBegin('demands', TType.LIST, 15)
-            oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter95 in self.demands:
-                iter95.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.usage is not None:
-            oprot.writeFieldBegin('usage', TType.LIST, 16)
-            oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter96 in self.usage:
-                iter96.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.engines is not None:
-            oprot.writeFieldBegin('engines', TType.LIST, 17)
-            oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter97 in self.engines:
-                iter97.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.services is not None:
-            oprot.writeFieldBegin('services', TType.LIST, 18)
-            oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter98 in self.services:
-                iter98.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.entries is not None:
-            oprot.writeFieldBegin('entries', TType.LIST, 19)
+            oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter99 in self.entries:
-                iter99.write(oprot)
+            for iter239 in self.entries:
+                iter239.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
-            oprot.writeFieldBegin('document', TType.STRING, 20)
+            oprot.writeFieldBegin('document', TType.STRING, 5)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
-        if self.lease_offset is not None:
-            oprot.writeFieldBegin('lease_offset', TType.I64, 21)
-            oprot.writeI64(self.lease_offset)
-            oprot.writeFieldEnd()
-        if self.lease_age is not None:
-            oprot.writeFieldBegin('lease_age', TType.DOUBLE, 22)
-            oprot.writeDouble(self.lease_age)
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UsageCounts(object):
+    """
+    Attributes:
+     - identity
+     - usage
+
+    """
+
+    __slots__ = (
+        'identity',
+        'usage',
+    )
+
+
+    def __init__(self, identity=None, usage=None,):
+        self.identity = identity
+        self.usage = usage
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype243, _size240) = iprot.readListBegin()
+                    for _i244 in range(_size240):
+                        _elem245 = UsageCount()
+                        _elem245.read(iprot)
+                        self.usage.append(_elem245)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UsageCounts')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
             oprot.writeFieldEnd()
-        if self.entries_from is not None:
-            oprot.writeFieldBegin('entries_from', TType.I64, 23)
-            oprot.writeI64(self.entries_from)
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter246 in self.usage:
+                iter246.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4522,6 +5949,10 @@
      - found
      - host_notice
      - beat
+     - report
+     - view
+     - changes
+     - usage_counts
 
     """
 
@@ -4541,10 +5972,14 @@
         'found',
         'host_notice',
         'beat',
+        'report',
+        'view',
+        'changes',
+        'usage_counts',
     )
 
 
-    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None,):
+    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None, report=None, view=None, changes=None, usage_counts=None,):
         self.heartbeat = heartbeat
         self.hold = hold
         self.hold_ack = hold_ack
@@ -4560,6 +5995,10 @@
         self.found = found
         self.host_notice = host_notice
         self.beat = beat
+        self.report = report
+        self.view = view
+        self.changes = changes
+        self.usage_counts = usage_counts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4660,6 +6099,30 @@
                     self.beat.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.report = Report()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.view = View()
+                    self.view.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.changes = Changes()
+                    self.changes.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.usage_counts = UsageCounts()
+                    self.usage_counts.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4730,6 +6193,22 @@
             oprot.writeFieldBegin('beat', TType.STRUCT, 15)
             self.beat.write(oprot)
             oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 16)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.view is not None:
+            oprot.writeFieldBegin('view', TType.STRUCT, 17)
+            self.view.write(oprot)
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.STRUCT, 18)
+            self.changes.write(oprot)
+            oprot.writeFieldEnd()
+        if self.usage_counts is not None:
+            oprot.writeFieldBegin('usage_counts', TType.STRUCT, 19)
+            self.usage_counts.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5090,6 +6569,104 @@
     (21, TType.I64, 'lease_offset', None, None, ),  # 21
     (22, TType.DOUBLE, 'lease_age', None, None, ),  # 22
     (23, TType.I64, 'entries_from', None, None, ),  # 23
+    (24, TType.I64, 'number', None, None, ),  # 24
+    (25, TType.I64, 'heard_number', None, None, ),  # 25
+    (26, TType.BOOL, 'groups', None, None, ),  # 26
+)
+all_structs.append(HostFact)
+HostFact.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'identity', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'caller_address', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'peer_address', 'UTF8', None, ),  # 5
+    (6, TType.BOOL, 'ready', None, None, ),  # 6
+    (7, TType.BOOL, 'leaving', None, None, ),  # 7
+)
+all_structs.append(LoadSums)
+LoadSums.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'engines', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'running', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'unread_tokens', (TType.I64, None, False), None, ),  # 3
+    (4, TType.LIST, 'accounts', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.LIST, 'rates', (TType.DOUBLE, None, False), None, ),  # 5
+    (6, TType.LIST, 'spent', (TType.DOUBLE, None, False), None, ),  # 6
+    (7, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.LIST, 'token_rates', (TType.DOUBLE, None, False), None, ),  # 8
+    (9, TType.LIST, 'service_running', (TType.I32, None, False), None, ),  # 9
+)
+all_structs.append(Progress)
+Progress.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.DOUBLE, 'config_age', None, None, ),  # 2
+    (3, TType.I64, 'fleet_end', None, None, ),  # 3
+    (4, TType.DOUBLE, 'fleet_age', None, None, ),  # 4
+    (5, TType.I64, 'fleet_change', None, None, ),  # 5
+    (6, TType.I64, 'fleet_complete_from', None, None, ),  # 6
+)
+all_structs.append(LeaseFact)
+LeaseFact.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'holder', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'fence', None, None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.DOUBLE, 'age', None, None, ),  # 4
+)
+all_structs.append(Report)
+Report.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'fact', [HostFact, None], None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.STRUCT, 'loads', [LoadSums, None], None, ),  # 3
+    (4, TType.STRUCT, 'progress', [Progress, None], None, ),  # 4
+    (5, TType.LIST, 'leases', (TType.STRUCT, [LeaseFact, None], False), None, ),  # 5
+    (6, TType.DOUBLE, 'true_time', None, None, ),  # 6
+    (7, TType.BOOL, 'wants_view', None, None, ),  # 7
+    (8, TType.STRING, 'heard', 'UTF8', None, ),  # 8
+    (9, TType.I64, 'heard_number', None, None, ),  # 9
+)
+all_structs.append(Digest)
+Digest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'publisher', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.I64, 'roster', None, None, ),  # 4
+    (5, TType.LIST, 'hosts', (TType.STRUCT, [HostFact, None], False), None, ),  # 5
+    (6, TType.LIST, 'numbers', (TType.I64, None, False), None, ),  # 6
+    (7, TType.LIST, 'ages', (TType.DOUBLE, None, False), None, ),  # 7
+    (8, TType.STRUCT, 'loads', [LoadSums, None], None, ),  # 8
+    (9, TType.STRUCT, 'progress', [Progress, None], None, ),  # 9
+    (10, TType.LIST, 'leases', (TType.STRUCT, [LeaseFact, None], False), None, ),  # 10
+    (11, TType.DOUBLE, 'true_time', None, None, ),  # 11
+    (12, TType.LIST, 'heard', (TType.STRING, 'UTF8', False), None, ),  # 12
+    (13, TType.LIST, 'heard_numbers', (TType.I64, None, False), None, ),  # 13
+)
+all_structs.append(View)
+View.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'digests', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.LIST, 'ages', (TType.DOUBLE, None, False), None, ),  # 3
+    (4, TType.LIST, 'hosts', (TType.STRUCT, [HostFact, None], False), None, ),  # 4
+)
+all_structs.append(Changes)
+Changes.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'entries_from', None, None, ),  # 2
+    (3, TType.I64, 'fleet_end', None, None, ),  # 3
+    (4, TType.LIST, 'entries', (TType.STRUCT, [EngineEntry, None], False), None, ),  # 4
+    (5, TType.STRING, 'document', 'BINARY', None, ),  # 5
+)
+all_structs.append(UsageCounts)
+UsageCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 2
 )
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
@@ -5109,6 +6686,10 @@
     (13, TType.STRUCT, 'found', [Found, None], None, ),  # 13
     (14, TType.STRUCT, 'host_notice', [HostNotice, None], None, ),  # 14
     (15, TType.STRUCT, 'beat', [Beat, None], None, ),  # 15
+    (16, TType.STRUCT, 'report', [Report, None], None, ),  # 16
+    (17, TType.STRUCT, 'view', [View, None], None, ),  # 17
+    (18, TType.STRUCT, 'changes', [Changes, None], None, ),  # 18
+    (19, TType.STRUCT, 'usage_counts', [UsageCounts, None], None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -101,7 +101,9 @@
         ]
         live_share = (1 + len(rates)) / len(self.members)
         member.cap.set_shares(
-            host_share(member.reported_rate, rates), live_share, now
+            host_share(member.reported_rate, sum(rates), len(rates)),
+            live_share,
+            now,
         )
 
 
@@ -257,7 +259,7 @@
 
 def test_a_host_without_live_peers_takes_an_even_share():
     cap = Cap(1000.0, 10_000.0, 10_000.0, allowance=10_000.0)
-    cap.set_shares(host_share(9.0, []), 0.25, 0.0)
+    cap.set_shares(host_share(9.0, 0.0, 0), 0.25, 0.0)
     assert cap.allowance == 2_500.0
     cap.refill(100.0)
     assert cap.allowance == 2_500.0
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -5,17 +5,23 @@
 import pytest
 
 from magnoliaflow.common.codec import decode_record
+from magnoliaflow.common.codec import decode_value
 from magnoliaflow.common.codec import encode_record
 from magnoliaflow.common.codec import message_from_wire
 from magnoliaflow.common.codec import message_to_wire
 from magnoliaflow.common.errors import RecordError
 from magnoliaflow.common.messages import AccountDemand
+from magnoliaflow.common.messages import Digest
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import EngineLoad
+from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.messages import HostNotice
+from magnoliaflow.common.messages import LeaseFact
+from magnoliaflow.common.messages import LoadSums
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import NewsRecord
 from magnoliaflow.common.messages import Parting
+from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.messages import ServiceLoad
 from magnoliaflow.common.messages import UsageCount
 from magnoliaflow.common.records import AccountCount
@@ -31,6 +37,8 @@
     float: st.floats(0, 1e12),
     tuple[str, ...]: st.lists(st.text(max_size=5), max_size=3).map(tuple),
     tuple[int, ...]: st.lists(st.integers(0, 9)).map(tuple),
+    tuple[float, ...]: st.lists(st.floats(0, 9), max_size=3).map(tuple),
+    tuple[bytes, ...]: st.lists(st.binary(max_size=5), max_size=3).map(tuple),
     dict[str, int]: st.dictionaries(st.text(max_size=5), st.integers(0, 9)),
 }
 
@@ -39,24 +47,33 @@
     AccountDemand,
     EngineEntry,
     EngineLoad,
+    HostFact,
     HostNotice,
+    LeaseFact,
+    LoadSums,
     NewsRecord,
     Parting,
     ProfileEntry,
+    Progress,
     ServiceLoad,
     UsageCount,
 )
+STRATEGIES.update(
+    {
+        nested_type: st.builds(
+            nested_type,
+            **{
+                name: STRATEGIES[field.type]
+                for name, field in nested_type.__dataclass_fields__.items()
+            },
+        )
+        for nested_type in NESTED_TYPES
+    }
+)
 STRATEGIES.update(
     {
         tuple[nested_type, ...]: st.lists(
-            st.builds(
-                nested_type,
-                **{
-                    name: STRATEGIES[field.type]
-                    for name, field in nested_type.__dataclass_fields__.items()
-                },
-            ),
-            max_size=3,
+            STRATEGIES[nested_type], max_size=3
         ).map(tuple)
         for nested_type in NESTED_TYPES
     }
@@ -94,3 +111,7 @@
         decode_record(data)
     except RecordError:
         pass
+    try:
+        decode_value(Digest, data)
+    except RecordError:
+        pass
--- a/tests/test_entry_heartbeats.py
+++ b/tests/test_entry_heartbeats.py
@@ -106,13 +106,38 @@
 
 
 def test_a_peer_with_an_equal_end_confirms_registrations(hosts):
+    """Once it answers a heartbeat of the receiver, which bounds its age."""
     sender, receiver = hosts[0], hosts[1]
     receiver.registry_confirmed_at = boot_time() - 9.0
     sender.registry_confirmed_at = boot_time()
+    send_heartbeat(receiver, sender)
     send_heartbeat(sender, receiver)
     assert boot_time() - receiver.registry_confirmed_at < 1.0
 
 
+def test_a_heartbeat_read_after_a_suspension_confirms_nothing(
+    hosts, monkeypatch
+):
+    """It waited in a buffer while its receiver did not run."""
+    sender, receiver = hosts[0], hosts[1]
+    now = boot_time()
+    sender.registry_confirmed_at = sender.config_confirmed_at = now
+    receiver.registry_confirmed_at = receiver.config_confirmed_at = now
+    sender.clock_offset = receiver.clock_offset
+    send_heartbeat(receiver, sender)
+    host = sender.peers.rows[receiver.host_settings.host]
+    heartbeat = make_heartbeat(sender, boot_time(), host)
+    resumed = now + 6.0
+    monkeypatch.setattr(
+        "magnoliaflow.entry.heartbeats.boot_time", lambda: resumed
+    )
+    clock_offset = receiver.clock_offset
+    handle_message(receiver, sender.identity, heartbeat)
+    assert resumed - receiver.registry_confirmed_at > 5.9
+    assert resumed - receiver.config_confirmed_at > 5.9
+    assert receiver.clock_offset == clock_offset
+
+
 def test_a_jumping_clock_is_outvoted(hosts):
     initial_offset = hosts[1].clock_offset
     hosts[0].clock_offset = initial_offset + 3.0
