Let a host take a part of what is left of a cap for certain

With 78 hosts each gets one large request of an account in seconds, so that its share of the demand says little. Change: besides its share, a host may take an eighth of what is left beyond what all hosts take before they hear of each other. A flood raises the known demand and so ends that.

--- a/src/magnoliaflow/entry/capshares.py
+++ b/src/magnoliaflow/entry/capshares.py
@@ -33,12 +33,14 @@
     for name, cap in state.caps.items():
         limit = account_limit(state, accounts[name])
         cap.rate, cap.burst = limit.rate, limit.burst
-        share = host_share(
-            state.reported_demands.get(name, 0.0),
-            others.rates.get(name, 0.0),
-            live_hosts,
+        local_rate = state.reported_demands.get(name, 0.0)
+        others_rate = max(0.0, others.rates.get(name, 0.0))
+        cap.set_shares(
+            host_share(local_rate, others_rate, live_hosts),
+            live_share,
+            now,
+            unseen_use=(local_rate + others_rate) * load_age(state),
         )
-        cap.set_shares(share, live_share, now)
 
 
 @system(20)
--- a/src/magnoliaflow/policy/caps.py
+++ b/src/magnoliaflow/policy/caps.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 from math import log
 
 # Half-life of a demand; spans a few requests of even a small account.
@@ -21,6 +22,11 @@
 LARGE_REQUEST_SHARE = 0.4
 SMALL_REQUEST_SHARE = 0.05
 SMALL_REQUEST_OVERDRAFT = 0.3
+# Share of the surplus that one host may take between two reports.  The surplus
+# is what is left of a cap beyond what all hosts take at the known demand
+# before they hear of each other.  With many hosts, each gets so few requests
+# of an account that its share of the demand says little.
+SURPLUS_SHARE = 0.125
 
 # Granted share of the usage tolerated beyond a cap, so that an account within
 # its cap is not refused because its load is uneven over the hosts.  The rest
@@ -126,7 +132,8 @@
         self.reserve = min(self.burst * silent, self.reserve + gained * silent)
         local_share = self.share * live
         self.allowance = min(
-            self.burst * local_share, self.allowance + gained * local_share
+            max(self.burst * local_share, self.allowance),
+            self.allowance + gained * local_share,
         )
 
     def take(self, amount: float, now: float) -> float:
@@ -161,12 +168,21 @@
         self.refill(now)
         self.level -= amount
 
-    def set_shares(self, share: float, live_share: float, now: float) -> None:
+    def set_shares(
+        self,
+        share: float,
+        live_share: float,
+        now: float,
+        *,
+        unseen_use: float = inf,
+    ) -> None:
         """Set the shares of the cap, whenever the host reports its usage.
 
         ``share`` is the local host's share among the live hosts,
         ``live_share`` the live hosts' share of the cap.  The part of a host
         that falls silent moves to the reserve, and back once it is live.
+        ``unseen_use`` is what the live hosts take at their demand before they
+        hear of each other.
         """
         self.refill(now)
         if live_share < self.live_share:
@@ -183,7 +199,8 @@
             self.reserve -= moved
         self.share = share
         self.live_share = live_share
-        self.allowance = self.level * share
+        surplus = max(0.0, self.level - unseen_use)
+        self.allowance = self.level * share + surplus * SURPLUS_SHARE
 
 
 def host_share(
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -104,6 +104,8 @@
             host_share(member.reported_rate, sum(rates), len(rates)),
             live_share,
             now,
+            unseen_use=(member.reported_rate + sum(rates))
+            * self.heartbeat_period_s,
         )
 
 
@@ -266,3 +268,55 @@
     # The reserve of silent hosts is returned once they are live again.
     cap.set_shares(0.25, 1.0, 100.0)
     assert cap.level == 10_000.0
+
+
+MANY_HOSTS = 78
+# Age of what hosts of a large deployment know of each other.
+VIEW_AGE_S = 0.8
+# Share of the demand of an account within its cap that may be refused.
+MAX_REFUSED_SHARE = 0.01
+
+
+def spread_requests(rng, rate, start_s, end_s, hosts):
+    """Return requests of an account that reach random hosts."""
+    now, requests = start_s, []
+    while now < end_s:
+        amount = rng.choice((700, 2_000, 9_000, 16_000))
+        now += rng.expovariate(1.0) * amount / rate
+        requests.append((now, rng.randrange(hosts), amount))
+    return requests
+
+
+@pytest.mark.parametrize("rate,burst", [(70_000, 250_000), (180_000, 190_000)])
+def test_an_account_within_its_cap_is_served_by_many_hosts(rate, burst):
+    """Each host gets one of its large requests in seconds.
+
+    The load is that of an account at 55% of its cap over 78 hosts.
+    """
+    fleet = Fleet(MANY_HOSTS, VIEW_AGE_S)
+    for member in fleet.members:
+        cap = member.cap
+        cap.rate, cap.burst, cap.level = rate, burst, burst
+    requests = spread_requests(
+        Random(rate), 0.55 * rate, 1.0, 21.0, MANY_HOSTS
+    )
+    granted, refused = simulate(fleet, requests)
+    refused_amount = sum(amount for _, amount in refused)
+    total = refused_amount + sum(amount for _, amount in granted)
+    assert refused_amount < MAX_REFUSED_SHARE * total
+
+
+@pytest.mark.parametrize("rate,burst", [(70_000, 250_000), (180_000, 190_000)])
+def test_a_flood_over_many_hosts_stays_within_the_bound(rate, burst):
+    """An account sends 7.5 times its usual from one moment on."""
+    fleet = Fleet(MANY_HOSTS, VIEW_AGE_S)
+    for member in fleet.members:
+        cap = member.cap
+        cap.rate, cap.burst, cap.level = rate, burst, burst
+    rng = Random(rate)
+    usual = 0.55 * rate
+    requests = spread_requests(rng, usual, 0.0, 8.0, MANY_HOSTS)
+    requests += spread_requests(rng, 7.5 * usual, 8.0, 18.0, MANY_HOSTS)
+    granted, _ = simulate(fleet, requests)
+    bound = (rate * WINDOW_S + burst) * (1 + OVERAGE) + TOLERANCE
+    assert max_window_amount(granted) < bound
