--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from functools import lru_cache
 from math import inf
 
 from magnoliaflow.cluster.groups import AGGREGATORS_PER_GROUP
@@ -65,6 +66,14 @@
 # until a digest confirms it.
 CONFIRMED_WITHIN_S = DIGEST_TIMEOUT_S / 2
 UNKNOWN_AGE_S = 1e6
+# Digests kept decoded, as the same one may come from several hosts.
+DECODED_DIGESTS = 64
+
+
+@lru_cache(maxsize=DECODED_DIGESTS)
+def decode_digest(data: bytes) -> Digest:
+    """Return a digest; raises RecordError."""
+    return decode_value(Digest, data)
 
 
 @dataclass(slots=True)
@@ -400,7 +409,7 @@
         self._heard(view.host, now)
         news = []
         received = [
-            (decode_value(Digest, data), data, age)
+            (decode_digest(data), data, age)
             for data, age in zip(view.digests, view.ages)
         ]
         for digest, _, _ in received:
--- a/src/magnoliaflow/entry/capshares.py
+++ b/src/magnoliaflow/entry/capshares.py
@@ -11,6 +11,9 @@
 from magnoliaflow.policy.ratelimit import set_rate_limit
 from magnoliaflow.policy.routes import Account
 
+# Demand and engines change little within this time.
+RATE_UPDATE_INTERVAL_S = 0.2
+
 
 def account_limit(state: EntryState, account: Account) -> Limit:
     """Return the limit granted to an account over all hosts."""
@@ -47,6 +50,9 @@
 def update_rate_limits(state: EntryState) -> None:
     """Set this host's admission rates from the last reported demands."""
     now = boot_time()
+    if now < state.next_rate_update_at:
+        return
+    state.next_rate_update_at = now + RATE_UPDATE_INTERVAL_S
     live_hosts = len(state.live_hosts(now))
     live_share = _live_share(state, live_hosts)
     services = {} if state.route_table is None else state.route_table.services
--- a/src/magnoliaflow/entry/maintenance.py
+++ b/src/magnoliaflow/entry/maintenance.py
@@ -8,6 +8,8 @@
 # Share of the agreed retry budget that is used: hosts do not share their
 # counts, and a killed process may have used up its own burst.
 BUDGET_SHARE = 0.7
+# Metrics are read no more often than this.
+GAUGE_INTERVAL_S = 1.0
 
 
 @system(30)
@@ -38,6 +40,9 @@
 def update_gauges(state: EntryState) -> None:
     """Set the gauges from the state."""
     now = boot_time()
+    if now < state.next_gauges_at:
+        return
+    state.next_gauges_at = now + GAUGE_INTERVAL_S
     state.metrics.in_flight.set(len(state.calls))
     state.metrics.config_age.set(min(1e6, state.config_age(now)))
     state.metrics.engines.set(
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -144,6 +144,8 @@
         "logger",
         "sent_heartbeats",
         "metrics",
+        "next_gauges_at",
+        "next_rate_update_at",
         "rate_limits",
         "peer_addresses",
         "registry",
@@ -208,6 +210,8 @@
         self.reported_demands: dict[str, float] = {}
         self.caps: dict[str, Cap] = {}
         self.spent: dict[str, float] = defaultdict(float)
+        self.next_gauges_at = -inf
+        self.next_rate_update_at = -inf
         self.rate_limits: dict[str, Bucket] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.usage = UsageCounter(window_s=host_settings.usage_window_s)
