Do not slow all clocks by the delay of messages

Cause: each host moves its estimate of true time to the median of what it hears, and a difference above 20 ms counted as a clock jump. Messages only arrive late, so with a way of over 20 ms every host slowed every other. Change: only a difference above 0.1 s counts, a fiftieth of a usage window.

--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -28,9 +28,12 @@
 from magnoliaflow.entry.reports import handle_usage_counts
 from magnoliaflow.entry.reports import handle_view
 from magnoliaflow.entry.reports import OTHERS
+from magnoliaflow.entry.state import CLOCK_CORRECTION_SHARE
+from magnoliaflow.entry.state import CLOCK_TOLERANCE_S
 from magnoliaflow.entry.state import DUTY_LEASE
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.state import heartbeat_interval
+from magnoliaflow.entry.state import MAX_CLOCK_SAMPLE_AGE_S
 from magnoliaflow.entry.state import PeerHost
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
@@ -52,13 +55,6 @@
 STALE_REGISTRY_S = 1.0
 # Minimum time between rounds that the lease holder sends for changes.
 MIN_PUSH_INTERVAL_S = 0.2
-# Share of the clock difference that one heartbeat corrects.
-CLOCK_CORRECTION_SHARE = 0.5
-# Smaller differences come from network delay and busy ticks, not from a clock
-# jump.
-CLOCK_TOLERANCE_S = 0.02
-# A heartbeat that may be older says nothing about the sender's clock.
-MAX_CLOCK_SAMPLE_AGE_S = 1.0
 
 
 class HeartbeatSender:
--- a/src/magnoliaflow/entry/reports.py
+++ b/src/magnoliaflow/entry/reports.py
@@ -21,8 +21,11 @@
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.common.messages import View
 from magnoliaflow.entry.capshares import update_cap_shares
+from magnoliaflow.entry.state import CLOCK_CORRECTION_SHARE
+from magnoliaflow.entry.state import CLOCK_TOLERANCE_S
 from magnoliaflow.entry.state import DUTY_LEASE
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.state import MAX_CLOCK_SAMPLE_AGE_S
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
 from magnoliaflow.platform.document import decode_document
@@ -38,12 +41,6 @@
 # Hosts of a lagging group have reached neither the store nor the lease holder
 # for this long.
 LAGGING_GROUP_S = 1.0
-# A view this old says nothing about the sender's clock.
-MAX_CLOCK_SAMPLE_AGE_S = 1.0
-# Share of the clock difference that one message corrects, and the difference
-# that comes from network delay and busy ticks.
-CLOCK_CORRECTION_SHARE = 0.5
-CLOCK_TOLERANCE_S = 0.02
 # Hosts asked for a view at once by a host that knows no aggregator.
 MAX_CONTACTS = 3
 # Name of the other hosts' load in an engine's loads by peer.
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -57,6 +57,14 @@
 # Usual age of the others' load in groups: half of the time of three hops, and
 # the time on the way.
 VIEW_AGE_S = 0.8
+# Share of the clock difference that one message corrects.
+CLOCK_CORRECTION_SHARE = 0.5
+# Smaller differences come from the way and from busy ticks, not from a clock
+# jump: messages arrive late, never early, so that correcting them would slow
+# the clocks of all hosts.  A fiftieth of the usual usage window.
+CLOCK_TOLERANCE_S = 0.1
+# A message that may be older says nothing about its sender's clock.
+MAX_CLOCK_SAMPLE_AGE_S = 1.0
 # Hosts up to which all exchange heartbeats; more form groups.
 MESH_HOSTS = 8
 # Capacity of an engine's prefix cache unless the configuration sets it.
--- a/tests/test_entry_heartbeats.py
+++ b/tests/test_entry_heartbeats.py
@@ -231,3 +231,36 @@
     entry = EngineEntry("m9", "llm", "10.1.0.9:80", "z1", 4, False, born=2)
     apply_registration(state, "m9", entry, 8)
     assert "m9" in state.routing.engines
+
+
+def test_slow_messages_do_not_slow_the_clocks(hosts, monkeypatch):
+    """Usage windows are in true time; each host hears the others late."""
+    first = hosts[0].clock_offset
+    for state in hosts:
+        state.clock_offset = first
+    start = boot_time()
+    clock = [start]
+    monkeypatch.setattr(
+        "magnoliaflow.entry.heartbeats.boot_time", lambda: clock[0]
+    )
+    for step in range(200):
+        clock[0] = start + 0.25 * step
+        sent = [
+            (
+                sender,
+                receiver,
+                make_heartbeat(
+                    sender,
+                    clock[0],
+                    sender.peers.rows[receiver.host_settings.host],
+                ),
+            )
+            for sender in hosts
+            for receiver in hosts
+            if sender is not receiver
+        ]
+        clock[0] += 0.05
+        for sender, receiver, heartbeat in sent:
+            handle_message(receiver, sender.identity, heartbeat)
+    drift = max(abs(state.clock_offset - first) for state in hosts)
+    assert drift < 0.25
