--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -11,6 +11,7 @@
 from magnoliaflow.common.codec import message_to_wire
 from magnoliaflow.common.errors import RecordError
 from magnoliaflow.common.messages import AccountDemand
+from magnoliaflow.common.messages import Beat
 from magnoliaflow.common.messages import Digest
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import EngineLoad
@@ -28,6 +29,7 @@
 from magnoliaflow.common.records import ProfileEntry
 from magnoliaflow.common.records import Record
 from magnoliaflow.common.records import RecordBody
+from magnoliaflow.wire import ttypes
 
 STRATEGIES = {
     str: st.text(max_size=20),
@@ -115,3 +117,19 @@
         decode_value(Digest, data)
     except RecordError:
         pass
+
+
+def test_a_heartbeat_of_an_earlier_version_is_read():
+    """It lacks the fields that bound its age and tell of groups."""
+    fields = {
+        name: [] if field.type.__class__ is not type else field.type()
+        for name, field in Beat.__dataclass_fields__.items()
+    }
+    fields = {
+        name: value
+        for name, value in fields.items()
+        if name not in ("number", "heard_number", "groups")
+    }
+    envelope = ttypes.PeerMessage(beat=ttypes.Beat(**fields))
+    beat = message_from_wire(envelope)
+    assert (beat.number, beat.heard_number, beat.groups) == (-1, -1, False)
