--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -314,6 +314,9 @@
         Return the earliest time at which it may have been made.
         """
         host = report.fact.host
+        if host == self.host:
+            # A former process under the same name, at another address.
+            return -inf
         self._heard(host, now)
         self.meet(report.fact, now)
         previous = self.members.get(host)
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -389,3 +389,19 @@
     sums.add(replace(host.loads(), running=(3, 1)))
     sums.add(host.loads(), -1)
     assert sums.loads({}).running == (3, 1)
+
+
+def test_a_report_under_the_own_name_is_ignored():
+    """A replaced host may still run when its successor starts."""
+    fleet = Fleet(9, 3)
+    fleet.run(2 * SETTLED_S)
+    former, successor = fleet.hosts["h0"], Host(fleet, "h0", "z0", run=1)
+    report = former.view.next_report(
+        former.fact, former.loads(), PROGRESS, (), fleet.now, fleet.now
+    )
+    successor.view.observe_report(report, fleet.now)
+    own = successor.view.next_report(
+        successor.fact, LoadSums(), PROGRESS, (), fleet.now, fleet.now
+    )
+    digest, _ = successor.view.make_digest(own, fleet.now)
+    assert [fact.identity for fact in digest.hosts] == ["h0-1"]
