Log the prompt's parts of a broken answer and whether its engine ended

Change: ATTEMPT_FAILED has events, written_s and parts; an engine whose answer broke off is asked once whether it still takes connections; ENGINE_ENDED and two counters.

--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -46,6 +46,7 @@
     ENGINES_ORDERED = 621
     USAGE_REPORTED = 622
     DUTY_FAILED = 623
+    ENGINE_ENDED = 624
     CALL_PLACED = 630
     CALL_ENDED = 631
     CALL_REJECTED = 632
@@ -85,6 +86,7 @@
     LogEvent.ENGINES_ORDERED: "A number of engines was ordered for a zone.",
     LogEvent.USAGE_REPORTED: "The usage of a window was reported.",
     LogEvent.DUTY_FAILED: "A call for a duty failed; it is tried again.",
+    LogEvent.ENGINE_ENDED: "Answers broke off; the engine has ended.",
     LogEvent.CALL_PLACED: "A request was sent to an engine.",
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.entry.brokenanswers import record_broken_answer
 from magnoliaflow.platform.headers import decode_engine_head
 from magnoliaflow.platform.headers import encode_forward
 from magnoliaflow.policy.engines import Engine
@@ -52,8 +53,10 @@
     __slots__ = (
         "body",
         "engine",
+        "event_count",
         "exchange",
         "expected_s",
+        "first_event_at",
         "head",
         "opened_at",
         "ended",
@@ -85,6 +88,8 @@
         self.prompt_read = False
         self.ended = False
         self.usage_counted = False
+        self.event_count = 0
+        self.first_event_at = 0.0
 
     def open(self, call: Call, forward: ForwardContext) -> None:
         """Connect to the engine and send the request."""
@@ -174,6 +179,7 @@
             return
         for event in events:
             self._record_first_token()
+            self.event_count += 1
             if not self.handler.forward_event(self, event):
                 self._fail(Failure.MAY_HAVE_RUN, "gap in the event ids")
                 return
@@ -202,6 +208,7 @@
         assert self.head is not None
         if self.splitter is not None:
             if self.splitter.buffer:
+                record_broken_answer(self)
                 self._fail(
                     Failure.MAY_HAVE_RUN, "stream ended within an event"
                 )
@@ -228,6 +235,7 @@
             return
         if self.handler.route.kind is not RouteKind.STREAM:
             self._count_usage(self.opened_at)
+        record_broken_answer(self)
         self._fail(Failure.MAY_HAVE_RUN, reason, engine_fault=True)
 
     def abandon(self) -> None:
@@ -246,6 +254,10 @@
             self._record_failure()
         self.handler.attempt_failed(self, failure, reason)
 
+    def written_s(self) -> float:
+        """Return the seconds since the first event of a stream, 0 without."""
+        return boot_time() - self.first_event_at if self.event_count else 0.0
+
     def _record_failure(self) -> None:
         """Back off from an engine after several failures in a row."""
         engine = self.engine
@@ -260,6 +272,7 @@
             return
         self.prompt_read = True
         now = boot_time()
+        self.first_event_at = now
         self.engine.record_prompt_read(self.uncached)
         elapsed_s = now - self.opened_at
         predicted_s = self.expected_s / self.engine.slowness
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -375,6 +375,9 @@
             engine=attempt.engine.name,
             failure=failure.value,
             reason=reason,
+            events=attempt.event_count,
+            written_s=round(attempt.written_s(), 3),
+            parts=[f"{name:x}" for name, _ in self.call.parts[:-1]],
         )
         self.tried_engines.add(attempt.engine.name)
         if failure is Failure.UNSENT:
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -13,8 +13,10 @@
 
     __slots__ = (
         "answers",
+        "broken_answers",
         "config_age",
         "engines",
+        "engines_ended",
         "first_byte",
         "in_flight",
         "lease_held",
@@ -45,6 +47,17 @@
             ["reason"],
             registry=registry,
         )
+        self.broken_answers = Counter(
+            "magnoliaflow_entry_broken_answers",
+            "Answers that broke off, by route.",
+            ["route"],
+            registry=registry,
+        )
+        self.engines_ended = Counter(
+            "magnoliaflow_entry_engines_ended",
+            "Engines that took no connection after an answer had broken off.",
+            registry=registry,
+        )
         self.first_byte = Histogram(
             "magnoliaflow_entry_first_byte_seconds",
             "Time from a request to the first byte of its answer.",
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -146,6 +146,7 @@
         "local_loads",
         "registry_confirmed_at",
         "peers",
+        "probed_engines",
         "identity",
         "lease_manager",
         "lifecycle",
@@ -211,6 +212,7 @@
         self.view_sums = Sums()
         self.clock_samples: dict[str, tuple[float, float]] = {}
         self.buffered_bytes = 0
+        self.probed_engines: set[str] = set()
         self.calls: Table[int, Any] = Table()
         self.waiting_calls: dict[int, Any] = {}
         self.local_loads: dict[str, LocalLoad] = defaultdict(LocalLoad)
--- a/src/magnoliaflow/transport/client.py
+++ b/src/magnoliaflow/transport/client.py
@@ -79,6 +79,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.connection_opened = False
+        self.closed_by_peer = False
         self.finished = False
         self.interim_responses = 0
         self.connector: Any = None
@@ -116,6 +117,7 @@
         if not reason.check(ConnectionDone):
             self._fail("connection reset")
             return
+        self.closed_by_peer = True
         try:
             self.conn.receive_data(b"")
             self._process_events()
