--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -1,5 +1,10 @@
 """Stand-in for an engine of the users' platform, with injected faults."""
 
+from collections.abc import Callable
+from threading import Event
+from threading import Lock
+from threading import Timer
+from time import monotonic
 from time import sleep
 
 from magnoliaflow_standins.httpbase import QuietHandler
@@ -17,6 +22,13 @@
     run), ``lost`` (run, no answer), ``cut`` (run, answer truncated),
     ``failed`` (run, status 500), ``stranger`` (another attempt's id),
     ``unsigned`` (no signature).
+
+    A request whose prompt has a part of ``crashing_parts``, other than the
+    last, ends the engine when it begins to write the answer; it is back after
+    ``restart_s`` seconds, as a new run.  ``rate_limit`` is the limit in
+    requests a second that answers name, None for none; ``arrivals`` are the
+    times at which requests arrived.  Without ``framed``, answers have neither
+    a length nor chunks and end with their connection.
     """
 
     def __init__(self, engine_id: str) -> None:
@@ -28,12 +40,49 @@
         self.fault_count = 0
         self.event_count = 4
         self.pause_s = 0.0
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.restart_s = 2.0
+        self.rate_limit: float | None = None
+        self.framed = True
+        self.arrivals: list[float] = []
+        self.ends = 0
+        self.on_restart: Callable[[], None] = lambda: None
+        self.down = Event()
+        self.closed = False
+        self.lock = Lock()
         self.server = QuietServer(_Handler, self)
         self.address = self.server.address
 
     def close(self) -> None:
         """Stop serving."""
-        self.server.close()
+        with self.lock:
+            self.closed = True
+            if not self.down.is_set():
+                self.server.close()
+
+    def crash(self) -> None:
+        """End with all open answers, and start again later."""
+        with self.lock:
+            if self.down.is_set() or self.closed:
+                return
+            self.down.set()
+            self.ends += 1
+            self.server.crash()
+        Timer(self.restart_s, self._restart).start()
+
+    def _restart(self) -> None:
+        with self.lock:
+            if self.closed:
+                return
+            port = int(self.address.rpartition(":")[2])
+            self.server = QuietServer(_Handler, self, port)
+            self.down.clear()
+        self.on_restart()
+
+    def crashes_on(self, prefix: str) -> bool:
+        """Return whether the engine ends under a prompt with these parts."""
+        parts = [entry.partition(":")[0] for entry in prefix.split(",")]
+        return not self.crashing_parts.isdisjoint(parts[:-1])
 
     def take_fault(self) -> str:
         """Return the fault of the next request, '' for none."""
@@ -58,6 +107,7 @@
 
     def _serve(self, body: bytes) -> None:
         engine = self.engine
+        engine.arrivals.append(monotonic())
         if self.headers["X-Expected-Instance"] != engine.engine_id:
             self._send_headers(421, [("X-Instance-Id", engine.engine_id)], 0)
             return
@@ -80,8 +130,12 @@
         data = b"answer to " + body
         content_length = len(data) + (10 if fault == "cut" else 0)
         status = 500 if fault == "failed" else 200
+        framed = self.engine.framed
+        self.close_connection = self.close_connection or not framed
         self._send_headers(
-            status, self._signature_headers(fault), content_length
+            status,
+            self._signature_headers(fault),
+            content_length if framed else None,
         )
         self.wfile.write(data)
         if fault == "cut":
@@ -101,9 +155,13 @@
             *self._signature_headers(fault),
             ("Content-Type", "text/event-stream"),
         ]
-        self._send_headers(
-            200, [*headers, ("Transfer-Encoding", "chunked")], None
-        )
+        if self.engine.framed:
+            headers.append(("Transfer-Encoding", "chunked"))
+        self._send_headers(200, headers, None)
+        if self.engine.crashes_on(self.headers.get("X-Prompt-Prefix", "")):
+            self._chunk(b"id: %d\nda" % start)
+            self.engine.crash()
+            return
         for number in range(start, self.engine.event_count):
             sleep(self.engine.pause_s)
             if fault == "cut" and number == start + 2:
@@ -111,9 +169,15 @@
                 self.close_connection = True
                 return
             self._chunk(b"id: %d\ndata: t%d\n\n" % (number, number))
-        self._chunk(b"")
+        if self.engine.framed:
+            self._chunk(b"")
+        else:
+            self.close_connection = True
 
     def _chunk(self, data: bytes) -> None:
+        if not self.engine.framed:
+            self.wfile.write(data)
+            return
         self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
 
     def _signature_headers(self, fault: str) -> list[tuple[str, str]]:
@@ -134,6 +198,8 @@
         self.send_response(status)
         for name, value in headers:
             self.send_header(name, value)
+        if self.engine.rate_limit is not None:
+            self.send_header("Server-Limit", f"{self.engine.rate_limit:g}")
         if content_length is not None:
             self.send_header("Content-Length", str(content_length))
         self.end_headers()
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -21,6 +21,8 @@
 ROOT = Path(__file__).parent.parent
 HOST = "desk.example"
 WAIT_S = 15.0
+# Unix millisecond at which the first run of an engine has started.
+FIRST_BORN = 7
 REQUEST_NUMBERS = count(1)
 
 
@@ -115,10 +117,20 @@
             ("llm", "m1"),
             ("llm", "m2"),
         ):
-            self.engines[name] = BatchEngine(name)
-            self.register(name, service)
+            self.add_engine(name, service)
         self.store.put("keyed.op", "config", make_config(1))
 
+    def add_engine(self, name, service):
+        """Start an engine, or stop its former run, and register it."""
+        if name in self.engines:
+            self.engines[name].close()
+        engine = BatchEngine(name)
+        engine.on_restart = lambda: self.register(
+            name, service, born=FIRST_BORN + engine.ends
+        )
+        self.engines[name] = engine
+        self.register(name, service)
+
     def register(self, name, service, **overrides):
         """Write an engine's record to the store, as its heartbeat does."""
         entry = {
@@ -127,7 +139,7 @@
             "zone": "z1",
             "slots": 4,
             "state": "ready",
-            "born": 7,
+            "born": FIRST_BORN,
         }
         self.store.put(
             "keyed.servers", name, dumps({**entry, **overrides}).encode()
