Hold back parts of prompts under which engines end, at all hosts

Cause: an engine that ended was taken as a fault of the engine alone. The request that ended it was sent to the next one, by every host, for ever; no host knew what others had seen. The class: a fault of a request is charged to its server, and its retries multiply it. Change: policy/crashes.py judges by the ends of engines under a part, and by written answers that acquit it; the part with the most ends explains them, so parts that only shared a batch are not blamed, and parts that always occurred together are held together. Hosts pass the evidence on to random others (cluster/spread.py), so all reach the same verdict. A held request is answered 503 with code 3009 and the time of the next trial.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -160,6 +160,14 @@
 struct UsageCounts {
   1: string identity, 2: list<UsageCount> usage
 }
+struct EndedEngine {
+  1: string engine, 2: string backend, 3: double age
+}
+struct SoundAnswer { 1: string backend, 2: double age }
+struct SuspectPart {
+  1: string part, 2: list<EndedEngine> ends, 3: list<SoundAnswer> sound
+}
+struct Findings { 1: string host, 2: list<SuspectPart> parts }
 struct PeerMessage {
   1: optional Heartbeat heartbeat, 2: optional Hold hold,
   3: optional HoldAck hold_ack, 4: optional Extend extend,
@@ -169,7 +177,8 @@
   11: optional Drop drop, 12: optional Find find, 13: optional Found found,
   14: optional HostNotice host_notice, 15: optional Beat beat,
   16: optional Report report, 17: optional View view,
-  18: optional Changes changes, 19: optional UsageCounts usage_counts
+  18: optional Changes changes, 19: optional UsageCounts usage_counts,
+  20: optional Findings findings
 }
 service Peer {
   void deliver(1: string sender, 2: list<PeerMessage> messages)
--- a/src/magnoliaflow/cluster/peers.py
+++ b/src/magnoliaflow/cluster/peers.py
@@ -17,6 +17,7 @@
 from magnoliaflow.common.errors import RecordError
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.common.messages import Beat
+from magnoliaflow.common.messages import Findings
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import View
@@ -26,7 +27,7 @@
 CONNECT_TIMEOUT_S = 1
 MAX_QUEUED_MESSAGES = 20_000
 # Messages that replace an earlier one that still waits for the connection.
-SUPERSEDING = (Beat, Report, View)
+SUPERSEDING = (Beat, Report, View, Findings)
 RETRY_DELAY_S = 0.1
 PROTOCOL = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
 
--- a/src/magnoliaflow/common/codes.py
+++ b/src/magnoliaflow/common/codes.py
@@ -40,6 +40,7 @@
     NOT_STARTED = 3006
     PROFILES_STALE = 3007
     CANCELLED_NOT_RUN = 3008
+    PROMPT_HELD = 3009
     BACKEND_FAILED = 4000
     OUTCOME_UNKNOWN = 4001
     DEADLINE_PASSED = 4002
@@ -144,6 +145,11 @@
     Code.CANCELLED_NOT_RUN: CodeInfo(
         Executed.NO, 409, "Cancelled by the caller before it was started."
     ),
+    Code.PROMPT_HELD: CodeInfo(
+        Executed.NO,
+        503,
+        "Engines ended under a part of this prompt; it is held back.",
+    ),
     Code.BACKEND_FAILED: CodeInfo(
         Executed.YES,
         502,
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -51,6 +51,8 @@
     CALL_ENDED = 631
     CALL_REJECTED = 632
     CALL_REFUSED = 633
+    PART_HELD = 640
+    PART_RELEASED = 641
 
 
 EXPLANATIONS = {
@@ -90,7 +92,9 @@
     LogEvent.CALL_PLACED: "A request was sent to an engine.",
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
-    LogEvent.CALL_REFUSED: "A request was not admitted: cap or pace.",
+    LogEvent.CALL_REFUSED: "A request was not admitted: cap, pace or prompt.",
+    LogEvent.PART_HELD: "A part of prompts is held back: engines ended.",
+    LogEvent.PART_RELEASED: "A part of prompts is no longer held back.",
 }
 
 
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -430,6 +430,40 @@
     usage: tuple[UsageCount, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EndedEngine:
+    """A run of an engine that ended under a part, ``age`` seconds ago."""
+
+    engine: str
+    backend: str
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class SoundAnswer:
+    """The last written answer of a service, begun ``age`` seconds ago."""
+
+    backend: str
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectPart:
+    """Evidence for and against a part of prompts, named in hexadecimal."""
+
+    part: str
+    ends: tuple[EndedEngine, ...]
+    sound: tuple[SoundAnswer, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Findings:
+    """What a host has found out about prompts, for all other hosts."""
+
+    host: str
+    parts: tuple[SuspectPart, ...]
+
+
 Message = Union[
     Heartbeat,
     HostNotice,
@@ -450,4 +484,5 @@
     View,
     Changes,
     UsageCounts,
+    Findings,
 ]
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -6,8 +6,10 @@
 
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.entry.brokenanswers import record_broken_answer
+from magnoliaflow.entry.brokenanswers import record_sound_answer
 from magnoliaflow.platform.headers import decode_engine_head
 from magnoliaflow.platform.headers import encode_forward
+from magnoliaflow.policy.crashes import SOUND_AFTER_S
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.eventstream import EventSplitter
 from magnoliaflow.policy.eventstream import EventTooLargeError
@@ -65,6 +67,7 @@
         "prompt_read",
         "handler",
         "sent",
+        "is_sound",
         "body_size",
         "splitter",
         "uncached",
@@ -89,6 +92,7 @@
         self.ended = False
         self.usage_counted = False
         self.event_count = 0
+        self.is_sound = False
         self.first_event_at = 0.0
 
     def open(self, call: Call, forward: ForwardContext) -> None:
@@ -180,6 +184,8 @@
         for event in events:
             self._record_first_token()
             self.event_count += 1
+            if not self.is_sound and self.written_s() >= SOUND_AFTER_S:
+                self._record_sound(self.first_event_at)
             if not self.handler.forward_event(self, event):
                 self._fail(Failure.MAY_HAVE_RUN, "gap in the event ids")
                 return
@@ -215,6 +221,8 @@
                 return
             self._release_engine()
             self.engine.failures = 0
+            if self.event_count:
+                self._record_sound(self.first_event_at)
             self.handler.finish_stream(self)
             return
         self._count_usage(self.opened_at)
@@ -223,6 +231,7 @@
             self._record_failure()
         else:
             self.engine.failures = 0
+            self._record_sound(self.opened_at)
         self.handler.forward_answer(self, self.head, b"".join(self.body))
 
     def on_failure(self, reason: str, *, sent: bool) -> None:
@@ -254,6 +263,11 @@
             self._record_failure()
         self.handler.attempt_failed(self, failure, reason)
 
+    def _record_sound(self, begun_at: float) -> None:
+        if not self.is_sound:
+            self.is_sound = True
+            record_sound_answer(self, begun_at)
+
     def written_s(self) -> float:
         """Return the seconds since the first event of a stream, 0 without."""
         return boot_time() - self.first_event_at if self.event_count else 0.0
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -26,9 +26,14 @@
 from magnoliaflow.entry.attempts import Failure
 from magnoliaflow.entry.calllog import log_refusal
 from magnoliaflow.entry.calllog import record_end
+from magnoliaflow.entry.findings import find_hold
+from magnoliaflow.entry.findings import hold_details
+from magnoliaflow.entry.findings import hold_retry_after
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import json_answer_headers
+from magnoliaflow.policy.crashes import Hold
+from magnoliaflow.policy.crashes import part_name
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.eventstream import Event
 from magnoliaflow.policy.placement import first_token_s
@@ -84,6 +89,7 @@
         "may_have_run",
         "route",
         "service",
+        "shared_parts",
         "started_at",
         "state",
         "status",
@@ -97,6 +103,9 @@
         self.inbound = inbound
         self.call: Call = decode_call(inbound)
         self.key = id(self)
+        self.shared_parts = tuple(
+            part_name(part) for part, _ in self.call.parts[:-1]
+        )
         self.route_table: RouteTable | None = None
         self.route: Route | None = None
         self.account: Account | None = None
@@ -162,6 +171,16 @@
         if self.done:
             return
         now = boot_time()
+        hold = self._find_hold(now)
+        if hold is not None:
+            self._refuse_admission(
+                Refusal(
+                    Code.PROMPT_HELD,
+                    hold_retry_after(hold, now),
+                    hold_details(hold, now),
+                )
+            )
+            return
         left_s = self.deadline_at - now
         routing_request = self._routing_request(left_s)
         choice = choose(
@@ -196,6 +215,10 @@
                 return
         self._send(engine, choice.uncached_tokens, routing_request, left_s)
 
+    def _find_hold(self, now: float) -> Hold | None:
+        """Return a hold on a part of the prompt, None if it may be sent."""
+        return find_hold(self.state, self.service, self.shared_parts, now)
+
     def _policy(self) -> Any:
         return find_policy(
             "first_token" if self._serves_model() else "least_busy"
@@ -293,6 +316,7 @@
             ),
             resume_after=str(self.last_event) if self.last_event >= 0 else "",
         )
+        self.state.crash_judge.begin_trial(self.shared_parts, boot_time())
         self.attempt = Attempt(self, engine, uncached)
         self.attempt.open(self.call, forward)
         self._start_hedge_timer()
@@ -357,6 +381,8 @@
         assert self.route is not None
         if self.attempts_sent >= self.route.max_engines:
             return False
+        if self._find_hold(boot_time()) is not None:
+            return False
         budget = self.state.retry_budgets.get(self.service)
         if budget is None or not budget.spend():
             return False
@@ -377,7 +403,7 @@
             reason=reason,
             events=attempt.event_count,
             written_s=round(attempt.written_s(), 3),
-            parts=[f"{name:x}" for name, _ in self.call.parts[:-1]],
+            parts=list(self.shared_parts),
         )
         self.tried_engines.add(attempt.engine.name)
         if failure is Failure.UNSENT:
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -37,6 +37,7 @@
 from magnoliaflow.entry.directory import answer_readiness
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.duties import UsageDuty
+from magnoliaflow.entry.findings import FindingsSender
 from magnoliaflow.entry.followers import ConfigFollower
 from magnoliaflow.entry.followers import RegistrationFollower
 from magnoliaflow.entry.heartbeats import handle_message
@@ -110,6 +111,7 @@
         links = PeerLinks(identity, on_failure=self.on_link_failure)
         self.heartbeat_sender = HeartbeatSender(self.state, links)
         self.report_sender = ReportSender(self.state, links)
+        self.findings_sender = FindingsSender(self.state, links)
         self.duty_log = DutyLog(self.state, self.store)
         self.usage_duty = UsageDuty(self.state, self.duty_log, self.cloud)
         self.order_duty = OrderDuty(self.state, self.cloud)
@@ -229,6 +231,7 @@
             self.server_limits.idle_timeout_s = limits.idle_timeout_s
         self.heartbeat_sender.tick(now)
         self.report_sender.tick(now)
+        self.findings_sender.tick(now)
         self._discover_peers(now)
         for _, _, function in ENTRY_SYSTEMS:
             function(state)
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -20,6 +20,7 @@
         "first_byte",
         "in_flight",
         "lease_held",
+        "parts_held",
         "refusals",
         "registry",
         "retries",
@@ -58,6 +59,11 @@
             "Engines that took no connection after an answer had broken off.",
             registry=registry,
         )
+        self.parts_held = Gauge(
+            "magnoliaflow_entry_parts_held",
+            "Parts of prompts that are held back.",
+            registry=registry,
+        )
         self.first_byte = Histogram(
             "magnoliaflow_entry_first_byte_seconds",
             "Time from a request to the first byte of its answer.",
--- /dev/null
+++ b/src/magnoliaflow/entry/findings.py
@@ -0,0 +1,131 @@
+"""Findings about prompts, shared by all hosts."""
+
+from functools import partial
+
+from magnoliaflow.cluster.groups import rendezvous_score
+from magnoliaflow.cluster.peers import PeerLinks
+from magnoliaflow.cluster.spread import Spread
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.messages import EndedEngine
+from magnoliaflow.common.messages import Findings
+from magnoliaflow.common.messages import SoundAnswer
+from magnoliaflow.common.messages import SuspectPart
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.policy.crashes import EngineEnd
+from magnoliaflow.policy.crashes import Hold
+from magnoliaflow.policy.crashes import PartEvidence
+
+# Retry-After of a part whose time is over: by then a trial has ended.
+TRIAL_RETRY_AFTER_S = 5.0
+
+
+class FindingsSender:
+    """Sends this host's findings to others."""
+
+    __slots__ = ("links", "spread", "state")
+
+    def __init__(self, state: EntryState, links: PeerLinks) -> None:
+        self.state = state
+        self.links = links
+        self.spread = Spread(state.rng)
+
+    def tick(self, now: float) -> None:
+        """Send what is due, and log the parts held back or released."""
+        state = self.state
+        judge = state.crash_judge
+        if not judge.knows_any() and not state.known_holds:
+            return
+        judge.expire(now)
+        log_changed_holds(state, now)
+        hosts = state.live_hosts(now)
+        receivers = self.spread.receivers(hosts, judge.changed_at, now)
+        if not receivers:
+            return
+        findings = make_findings(state, now)
+        if findings.parts:
+            for fact in receivers:
+                self.links.send(fact.peer_address, findings)
+
+
+def make_findings(state: EntryState, now: float) -> Findings:
+    """Return this host's findings, with ages in place of times."""
+    parts = tuple(
+        SuspectPart(
+            item.part,
+            tuple(
+                EndedEngine(end.engine, end.service, now - end.at)
+                for end in item.ends
+            ),
+            tuple(SoundAnswer(name, now - at) for name, at in item.sound),
+        )
+        for item in state.crash_judge.evidence(now)
+    )
+    return Findings(state.host_settings.host, parts)
+
+
+def handle_findings(state: EntryState, findings: Findings) -> None:
+    """Add another host's findings."""
+    now = boot_time()
+    evidence = [
+        PartEvidence(
+            item.part,
+            tuple(
+                EngineEnd(end.engine, end.backend, now - end.age, True)
+                for end in item.ends
+            ),
+            tuple((answer.backend, now - answer.age) for answer in item.sound),
+        )
+        for item in findings.parts
+    ]
+    state.crash_judge.merge(evidence, now)
+
+
+def find_hold(
+    state: EntryState, service: str, parts: tuple[str, ...], now: float
+) -> Hold | None:
+    """Return a hold that forbids to send a request with these parts."""
+    return state.crash_judge.find_hold(
+        service, parts, now, partial(_trial_rank, state, now)
+    )
+
+
+def hold_retry_after(hold: Hold, now: float) -> float:
+    """Return the seconds until a held part may be served again."""
+    return max(TRIAL_RETRY_AFTER_S, hold.until - now)
+
+
+def hold_details(hold: Hold, now: float) -> dict[str, object]:
+    """Return the fields of a hold for logs and ``explain``."""
+    return {
+        "parts": list(hold.parts),
+        "engines": list(hold.engines),
+        "services": list(hold.services),
+        "until_s": round(hold.until - now, 3),
+    }
+
+
+def log_changed_holds(state: EntryState, now: float) -> None:
+    """Log the parts that are held back since, or no longer."""
+    holds = state.crash_judge.holds()
+    if holds == state.known_holds:
+        return
+    for hold in holds:
+        if hold not in state.known_holds:
+            state.log(LogEvent.PART_HELD, **hold_details(hold, now))
+    parts = {hold.parts for hold in holds}
+    for hold in state.known_holds:
+        if hold.parts not in parts:
+            state.log(LogEvent.PART_RELEASED, **hold_details(hold, now))
+    state.known_holds = holds
+    state.metrics.parts_held.set(len(holds))
+
+
+def _trial_rank(state: EntryState, now: float, part: str) -> int:
+    """Return this host's place in the order in which hosts try a part."""
+    own_score = rendezvous_score(part, state.host_settings.host)
+    return sum(
+        1
+        for fact in state.live_hosts(now)
+        if rendezvous_score(part, fact.host) > own_score
+    )
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -16,6 +16,7 @@
 from magnoliaflow.common.messages import Changes
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import EngineLoad
+from magnoliaflow.common.messages import Findings
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import ServiceLoad
@@ -23,6 +24,7 @@
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.common.messages import View
 from magnoliaflow.entry.capshares import update_cap_shares
+from magnoliaflow.entry.findings import handle_findings
 from magnoliaflow.entry.reports import handle_changes
 from magnoliaflow.entry.reports import handle_report
 from magnoliaflow.entry.reports import handle_usage_counts
@@ -278,6 +280,7 @@
     View: handle_view,
     Changes: handle_changes,
     UsageCounts: handle_usage_counts,
+    Findings: handle_findings,
 }
 
 
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -28,6 +28,8 @@
 from magnoliaflow.policy.caps import Bucket
 from magnoliaflow.policy.caps import Cap
 from magnoliaflow.policy.caps import Demand
+from magnoliaflow.policy.crashes import CrashJudge
+from magnoliaflow.policy.crashes import Hold
 from magnoliaflow.policy.prefixes import PrefixIndex
 from magnoliaflow.policy.routes import RouteTable
 from magnoliaflow.policy.routing import CostWeights
@@ -135,6 +137,7 @@
         "route_table",
         "config_applied_at",
         "config_document",
+        "crash_judge",
         "retry_budgets",
         "buffered_bytes",
         "calls",
@@ -148,6 +151,7 @@
         "peers",
         "probed_engines",
         "identity",
+        "known_holds",
         "lease_manager",
         "lifecycle",
         "logger",
@@ -213,6 +217,8 @@
         self.clock_samples: dict[str, tuple[float, float]] = {}
         self.buffered_bytes = 0
         self.probed_engines: set[str] = set()
+        self.crash_judge = CrashJudge()
+        self.known_holds: list[Hold] = []
         self.calls: Table[int, Any] = Table()
         self.waiting_calls: dict[int, Any] = {}
         self.local_loads: dict[str, LocalLoad] = defaultdict(LocalLoad)
--- /dev/null
+++ b/src/magnoliaflow/policy/crashes.py
@@ -0,0 +1,419 @@
+"""Judgement of prompt parts under which engines end.
+
+Evidence is the end of an engine while a request with the part was about to
+write or had just begun its answer.  Answers that were written acquit their
+parts.  Ends are explained by the part with the most of them first, so that
+parts which only shared a batch or a prompt with it are not blamed.  All hosts
+that have the same evidence reach the same verdict.
+
+Times are in seconds of one clock, handed in by the caller.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from itertools import pairwise
+from math import inf
+
+# Engines that end under a part, without a written answer in between, until it
+# is held back.
+MAX_ENDS = 3
+# A part with written answers within REPUTATION_S before is held back after
+# more ends, and over a longer time: when many engines end at once, no answer
+# to a sound request is written for a while either.
+MAX_REPUTED_ENDS = 5
+MIN_REPUTED_SPAN_S = 2.0
+REPUTATION_S = 60.0
+# An answer that is being written for this long acquits its parts.
+SOUND_AFTER_S = 1.0
+# Time after the last end until a part is tried again.  It doubles with each
+# trial that fails: ends further apart than SERIES_GAP_S are separate trials.
+HOLD_S = 60.0
+MAX_HOLD_S = 960.0
+SERIES_GAP_S = 20.0
+# Interval at which one more host may try a part whose time is over: longer
+# than a verdict takes to reach all hosts.
+TRIAL_STEP_S = 2.0
+# A trial without a result allows another one.
+TRIAL_TIMEOUT_S = 10.0
+# A part that nobody asks for is forgotten this long after its time is over.
+FORGET_S = 600.0
+# Evidence on a part that is not held back counts for this long.
+EVIDENCE_S = 60.0
+# Evidence on a reputed part is passed on after this time only, since most is
+# refuted by then.
+SETTLE_S = 0.3
+# Evidence may be received for this long before it is dropped, so that copies
+# that hosts send each other cannot keep it alive.
+RECEIVE_MARGIN_S = 5.0
+# Bounds of the memory that evidence takes.
+MAX_PARTS = 64
+MAX_PART_DIGITS = 32
+MAX_ENDS_KEPT = 8
+MAX_SOUND = 2048
+MAX_SENT_PARTS = 16
+
+
+def part_name(part: int) -> str:
+    """Return the name of a part, in hexadecimal, of bounded length.
+
+    >>> part_name(0xC0DE)
+    'c0de'
+    """
+    return f"{part:x}"[:MAX_PART_DIGITS]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEnd:
+    """The end of one run of an engine of a service, under some part.
+
+    ``confirmed`` is set once the engine is known to take no connection.
+    """
+
+    engine: str
+    service: str
+    at: float
+    confirmed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """What is known of a part: engines' ends, and times of written answers.
+
+    ``sound`` holds (service, time) pairs.
+    """
+
+    part: str
+    ends: tuple[EngineEnd, ...]
+    sound: tuple[tuple[str, float], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Parts held back, the engines that ended under them, and the end time.
+
+    Several parts occurred together so far: only prompts with all of them are
+    held back.
+    """
+
+    parts: tuple[str, ...]
+    engines: tuple[str, ...]
+    services: tuple[str, ...]
+    until: float
+
+
+@dataclass(slots=True)
+class _Record:
+    """Evidence on one part; ``shared`` once other hosts know of it."""
+
+    ends: dict[str, EngineEnd] = field(default_factory=dict)
+    shared: bool = False
+    trial_at: float = -inf
+    changed_at: float = -inf
+
+    def newest(self) -> float:
+        """Return the time of the last end, -inf without one."""
+        return max((end.at for end in self.ends.values()), default=-inf)
+
+
+class CrashJudge:
+    """Evidence on parts of prompts, and which of them are held back."""
+
+    __slots__ = (
+        "_held",
+        "_is_current",
+        "_records",
+        "_services",
+        "_sound",
+        "changed_at",
+    )
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+        self._sound: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._services: set[str] = set()
+        self._held: list[Hold] = []
+        self._is_current = True
+        self.changed_at = -inf
+
+    def record_broken(
+        self, engine: str, service: str, parts: Iterable[str], now: float
+    ) -> None:
+        """Record parts of a request under which an engine may have ended."""
+        for part in parts:
+            self._add_end(part, EngineEnd(engine, service, now, False), now)
+
+    def confirm(self, engine: str, now: float) -> None:
+        """Record that an engine has ended."""
+        for part, record in self._records.items():
+            end = record.ends.get(engine)
+            if end is not None and not end.confirmed:
+                record.ends[engine] = replace(end, confirmed=True)
+                self._touch(part, now)
+
+    def retract(self, engine: str, now: float) -> None:
+        """Drop unconfirmed ends of an engine that still runs."""
+        for part, record in list(self._records.items()):
+            end = record.ends.get(engine)
+            if end is not None and not end.confirmed:
+                del record.ends[engine]
+                self._touch(part, now)
+
+    def record_sound(
+        self, service: str, parts: Iterable[str], begun_at: float, now: float
+    ) -> None:
+        """Record parts of a request whose answer was written."""
+        for part in parts:
+            self._acquit(part, service, begun_at, now)
+
+    def find_hold(
+        self,
+        service: str,
+        parts: Iterable[str],
+        now: float,
+        rank: Callable[[str], int],
+    ) -> Hold | None:
+        """Return a hold that forbids to send a request now, or None.
+
+        ``rank`` returns this host's place among all hosts in the order in
+        which they may try a part whose time is over.
+        """
+        if not self._records:
+            return None
+        names = set(parts)
+        return next(
+            (
+                hold
+                for hold in self._current_holds()
+                if names.issuperset(hold.parts)
+                and service in hold.services
+                and not self._may_try(hold, now, rank)
+            ),
+            None,
+        )
+
+    def begin_trial(self, parts: Iterable[str], now: float) -> None:
+        """Record that a request with these parts is sent."""
+        names = set(parts)
+        for hold in self._held:
+            if names.issuperset(hold.parts):
+                self._records[hold.parts[0]].trial_at = now
+
+    def holds(self) -> list[Hold]:
+        """Return all parts that are held back."""
+        return list(self._current_holds())
+
+    def knows_any(self) -> bool:
+        """Return whether there is evidence on any part."""
+        return bool(self._records)
+
+    def evidence(self, now: float) -> tuple[PartEvidence, ...]:
+        """Return what other hosts need to know, the most grave first."""
+        held = self._held_parts()
+        found = []
+        for part, record in self._records.items():
+            ends = tuple(
+                end
+                for end in record.ends.values()
+                if end.confirmed and self._is_settled(part, end, now)
+            )
+            if not ends and not record.shared:
+                continue
+            record.shared = True
+            sound = tuple(
+                (service, self._sound[service, part])
+                for service in self._services
+                if (service, part) in self._sound
+            )
+            found.append(PartEvidence(part, ends, sound))
+        found.sort(key=lambda item: (item.part in held, len(item.ends)))
+        return tuple(found[: -MAX_SENT_PARTS - 1 : -1])
+
+    def merge(self, evidence: Iterable[PartEvidence], now: float) -> None:
+        """Add what another host knows, in times of this host's clock."""
+        for item in evidence:
+            for service, at in item.sound:
+                if at > self._sound.get((service, item.part), -inf):
+                    self._acquit(item.part, service, at, now)
+            for end in item.ends:
+                if end.at > now - FORGET_S - MAX_HOLD_S + RECEIVE_MARGIN_S:
+                    self._add_end(item.part, end, now)
+            record = self._records.get(item.part)
+            if record is not None:
+                record.shared = True
+
+    def _add_end(self, part: str, end: EngineEnd, now: float) -> None:
+        """Add an end unless a later answer refutes it."""
+        if end.at <= self._sound.get((end.service, part), -inf):
+            return
+        record = self._records.get(part)
+        known = None if record is None else record.ends.get(end.engine)
+        if known is not None and (known.confirmed or not end.confirmed):
+            return
+        if record is None:
+            if len(self._records) >= MAX_PARTS:
+                self._drop_weakest()
+            record = self._records[part] = _Record()
+        at = end.at if known is None else min(known.at, end.at)
+        record.ends[end.engine] = replace(end, at=at)
+        self._services.add(end.service)
+        if len(record.ends) > MAX_ENDS_KEPT:
+            oldest = min(record.ends.values(), key=lambda item: item.at)
+            del record.ends[oldest.engine]
+        self._touch(part, now)
+
+    def _acquit(
+        self, part: str, service: str, begun_at: float, now: float
+    ) -> None:
+        key = (service, part)
+        self._sound[key] = max(begun_at, self._sound.get(key, -inf))
+        self._sound.move_to_end(key)
+        if len(self._sound) > MAX_SOUND:
+            self._sound.popitem(last=False)
+        record = self._records.get(part)
+        if record is None:
+            return
+        refuted = [
+            end.engine
+            for end in record.ends.values()
+            if end.service == service and end.at <= begun_at
+        ]
+        for engine in refuted:
+            del record.ends[engine]
+        if refuted:
+            self._touch(part, now)
+
+    def _touch(self, part: str, now: float) -> None:
+        record = self._records[part]
+        record.changed_at = now
+        self._is_current = False
+        if not record.ends and not record.shared:
+            del self._records[part]
+            return
+        self.changed_at = now
+
+    def _drop_weakest(self) -> None:
+        held = self._held_parts()
+        weakest = min(
+            self._records,
+            key=lambda part: (
+                part in held,
+                len(self._records[part].ends),
+                self._records[part].changed_at,
+            ),
+        )
+        del self._records[weakest]
+        self._is_current = False
+
+    def _is_reputed(self, part: str, ends: list[EngineEnd]) -> bool:
+        """Return whether answers were written shortly before the ends."""
+        first = min(end.at for end in ends)
+        return any(
+            first - self._sound.get((service, part), -inf) < REPUTATION_S
+            for service in {end.service for end in ends}
+        )
+
+    def _is_settled(self, part: str, end: EngineEnd, now: float) -> bool:
+        """Return whether an end is worth telling others."""
+        return now - end.at >= SETTLE_S or not self._is_reputed(part, [end])
+
+    def _held_parts(self) -> dict[str, Hold]:
+        """Return the holds by part."""
+        return {
+            part: hold for hold in self._current_holds() for part in hold.parts
+        }
+
+    def _current_holds(self) -> list[Hold]:
+        """Return the holds, derived anew if the evidence has changed."""
+        if not self._is_current:
+            self._is_current = True
+            self._held = self._judge()
+        return self._held
+
+    def _judge(self) -> list[Hold]:
+        """Return the parts that explain the ends, the strongest first.
+
+        Parts with the same ends are held back together.
+        """
+        explained: set[str] = set()
+        held: list[Hold] = []
+        suspects = [
+            (self._is_reputed(part, ends), -len(ends), part, ends)
+            for part, record in self._records.items()
+            if (ends := list(record.ends.values()))
+        ]
+        suspects.sort(key=lambda suspect: suspect[:3])
+        alike: tuple[bool, set[str]] = (False, set())
+        for reputed, _, part, ends in suspects:
+            names = {end.engine for end in ends}
+            if held and alike == (reputed, names):
+                held[-1] = replace(held[-1], parts=(*held[-1].parts, part))
+                continue
+            left = [end for end in ends if end.engine not in explained]
+            if _is_guilty(left, reputed):
+                held.append(_hold(part, ends))
+                alike = (reputed, names)
+                explained |= names
+        return held
+
+    def _may_try(
+        self, hold: Hold, now: float, rank: Callable[[str], int]
+    ) -> bool:
+        """Return whether this host may send a request to try a part."""
+        if now < hold.until:
+            return False
+        trial_at = self._records[hold.parts[0]].trial_at
+        if now - trial_at < TRIAL_TIMEOUT_S:
+            return False
+        return now >= hold.until + rank(hold.parts[0]) * TRIAL_STEP_S
+
+    def expire(self, now: float) -> None:
+        """Drop evidence that no longer counts."""
+        held = self._held_parts()
+        for part, record in list(self._records.items()):
+            hold = held.get(part)
+            if hold is not None:
+                if now > hold.until + FORGET_S:
+                    del self._records[part]
+                    self._is_current = False
+                continue
+            old = [
+                end.engine
+                for end in record.ends.values()
+                if now - end.at > EVIDENCE_S
+            ]
+            for engine in old:
+                del record.ends[engine]
+            if old:
+                self._is_current = False
+            if not record.ends and now - record.changed_at > EVIDENCE_S:
+                del self._records[part]
+
+
+def _is_guilty(ends: list[EngineEnd], reputed: bool) -> bool:
+    """Return whether unexplained ends suffice to hold a part back."""
+    if not reputed:
+        return len(ends) >= MAX_ENDS
+    if len(ends) < MAX_REPUTED_ENDS:
+        return False
+    times = [end.at for end in ends]
+    return max(times) - min(times) >= MIN_REPUTED_SPAN_S
+
+
+def _hold(part: str, ends: list[EngineEnd]) -> Hold:
+    """Return the hold that a part's ends lead to."""
+    ordered = sorted(ends, key=lambda end: end.at)
+    trials = sum(
+        1
+        for first, second in pairwise(ordered)
+        if second.at - first.at > SERIES_GAP_S
+    )
+    return Hold(
+        (part,),
+        tuple(end.engine for end in ordered),
+        tuple(sorted({end.service for end in ends})),
+        ordered[-1].at + min(MAX_HOLD_S, HOLD_S * 2.0**trials),
+    )
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = PeerMessage()
-                        _elem252.read(iprot)
-                        self.messages.append(_elem252)
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = PeerMessage()
+                        _elem273.read(iprot)
+                        self.messages.append(_elem273)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter253 in self.messages:
-                iter253.write(oprot)
+            for iter274 in self.messages:
+                iter274.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -5931,6 +5931,377 @@
         return not (self == other)
 
 
+class EndedEngine(object):
+    """
+    Attributes:
+     - engine
+     - backend
+     - age
+
+    """
+
+    __slots__ = (
+        'engine',
+        'backend',
+        'age',
+    )
+
+
+    def __init__(self, engine=None, backend=None, age=None,):
+        self.engine = engine
+        self.backend = backend
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.backend = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndedEngine')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.backend is not None:
+            oprot.writeFieldBegin('backend', TType.STRING, 2)
+            oprot.writeString(self.backend.encode('utf-8') if sys.version_info[0] == 2 else self.backend)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SoundAnswer(object):
+    """
+    Attributes:
+     - backend
+     - age
+
+    """
+
+    __slots__ = (
+        'backend',
+        'age',
+    )
+
+
+    def __init__(self, backend=None, age=None,):
+        self.backend = backend
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.backend = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SoundAnswer')
+        if self.backend is not None:
+            oprot.writeFieldBegin('backend', TType.STRING, 1)
+            oprot.writeString(self.backend.encode('utf-8') if sys.version_info[0] == 2 else self.backend)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectPart(object):
+    """
+    Attributes:
+     - part
+     - ends
+     - sound
+
+    """
+
+    __slots__ = (
+        'part',
+        'ends',
+        'sound',
+    )
+
+
+    def __init__(self, part=None, ends=None, sound=None,):
+        self.part = part
+        self.ends = ends
+        self.sound = sound
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = EndedEngine()
+                        _elem252.read(iprot)
+                        self.ends.append(_elem252)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.sound = []
+                    (_etype256, _size253) = iprot.readListBegin()
+                    for _i257 in range(_size253):
+                        _elem258 = SoundAnswer()
+                        _elem258.read(iprot)
+                        self.sound.append(_elem258)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter259 in self.ends:
+                iter259.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound is not None:
+            oprot.writeFieldBegin('sound', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.sound))
+            for iter260 in self.sound:
+                iter260.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Findings(object):
+    """
+    Attributes:
+     - host
+     - parts
+
+    """
+
+    __slots__ = (
+        'host',
+        'parts',
+    )
+
+
+    def __init__(self, host=None, parts=None,):
+        self.host = host
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = SuspectPart()
+                        _elem266.read(iprot)
+                        self.parts.append(_elem266)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Findings')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter267 in self.parts:
+                iter267.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerMessage(object):
     """
     Attributes:
@@ -5953,6 +6324,7 @@
      - view
      - changes
      - usage_counts
+     - findings
 
     """
 
@@ -5976,10 +6348,11 @@
         'view',
         'changes',
         'usage_counts',
+        'findings',
     )
 
 
-    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None, report=None, view=None, changes=None, usage_counts=None,):
+    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None, report=None, view=None, changes=None, usage_counts=None, findings=None,):
         self.heartbeat = heartbeat
         self.hold = hold
         self.hold_ack = hold_ack
@@ -5999,6 +6372,7 @@
         self.view = view
         self.changes = changes
         self.usage_counts = usage_counts
+        self.findings = findings
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6123,6 +6497,12 @@
                     self.usage_counts.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.findings = Findings()
+                    self.findings.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6209,6 +6589,10 @@
             oprot.writeFieldBegin('usage_counts', TType.STRUCT, 19)
             self.usage_counts.write(oprot)
             oprot.writeFieldEnd()
+        if self.findings is not None:
+            oprot.writeFieldBegin('findings', TType.STRUCT, 20)
+            self.findings.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6668,6 +7052,32 @@
     (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 2
 )
+all_structs.append(EndedEngine)
+EndedEngine.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'backend', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'age', None, None, ),  # 3
+)
+all_structs.append(SoundAnswer)
+SoundAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'backend', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+)
+all_structs.append(SuspectPart)
+SuspectPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'ends', (TType.STRUCT, [EndedEngine, None], False), None, ),  # 2
+    (3, TType.LIST, 'sound', (TType.STRUCT, [SoundAnswer, None], False), None, ),  # 3
+)
+all_structs.append(Findings)
+Findings.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 2
+)
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
     None,  # 0
@@ -6690,6 +7100,7 @@
     (17, TType.STRUCT, 'view', [View, None], None, ),  # 17
     (18, TType.STRUCT, 'changes', [Changes, None], None, ),  # 18
     (19, TType.STRUCT, 'usage_counts', [UsageCounts, None], None, ),  # 19
+    (20, TType.STRUCT, 'findings', [Findings, None], None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -13,6 +13,7 @@
 from magnoliaflow.common.messages import AccountDemand
 from magnoliaflow.common.messages import Beat
 from magnoliaflow.common.messages import Digest
+from magnoliaflow.common.messages import EndedEngine
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import EngineLoad
 from magnoliaflow.common.messages import HostFact
@@ -24,6 +25,8 @@
 from magnoliaflow.common.messages import Parting
 from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.messages import ServiceLoad
+from magnoliaflow.common.messages import SoundAnswer
+from magnoliaflow.common.messages import SuspectPart
 from magnoliaflow.common.messages import UsageCount
 from magnoliaflow.common.records import AccountCount
 from magnoliaflow.common.records import ProfileEntry
@@ -44,9 +47,11 @@
     dict[str, int]: st.dictionaries(st.text(max_size=5), st.integers(0, 9)),
 }
 
+# A type that holds another one comes after it.
 NESTED_TYPES = (
     AccountCount,
     AccountDemand,
+    EndedEngine,
     EngineEntry,
     EngineLoad,
     HostFact,
@@ -58,28 +63,21 @@
     ProfileEntry,
     Progress,
     ServiceLoad,
+    SoundAnswer,
+    SuspectPart,
     UsageCount,
 )
-STRATEGIES.update(
-    {
-        nested_type: st.builds(
-            nested_type,
-            **{
-                name: STRATEGIES[field.type]
-                for name, field in nested_type.__dataclass_fields__.items()
-            },
-        )
-        for nested_type in NESTED_TYPES
-    }
-)
-STRATEGIES.update(
-    {
-        tuple[nested_type, ...]: st.lists(
-            STRATEGIES[nested_type], max_size=3
-        ).map(tuple)
-        for nested_type in NESTED_TYPES
-    }
-)
+for nested_type in NESTED_TYPES:
+    STRATEGIES[nested_type] = st.builds(
+        nested_type,
+        **{
+            name: STRATEGIES[field.type]
+            for name, field in nested_type.__dataclass_fields__.items()
+        },
+    )
+    STRATEGIES[tuple[nested_type, ...]] = st.lists(
+        STRATEGIES[nested_type], max_size=3
+    ).map(tuple)
 
 
 @pytest.mark.parametrize("body_type", RecordBody.__args__)
@@ -107,6 +105,10 @@
     }
 
 
+def test_a_message_of_a_later_version_is_ignored():
+    assert message_from_wire(ttypes.PeerMessage()) is None
+
+
 @given(st.binary(max_size=60))
 def test_invalid_bytes_raise_only_record_errors(data):
     try:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -8,8 +8,9 @@
 from magnoliaflow.core.inputs import CancelRequested
 from magnoliaflow.core.inputs import DrainRequested
 
-# Tested in tests/test_entry_process.py; the gateway's own API has no routes.
-PLATFORM_CODES = {Code.NO_ROUTE}
+# Tested in tests/test_entry_process.py and tests/test_crashing_prompts.py; the
+# gateway's own API has no routes and holds no prompts.
+PLATFORM_CODES = {Code.NO_ROUTE, Code.PROMPT_HELD}
 # Tested in tests/test_processes.py; the HTTP layer answers with these codes.
 HTTP_CODES = {
     Code.BAD_REQUEST,
