Keep to the limits that engines name, at all hosts together

Cause: no code read Server-Limit. The class: a limit of a server for all its clients together is a limit for none of them unless they share it. What an engine named last, or that it names no limit any more, spreads with the findings; it lapses after 30 s without an answer, with the engine's run, and with the process that knew it. When all engines are used up, a request is refused at once with the time of the next send.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -167,7 +167,10 @@
 struct SuspectPart {
   1: string part, 2: list<EndedEngine> ends, 3: list<SoundAnswer> sound
 }
-struct Findings { 1: string host, 2: list<SuspectPart> parts }
+struct NamedLimit { 1: string engine, 2: double rate, 3: double age }
+struct Findings {
+  1: string host, 2: list<SuspectPart> parts, 3: list<NamedLimit> limits
+}
 struct PeerMessage {
   1: optional Heartbeat heartbeat, 2: optional Hold hold,
   3: optional HoldAck hold_ack, 4: optional Extend extend,
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -53,6 +53,8 @@
     CALL_REFUSED = 633
     PART_HELD = 640
     PART_RELEASED = 641
+    ENGINE_LIMITED = 642
+    ENGINE_UNLIMITED = 643
 
 
 EXPLANATIONS = {
@@ -95,6 +97,8 @@
     LogEvent.CALL_REFUSED: "A request was not admitted: cap, pace or prompt.",
     LogEvent.PART_HELD: "A part of prompts is held back: engines ended.",
     LogEvent.PART_RELEASED: "A part of prompts is no longer held back.",
+    LogEvent.ENGINE_LIMITED: "An engine named a limit of requests a second.",
+    LogEvent.ENGINE_UNLIMITED: "An engine no longer names a limit.",
 }
 
 
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -456,12 +456,25 @@
     sound: tuple[SoundAnswer, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """The limit that a run of an engine named ``age`` seconds ago.
+
+    ``rate`` is in requests per second from all hosts, -1 for no limit.
+    """
+
+    engine: str
+    rate: float
+    age: float
+
+
 @dataclass(frozen=True, slots=True)
 class Findings:
-    """What a host has found out about prompts, for all other hosts."""
+    """What a host has found out about prompts and engines, for all hosts."""
 
     host: str
     parts: tuple[SuspectPart, ...]
+    limits: tuple[NamedLimit, ...] = ()
 
 
 Message = Union[
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -7,6 +7,7 @@
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.entry.brokenanswers import record_broken_answer
 from magnoliaflow.entry.brokenanswers import record_sound_answer
+from magnoliaflow.entry.limits import record_limit
 from magnoliaflow.platform.headers import decode_engine_head
 from magnoliaflow.platform.headers import encode_forward
 from magnoliaflow.policy.crashes import SOUND_AFTER_S
@@ -98,6 +99,7 @@
     def open(self, call: Call, forward: ForwardContext) -> None:
         """Connect to the engine and send the request."""
         self.engine.record_prompt_sent(self.uncached)
+        self.engine.record_limited_send(self.started_at)
         self.handler.state.local_loads[self.engine.cfg.backend].running += 1
         exchange = Exchange(
             call.method, call.target, encode_forward(call, forward), call.body
@@ -144,6 +146,7 @@
         if self.ended:
             return
         head = decode_engine_head(status, headers)
+        record_limit(self.handler.state, self.engine, head.rate_limit)
         if head.not_run:
             self._fail(
                 Failure.NOT_RUN,
--- a/src/magnoliaflow/entry/brokenanswers.py
+++ b/src/magnoliaflow/entry/brokenanswers.py
@@ -17,7 +17,7 @@
     handler, engine = attempt.handler, attempt.engine
     state = handler.state
     state.metrics.broken_answers.labels(handler.route.name).inc()
-    run = _engine_run(state, engine)
+    run = state.engine_run(engine.name)
     leaves = (
         engine.leaving_at < inf
         or state.routing.engines.get(engine.name) is not engine
@@ -38,12 +38,6 @@
     )
 
 
-def _engine_run(state: EntryState, engine: Engine) -> str:
-    """Return a name of an engine's current run, the same at all hosts."""
-    entry = state.registry.entries.get(engine.name)
-    return f"{engine.name}/{0 if entry is None else entry.born}"
-
-
 def record_sound_answer(attempt: Any, begun_at: float) -> None:
     """Record that an engine has written on the parts of a request."""
     handler = attempt.handler
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -29,6 +29,7 @@
 from magnoliaflow.entry.findings import find_hold
 from magnoliaflow.entry.findings import hold_details
 from magnoliaflow.entry.findings import hold_retry_after
+from magnoliaflow.entry.limits import next_send_at
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import json_answer_headers
@@ -252,6 +253,10 @@
         """Wait for an engine for a short time, then give up."""
         assert self.route is not None
         until = self.started_at + self.route.target_s * ENGINE_WAIT_SHARE
+        free_at = next_send_at(self.state, self.service)
+        if free_at > until and not (self.may_have_run or free_at == inf):
+            self.refuse(Code.NO_BACKEND, free_at - now)
+            return
         if now >= until or self.may_have_run:
             self.fail_unserved()
             return
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -17,6 +17,7 @@
         "config_age",
         "engines",
         "engines_ended",
+        "engines_limited",
         "first_byte",
         "in_flight",
         "lease_held",
@@ -64,6 +65,11 @@
             "Parts of prompts that are held back.",
             registry=registry,
         )
+        self.engines_limited = Gauge(
+            "magnoliaflow_entry_engines_limited",
+            "Engines that name a limit of requests a second.",
+            registry=registry,
+        )
         self.first_byte = Histogram(
             "magnoliaflow_entry_first_byte_seconds",
             "Time from a request to the first byte of its answer.",
--- a/src/magnoliaflow/entry/findings.py
+++ b/src/magnoliaflow/entry/findings.py
@@ -1,4 +1,4 @@
-"""Findings about prompts, shared by all hosts."""
+"""Findings about prompts and engines, shared by all hosts."""
 
 from functools import partial
 
@@ -9,15 +9,20 @@
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.messages import EndedEngine
 from magnoliaflow.common.messages import Findings
+from magnoliaflow.common.messages import NamedLimit
 from magnoliaflow.common.messages import SoundAnswer
 from magnoliaflow.common.messages import SuspectPart
+from magnoliaflow.entry.limits import apply_limits
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.policy.crashes import EngineEnd
 from magnoliaflow.policy.crashes import Hold
 from magnoliaflow.policy.crashes import PartEvidence
+from magnoliaflow.policy.enginelimits import EngineLimit
 
 # Retry-After of a part whose time is over: by then a trial has ended.
 TRIAL_RETRY_AFTER_S = 5.0
+# Rate in a message that stands for no limit.
+NO_LIMIT = -1.0
 
 
 class FindingsSender:
@@ -33,17 +38,21 @@
     def tick(self, now: float) -> None:
         """Send what is due, and log the parts held back or released."""
         state = self.state
-        judge = state.crash_judge
-        if not judge.knows_any() and not state.known_holds:
+        judge, limits = state.crash_judge, state.engine_limits
+        if not (judge.knows_any() or limits or state.known_holds):
             return
         log_changed_holds(state, now)
-        count = self.spread.take_round(judge.changed_at, now)
+        changed_at = max(judge.changed_at, limits.changed_at)
+        count = self.spread.take_round(changed_at, now)
         if not count:
             return
         judge.expire(now)
+        if limits:
+            limits.expire(now)
+            apply_limits(state, now)
         findings = make_findings(state, now)
         hosts = state.live_hosts(now)
-        if findings.parts:
+        if findings.parts or findings.limits:
             for fact in state.rng.sample(hosts, min(count, len(hosts))):
                 self.links.send(fact.peer_address, findings)
 
@@ -61,7 +70,15 @@
         )
         for item in state.crash_judge.evidence(now)
     )
-    return Findings(state.host_settings.host, parts)
+    limits = tuple(
+        NamedLimit(
+            limit.engine,
+            NO_LIMIT if limit.rate is None else limit.rate,
+            now - limit.named_at,
+        )
+        for limit in state.engine_limits.known()
+    )
+    return Findings(state.host_settings.host, parts, limits)
 
 
 def handle_findings(state: EntryState, findings: Findings) -> None:
@@ -79,6 +96,16 @@
         for item in findings.parts
     ]
     state.crash_judge.merge(evidence, now)
+    limits = [
+        EngineLimit(
+            item.engine,
+            None if item.rate < 0.0 else item.rate,
+            now - item.age,
+        )
+        for item in findings.limits
+    ]
+    if state.engine_limits.merge(limits, now):
+        apply_limits(state, now)
 
 
 def find_hold(
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -30,6 +30,7 @@
 from magnoliaflow.policy.caps import Demand
 from magnoliaflow.policy.crashes import CrashJudge
 from magnoliaflow.policy.crashes import Hold
+from magnoliaflow.policy.enginelimits import EngineLimits
 from magnoliaflow.policy.prefixes import PrefixIndex
 from magnoliaflow.policy.routes import RouteTable
 from magnoliaflow.policy.routing import CostWeights
@@ -138,6 +139,7 @@
         "config_applied_at",
         "config_document",
         "crash_judge",
+        "engine_limits",
         "retry_budgets",
         "buffered_bytes",
         "calls",
@@ -218,6 +220,7 @@
         self.buffered_bytes = 0
         self.probed_engines: set[str] = set()
         self.crash_judge = CrashJudge()
+        self.engine_limits = EngineLimits()
         self.known_holds: list[Hold] = []
         self.calls: Table[int, Any] = Table()
         self.waiting_calls: dict[int, Any] = {}
@@ -374,6 +377,11 @@
                 service[1] += load.running
         return sums
 
+    def engine_run(self, name: str) -> str:
+        """Return a name of an engine's current run, the same at all hosts."""
+        entry = self.registry.entries.get(name)
+        return f"{name}/{0 if entry is None else entry.born}"
+
     def log(self, event: LogEvent, **details: Any) -> None:
         """Write a numbered log event."""
         log_event(self.logger, event, **details)
--- a/src/magnoliaflow/platform/headers.py
+++ b/src/magnoliaflow/platform/headers.py
@@ -1,6 +1,7 @@
 """Decoding and encoding of request and answer headers."""
 
 from json import dumps
+import re
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
@@ -14,6 +15,7 @@
 READINESS = "/magnoliaflow/readiness"
 RESOLUTION = "/magnoliaflow/resolution"
 MS = 1000.0
+RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that this system
 # sets itself.
@@ -130,6 +132,7 @@
             for header in headers
             if header[0] not in DROPPED_RESPONSE_HEADERS
         ],
+        rate_limit=_parse_rate(first_values.get(b"server-limit", b"")),
     )
 
 
@@ -174,6 +177,12 @@
     return tuple(parts)
 
 
+def _parse_rate(value: bytes) -> float | None:
+    """Return a decimal number of requests a second, None if malformed."""
+    text = value.decode("latin-1").strip()
+    return float(text) if RATE_PATTERN.fullmatch(text) else None
+
+
 def _parse_int(text: str) -> int | None:
     text = text.strip()
     return int(text) if text.isascii() and text.isdigit() else None
--- a/src/magnoliaflow/policy/engines.py
+++ b/src/magnoliaflow/policy/engines.py
@@ -51,7 +51,9 @@
     reported by other entry hosts; ``peer_running`` and ``peer_tokens`` are
     their sums, the latter as of ``peer_tokens_at``.  ``slowness`` is the
     smoothed ratio of actual to predicted time to first token, ``failures``
-    the number of consecutive failed calls.
+    the number of consecutive failed calls.  ``send_interval_s`` is the time
+    between local sends that a limit of the engine allows, 0 without a limit;
+    the next send may be at ``next_send_at``.
     """
 
     cfg: BackendServer
@@ -74,6 +76,8 @@
     peer_tokens_at: float = -inf
     slowness: float = 1.0
     failures: int = 0
+    send_interval_s: float = 0.0
+    next_send_at: float = -inf
 
     @property
     def name(self) -> str:
@@ -87,7 +91,26 @@
 
     def usable(self, now: float) -> bool:
         """Return whether the engine accepts new requests."""
-        return self.leaving_at == inf and now >= self.excluded_until
+        return (
+            self.leaving_at == inf
+            and now >= self.excluded_until
+            and now >= self.next_send_at
+        )
+
+    def limit_sends(self, interval_s: float, now: float) -> None:
+        """Set the time between local sends, 0 for no limit."""
+        if interval_s == self.send_interval_s:
+            return
+        if interval_s == 0.0:
+            self.next_send_at = -inf
+        elif self.send_interval_s in (0.0, inf):
+            self.next_send_at = now + interval_s
+        self.send_interval_s = interval_s
+
+    def record_limited_send(self, now: float) -> None:
+        """Count a send towards the engine's limit."""
+        if self.send_interval_s:
+            self.next_send_at = now + self.send_interval_s
 
     def occupied(self) -> float:
         """Return the estimated number of requests at the engine.
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype271, _size268) = iprot.readListBegin()
-                    for _i272 in range(_size268):
-                        _elem273 = PeerMessage()
-                        _elem273.read(iprot)
-                        self.messages.append(_elem273)
+                    (_etype278, _size275) = iprot.readListBegin()
+                    for _i279 in range(_size275):
+                        _elem280 = PeerMessage()
+                        _elem280.read(iprot)
+                        self.messages.append(_elem280)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter274 in self.messages:
-                iter274.write(oprot)
+            for iter281 in self.messages:
+                iter281.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -6213,23 +6213,118 @@
         return not (self == other)
 
 
+class NamedLimit(object):
+    """
+    Attributes:
+     - engine
+     - rate
+     - age
+
+    """
+
+    __slots__ = (
+        'engine',
+        'rate',
+        'age',
+    )
+
+
+    def __init__(self, engine=None, rate=None, age=None,):
+        self.engine = engine
+        self.rate = rate
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NamedLimit')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Findings(object):
     """
     Attributes:
      - host
      - parts
+     - limits
 
     """
 
     __slots__ = (
         'host',
         'parts',
+        'limits',
     )
 
 
-    def __init__(self, host=None, parts=None,):
+    def __init__(self, host=None, parts=None, limits=None,):
         self.host = host
         self.parts = parts
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6256,6 +6351,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype270, _size267) = iprot.readListBegin()
+                    for _i271 in range(_size267):
+                        _elem272 = NamedLimit()
+                        _elem272.read(iprot)
+                        self.limits.append(_elem272)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6273,8 +6379,15 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter267 in self.parts:
-                iter267.write(oprot)
+            for iter273 in self.parts:
+                iter273.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter274 in self.limits:
+                iter274.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7072,11 +7185,19 @@
     (2, TType.LIST, 'ends', (TType.STRUCT, [EndedEngine, None], False), None, ),  # 2
     (3, TType.LIST, 'sound', (TType.STRUCT, [SoundAnswer, None], False), None, ),  # 3
 )
+all_structs.append(NamedLimit)
+NamedLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'rate', None, None, ),  # 2
+    (3, TType.DOUBLE, 'age', None, None, ),  # 3
+)
 all_structs.append(Findings)
 Findings.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'parts', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 2
+    (3, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 3
 )
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
--- a/src/magnoliaflow/work/calls.py
+++ b/src/magnoliaflow/work/calls.py
@@ -51,7 +51,8 @@
 
     ``signed`` tells whether the response carries a signature as proof of
     execution, ``not_run`` whether the engine states that it did not
-    execute the request.
+    execute the request.  ``rate_limit`` is the requests a second that the
+    engine takes from all hosts, None for any number.
     """
 
     status: int
@@ -60,6 +61,7 @@
     not_run: bool
     is_event_stream: bool
     headers: Headers
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -21,6 +21,7 @@
 from magnoliaflow.common.messages import LeaseFact
 from magnoliaflow.common.messages import LoadSums
 from magnoliaflow.common.messages import Message
+from magnoliaflow.common.messages import NamedLimit
 from magnoliaflow.common.messages import NewsRecord
 from magnoliaflow.common.messages import Parting
 from magnoliaflow.common.messages import Progress
@@ -58,6 +59,7 @@
     HostNotice,
     LeaseFact,
     LoadSums,
+    NamedLimit,
     NewsRecord,
     Parting,
     ProfileEntry,
