--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -216,7 +216,7 @@
             return
         assert self.head is not None
         if self.splitter is not None:
-            if self.splitter.buffer:
+            if self.splitter.buffer or self._ended_empty():
                 record_broken_answer(self)
                 self._fail(
                     Failure.MAY_HAVE_RUN, "stream ended within an event"
@@ -266,6 +266,11 @@
             self._record_failure()
         self.handler.attempt_failed(self, failure, reason)
 
+    def _ended_empty(self) -> bool:
+        """Return whether a stream without framing ended before any event."""
+        assert self.exchange is not None
+        return self.exchange.closed_by_peer and not self.event_count
+
     def _record_sound(self, begun_at: float) -> None:
         if not self.is_sound:
             self.is_sound = True
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -17,6 +17,10 @@
 from entrysite import wait_until
 from magnoliaflow.common.codes import Code
 
+WHOLE_STREAM = b"".join(
+    b"id: %d\ndata: t%d\n\n" % (number, number) for number in range(4)
+)
+
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
@@ -170,6 +174,54 @@
     assert headers["X-Response-Signature"] in ("m1", "m2") and resumed_engine
 
 
+@pytest.fixture
+def unframed_site(site, port):
+    """Return the site; answers end with their connection."""
+    for engine in site.engines.values():
+        engine.framed = False
+    yield site
+    for engine in site.engines.values():
+        engine.framed = True
+
+
+@pytest.mark.parametrize(
+    "path, body",
+    [
+        ("/book/x", b"answer to hi"),
+        ("/draft/s", WHOLE_STREAM),
+    ],
+)
+def test_an_answer_that_ends_with_its_connection_is_whole(
+    unframed_site, port, path, body
+):
+    status, headers, answer = send_request(port, "POST", path, b"hi")
+    assert (status, answer) == (200, body)
+    assert headers["X-Response-Signature"]
+
+
+def test_a_stream_that_ends_inside_an_event_goes_on_elsewhere(
+    unframed_site, port
+):
+    fail_first_request(unframed_site, "cut")
+    try:
+        _, _, body = send_request(port, "POST", "/draft/s", b"hi")
+    finally:
+        restore_engines(unframed_site)
+    assert body == WHOLE_STREAM
+    assert len(unframed_site.executed_ids()) == 2
+
+
+def test_a_stream_that_ends_inside_an_event_never_looks_complete(
+    unframed_site, port
+):
+    fail_first_request(unframed_site, "cut")
+    try:
+        with pytest.raises((HTTPException, OSError)):
+            send_request(port, "POST", "/chat/s", b"hi")
+    finally:
+        restore_engines(unframed_site)
+
+
 def test_a_stream_that_may_not_resume_is_cut(site, port):
     fail_first_request(site, "cut")
     try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliaflow_standins.cloudapi import DutyCall
+from soak import MAX_ENDS
 from soak import Observations
 from soak import run_seed
 from soak import Soak
@@ -18,7 +19,9 @@
     soak = object.__new__(Soak)
     soak.observed = Observations()
     soak.cloud = SimpleNamespace(calls=[])
-    soak.deployment = SimpleNamespace(executed_ids=lambda: soak.log)
+    soak.deployment = SimpleNamespace(
+        executed_ids=lambda: soak.log, engines={}
+    )
     soak.log = []
     soak.revoked_at = 100.0
     return soak
@@ -60,9 +63,20 @@
     soak.cloud.calls += [duty_call(5, 1, 1), duty_call(6, 1, 2)]
 
 
+def many_ends(soak):
+    soak.deployment.engines["m1"] = SimpleNamespace(ends=MAX_ENDS + 1)
+
+
 @pytest.mark.parametrize(
     "break_promise",
-    [run_twice, run_after_not_run, run_without_key, older_fence, two_reports],
+    [
+        run_twice,
+        run_after_not_run,
+        run_without_key,
+        older_fence,
+        two_reports,
+        many_ends,
+    ],
     ids=lambda function: function.__name__,
 )
 def test_each_check_detects_its_violation(idle_soak, break_promise):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -37,7 +37,12 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 REVOCATION_S = 5.0
 HOSTS = 3
+# Ends of one engine under a part: five of all engines and requests on their
+# way, while hosts are killed and know nothing of it.
+MAX_ENDS = 8
 CLIENTS = 6
+SOUND_PARTS = ("b1", "b2", "b3", "b4", "b5")
+CRASHING_PART = "c0de"
 PATHS = (
     ("POST", "/book/x", False),
     ("GET", "/look/x", True),
@@ -56,6 +61,7 @@
         self.status = {}
         self.sent_at = {}
         self.once_only = set()
+        self.crashing = set()
         self.bad_answers = []
 
 
@@ -91,6 +97,11 @@
             "X-Credential": "key-n",
             "X-Deadline-Ms": "3000",
         }
+        if path.endswith("/s"):
+            part = self.rng.choice((*SOUND_PARTS, CRASHING_PART))
+            request_headers["X-Prompt-Prefix"] = f"a1:9,{part}:9,ff:9"
+            if part == CRASHING_PART:
+                observed.crashing.add(request_id)
         try:
             if self.conn is None:
                 ports = self.rng.choice(self.soak.deployment.entry_ports)
@@ -193,6 +204,8 @@
             (self.lose_answers, ()),
             (self.api_down, ()),
             (self.inject_engine_fault, ()),
+            (self.crash_on_part, ()),
+            (self.limit_engine, ()),
             (self.publish_config, ()),
         )
         action, args = self.rng.choice(faults)
@@ -254,6 +267,22 @@
         )
         engine.fault_count = 5
 
+    def crash_on_part(self, duration_s):
+        """Let all engines end under one part of a prompt for a time."""
+        engines = self.deployment.engines.values()
+        for engine in engines:
+            engine.crashing_parts = frozenset([CRASHING_PART])
+        sleep(duration_s)
+        for engine in engines:
+            engine.crashing_parts = frozenset()
+
+    def limit_engine(self, duration_s):
+        """Let an engine name a limit for a time."""
+        engine = self.rng.choice(list(self.deployment.engines.values()))
+        engine.rate_limit = self.rng.choice((0.5, 2.0, 8.0))
+        sleep(duration_s)
+        engine.rate_limit = None
+
     def publish_config(self, duration_s):
         """Publish a new version of the configuration."""
         version = int(monotonic() * 1000)
@@ -288,6 +317,11 @@
             for name in executed_ids
             if observed.sent_at.get(name, 0.0) > self.revoked_at + REVOCATION_S
         ]
+        violations += [
+            f"{name}: engine ended {engine.ends} times"
+            for name, engine in self.deployment.engines.items()
+            if engine.ends > MAX_ENDS
+        ]
         return violations + self.duty_violations()
 
     def duty_violations(self):
--- a/tools/troubles.py
+++ b/tools/troubles.py
@@ -17,6 +17,8 @@
 from magnoliaflow.cluster.spread import Spread
 from magnoliaflow.policy.crashes import CrashJudge
 from magnoliaflow.policy.crashes import SOUND_AFTER_S
+from magnoliaflow.policy.enginelimits import EngineLimits
+from magnoliaflow.policy.enginelimits import send_interval
 
 SERVICE = "llm"
 TICK_S = 0.1
@@ -293,3 +295,107 @@
 
     def _deliver(self, host, evidence):
         host.judge.merge(evidence, self.now)
+
+
+class LimitedHost:
+    """One entry host that sends to one engine; an old one knows no limits."""
+
+    def __init__(self, name, *, is_old=False):
+        self.name = name
+        self.limits = EngineLimits()
+        self.spread = Spread()
+        self.next_at = -inf
+        self.cut = False
+        self.is_old = is_old
+
+
+class LimitFleet:
+    """Hosts that share the limit of one engine, and its arrivals.
+
+    ``arrivals`` holds (time, host) pairs.
+    """
+
+    def __init__(self, hosts, *, seed=1, delay_s=0.05, old_hosts=0):
+        self.rng = Random(seed)
+        self.delay_s = delay_s
+        self.now = 0.0
+        self.rate = None
+        self.run_name = "m1/0"
+        self.arrivals = []
+        self.refused = 0
+        self.in_flight = []
+        self.numbers = count()
+        self.hosts = {
+            f"h{number}": LimitedHost(f"h{number}", is_old=number < old_hosts)
+            for number in range(hosts)
+        }
+
+    def restart(self, name):
+        """Replace a host's process by one that knows nothing."""
+        self.hosts[name] = LimitedHost(name)
+
+    def run(self, duration_s, requests_per_s):
+        """Let time pass; requests come at random hosts."""
+        step = 1.0 / requests_per_s
+        until = self.now + duration_s
+        next_tick = self.now
+        while self.now < until:
+            self.now += step
+            while self.in_flight and self.in_flight[0][0] <= self.now:
+                _, _, host, limits = heappop(self.in_flight)
+                host.limits.merge(limits, self.now)
+            if self.now >= next_tick:
+                next_tick = self.now + TICK_S
+                for host in self.hosts.values():
+                    self._tick(host)
+            self._request(
+                self.hosts[f"h{self.rng.randrange(len(self.hosts))}"]
+            )
+
+    def _request(self, host):
+        rate = host.limits.rate(self.run_name)
+        if rate is not None and not host.is_old:
+            if self.now < host.next_at:
+                self.refused += 1
+                return
+            own = rendezvous_score("m1", host.name)
+            rank = sum(
+                1 for name in self.hosts if rendezvous_score("m1", name) > own
+            )
+            interval_s = send_interval(rate, rank, len(self.hosts))
+            if interval_s == inf:
+                self.refused += 1
+                return
+            host.next_at = self.now + interval_s
+        self.arrivals.append((self.now, host.name))
+        host.limits.observe(self.run_name, self.rate, self.now)
+
+    def _tick(self, host):
+        if host.is_old or not host.limits:
+            return
+        host.limits.expire(self.now)
+        receivers = host.spread.take_round(host.limits.changed_at, self.now)
+        limits = host.limits.known()
+        for other in self.rng.sample(
+            list(self.hosts.values()), min(receivers, len(self.hosts))
+        ):
+            if not (host.cut or other.cut or other.is_old):
+                at = self.now + self.rng.random() * self.delay_s
+                heappush(
+                    self.in_flight, (at, next(self.numbers), other, limits)
+                )
+
+    def most_arrivals(self, window_s, since, hosts=None):
+        """Return the most arrivals in any window that begins after a time."""
+        times = [
+            at
+            for at, name in self.arrivals
+            if at >= since and (hosts is None or name in hosts)
+        ]
+        return max(
+            (
+                sum(1 for other in times if at <= other < at + window_s)
+                for at in times
+            ),
+            default=0,
+        )
