Let explain show what an entry process holds back

Change: the metrics port answers /explain with the parts held back and the engines with a limit, on what evidence, until when; magnoliaflow explain [NAME] --at IP:PORT prints it. Measured: its test passes, with PART_HELD, ENGINE_ENDED and ENGINE_LIMITED in the log.

--- a/src/magnoliaflow/cli.py
+++ b/src/magnoliaflow/cli.py
@@ -20,6 +20,7 @@
 from magnoliaflow.entry.main import add_options
 from magnoliaflow.operate import diff_profiles
 from magnoliaflow.operate import ExitCode
+from magnoliaflow.operate import explain_entry
 from magnoliaflow.operate import explain_request
 from magnoliaflow.operate import get_profile
 from magnoliaflow.operate import list_profiles
@@ -52,7 +53,17 @@
     explain = _add_command(
         commands, "explain", "show how a request was routed", _explain
     )
-    explain.add_argument("request_id", help="id, or ACCOUNT/KEY of a claim")
+    explain.add_argument(
+        "request_id",
+        nargs="?",
+        default="",
+        help="id, or ACCOUNT/KEY of a claim; with --at a part or an engine",
+    )
+    explain.add_argument(
+        "--at",
+        metavar="IP:PORT",
+        help="metrics address of an entry process: show what it holds back",
+    )
     config = commands.add_parser("config", help="inspect settings files")
     config_commands = config.add_subparsers(dest="action", required=True)
     check = _add_command(
@@ -163,7 +174,11 @@
     return show_status(cfg)
 
 
-def _explain(cfg: Settings, args: Namespace) -> Any:
+def _explain(cfg: Settings | None, args: Namespace) -> Any:
+    if cfg is None:
+        return explain_entry(args.at, args.request_id)
+    if not args.request_id:
+        raise SettingsError("explain: name a request, or add --at IP:PORT")
     return explain_request(cfg, args.request_id)
 
 
@@ -210,7 +225,9 @@
     """Run one command and return its exit code."""
     args = make_parser().parse_args(argv)
     try:
-        needs_settings = getattr(args, "needs_settings", True)
+        needs_settings = getattr(args, "needs_settings", True) and not (
+            getattr(args, "at", None)
+        )
         cfg = load_settings(args.settings) if needs_settings else None
         result = args.run(cfg, args)
     except SettingsError as exc:
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -1,5 +1,6 @@
 """Entry daemon: listeners, followers, the tick loop and the drain."""
 
+from json import dumps
 from os import environ
 from os import urandom
 from pathlib import Path
@@ -38,16 +39,19 @@
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.duties import UsageDuty
 from magnoliaflow.entry.findings import FindingsSender
+from magnoliaflow.entry.findings import hold_details
 from magnoliaflow.entry.followers import ConfigFollower
 from magnoliaflow.entry.followers import RegistrationFollower
 from magnoliaflow.entry.heartbeats import handle_message
 from magnoliaflow.entry.heartbeats import HeartbeatSender
+from magnoliaflow.entry.limits import limit_details
 from magnoliaflow.entry import maintenance
 from magnoliaflow.entry.orders import OrderDuty
 from magnoliaflow.entry.reports import ReportSender
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.systems import ENTRY_SYSTEMS
 from magnoliaflow.platform.cloud import CloudClient
+from magnoliaflow.platform.headers import json_answer_headers
 from magnoliaflow.platform.nodefile import PATH_VARIABLE
 from magnoliaflow.platform.nodefile import read_host_settings
 from magnoliaflow.platform.store import HOSTS_TOPIC
@@ -78,6 +82,7 @@
 # Interval of peer discovery through the store while no peer is known.
 DISCOVERY_INTERVAL_S = 5.0
 FIRST_DISCOVERY_INTERVAL_S = 1.0
+EXPLAIN_TARGET = b"/explain"
 METRICS_CONTENT_TYPE = CONTENT_TYPE_LATEST.encode()
 
 
@@ -180,7 +185,20 @@
         )
 
     def answer_metrics(self, inbound: InboundRequest) -> None:
-        """Serve the metrics in the Prometheus text format."""
+        """Serve the metrics as text, and what is held back as JSON."""
+        if inbound.target == EXPLAIN_TARGET:
+            now = boot_time()
+            rows = {
+                "part": [
+                    hold_details(hold, now)
+                    for hold in self.state.crash_judge.holds()
+                ],
+                "limit": limit_details(self.state),
+            }
+            inbound.respond(
+                200, json_answer_headers(None), dumps(rows).encode()
+            )
+            return
         body = generate_latest(self.state.metrics.registry)
         inbound.respond(200, [(b"Content-Type", METRICS_CONTENT_TYPE)], body)
 
--- a/src/magnoliaflow/entry/limits.py
+++ b/src/magnoliaflow/entry/limits.py
@@ -55,6 +55,21 @@
     state.metrics.engines_limited.set(limited)
 
 
+def limit_details(state: EntryState) -> list[dict[str, object]]:
+    """Return the engines with a limit, for ``explain``."""
+    now = boot_time()
+    return [
+        {
+            "engine": limit.engine,
+            "rate": limit.rate,
+            "named_s": round(now - limit.named_at, 3),
+            "lapses_s": round(limit.named_at + LIMIT_TTL_S - now, 3),
+        }
+        for limit in state.engine_limits.known()
+        if limit.rate is not None
+    ]
+
+
 def next_send_at(state: EntryState, service: str) -> float:
     """Return when a limit next allows a send to a service, inf for never."""
     engines = state.routing.engines
--- a/src/magnoliaflow/operate.py
+++ b/src/magnoliaflow/operate.py
@@ -27,6 +27,7 @@
 from magnoliaflow.core.state import PROFILE_STREAM
 from magnoliaflow.daemons.publish import ProfileReader
 from magnoliaflow.daemons.publish import publish_change
+from magnoliaflow.transport.client import fetch
 
 DeferredGenerator = Generator[Deferred[Any], Any, Any]
 ADAPTER_MODULES = (httpports,)  # importing them registers the adapters
@@ -216,6 +217,28 @@
     return ExitCode.OK if any(statuses.values()) else ExitCode.FAILED
 
 
+@inlineCallbacks
+def explain_entry(address: str, name: str) -> DeferredGenerator:
+    """Print what an entry process holds back, all or that with a name.
+
+    Raises PortError if the process at ``IP:PORT`` does not answer.
+    """
+    reply = yield fetch(
+        address, b"GET", b"/explain", timeout_s=float(CALL_TIMEOUT_S)
+    )
+    rows = [
+        {"kind": kind, **row}
+        for kind, group in loads(reply.body).items()
+        for row in group
+    ]
+    found = [row for row in rows if not name or name in dumps(row)]
+    for row in found:
+        print(" ".join(f"{key}={value}" for key, value in row.items()))
+    if not found:
+        print(f"nothing is held back here by the name {name!r}")
+    return ExitCode.OK if found or not name else ExitCode.FAILED
+
+
 @inlineCallbacks
 def explain_request(cfg: Settings, request_id: str) -> DeferredGenerator:
     """Print the steps that gateways recorded for a request, by time."""
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -3,11 +3,15 @@
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPException
 from itertools import count
+from json import loads
+from subprocess import run
+from sys import executable
 from threading import Event
 
 import pytest
 
 from entrysite import Deployment
+from entrysite import free_ports
 from entrysite import make_config
 from entrysite import make_route
 from entrysite import send_request
@@ -100,3 +104,50 @@
         finished.set()
     assert statuses.count(200) >= MIN_SERVED * len(statuses)
     assert total_ends(fleet) <= ends + MAX_LATE_ENDS
+
+
+@pytest.fixture
+def explained(tmp_path):
+    """Return a deployment, its log, and an address to ask it."""
+    deployment = Deployment(tmp_path)
+    deployment.metrics_port = free_ports(1)[0]
+    for number in range(3, 7):
+        deployment.add_engine(f"m{number}", "llm")
+    path = tmp_path / "entry.log"
+    with path.open("wb") as log:
+        deployment.start("e-1", log=log)
+        for engine in deployment.engines.values():
+            engine.crashing_parts = frozenset([CRASHING])
+            engine.rate_limit = 5.0
+        yield deployment, path, f"127.0.0.1:{deployment.metrics_port}"
+        deployment.close()
+
+
+def test_logs_and_explain_name_parts_engines_and_times(explained):
+    deployment, path, address = explained
+    ask(deployment, 0, "b0")
+    wait_until(
+        lambda: ask(deployment, 0, CRASHING) == 503, "the part is held back"
+    )
+    held = wait_until(
+        lambda: [
+            loads(line)
+            for line in path.read_text().splitlines()
+            if "PART_HELD" in line
+        ],
+        "the log line",
+    )
+    text = path.read_text()
+    assert CRASHING in held[-1]["parts"] and held[-1]["until_s"] > 0
+    assert len(held[-1]["engines"]) >= 3
+    assert "ENGINE_ENDED" in text and "ENGINE_LIMITED" in text
+    for name in (CRASHING, held[-1]["engines"][0].partition("/")[0]):
+        result = run(
+            [
+                *(executable, "-m", "magnoliaflow"),
+                *("explain", name, "--at", address),
+            ],
+            capture_output=True,
+            text=True,
+        )
+        assert result.returncode == 0 and "until_s=" in result.stdout
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -106,6 +106,7 @@
 
     def __init__(self, folder):
         self.folder = folder
+        self.metrics_port = 0
         self.store = MetadataStore()
         self.engines = {}
         self.processes = []
@@ -179,7 +180,10 @@
     def launch(self, path, log=None):
         """Start the entry program with a settings file."""
         process = Popen(
-            [executable, str(ROOT / "deploy/entry.py")],
+            [
+                *(executable, str(ROOT / "deploy/entry.py")),
+                *("--metrics-port", str(self.metrics_port)),
+            ],
             env={**environ, "MAGNOLIAFLOW_NODE_FILE": str(path)},
             stdout=log or DEVNULL,
         )
