--- a/src/magnoliaflow/entry/findings.py
+++ b/src/magnoliaflow/entry/findings.py
@@ -39,7 +39,8 @@
         """Send what is due, and log the parts held back or released."""
         state = self.state
         judge, limits = state.crash_judge, state.engine_limits
-        if not (judge.knows_any() or limits or state.known_holds):
+        known = limits or state.limited_engines
+        if not (judge.knows_any() or known or state.known_holds):
             return
         log_changed_holds(state, now)
         changed_at = max(judge.changed_at, limits.changed_at)
@@ -47,7 +48,7 @@
         if not count:
             return
         judge.expire(now)
-        if limits:
+        if known:
             limits.expire(now)
             apply_limits(state, now)
         findings = make_findings(state, now)
--- a/src/magnoliaflow/entry/limits.py
+++ b/src/magnoliaflow/entry/limits.py
@@ -27,8 +27,11 @@
     """Set the time between this host's sends to each engine."""
     hosts = [fact.host for fact in state.live_hosts(now)]
     own = state.host_settings.host
-    limited = 0
-    for name, engine in state.routing.engines.items():
+    limited = set()
+    for name in state.engine_limits.engines() | state.limited_engines:
+        engine = state.routing.engines.get(name)
+        if engine is None:
+            continue
         rate = state.engine_limits.rate(state.engine_run(name))
         was_limited = engine.send_interval_s > 0.0
         if rate is None:
@@ -36,7 +39,7 @@
             if was_limited:
                 state.log(LogEvent.ENGINE_UNLIMITED, engine=name)
             continue
-        limited += 1
+        limited.add(name)
         score = rendezvous_score(name, own)
         rank = sum(1 for host in hosts if rendezvous_score(name, host) > score)
         engine.limit_sends(send_interval(rate, rank, len(hosts) + 1), now)
@@ -52,7 +55,8 @@
                 ),
                 lapses_s=LIMIT_TTL_S,
             )
-    state.metrics.engines_limited.set(limited)
+    state.limited_engines = limited
+    state.metrics.engines_limited.set(len(limited))
 
 
 def limit_details(state: EntryState) -> list[dict[str, object]]:
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -156,6 +156,7 @@
         "known_holds",
         "lease_manager",
         "lifecycle",
+        "limited_engines",
         "logger",
         "sent_heartbeats",
         "metrics",
@@ -221,6 +222,7 @@
         self.probed_engines: set[str] = set()
         self.crash_judge = CrashJudge()
         self.engine_limits = EngineLimits()
+        self.limited_engines: set[str] = set()
         self.known_holds: list[Hold] = []
         self.calls: Table[int, Any] = Table()
         self.waiting_calls: dict[int, Any] = {}
--- a/src/magnoliaflow/policy/enginelimits.py
+++ b/src/magnoliaflow/policy/enginelimits.py
@@ -92,6 +92,10 @@
         )
         return newest[:MAX_SENT_LIMITS]
 
+    def engines(self) -> set[str]:
+        """Return the names of the engines that are known to name a limit."""
+        return {run.rpartition("/")[0] for run in self._limits}
+
     def __len__(self) -> int:
         return len(self._limits)
 
