--- a/src/magnoliaflow/policy/crashes.py
+++ b/src/magnoliaflow/policy/crashes.py
@@ -123,10 +123,6 @@
     trial_at: float = -inf
     changed_at: float = -inf
 
-    def newest(self) -> float:
-        """Return the time of the last end, -inf without one."""
-        return max((end.at for end in self.ends.values()), default=-inf)
-
 
 class CrashJudge:
     """Evidence on parts of prompts, and which of them are held back."""
--- a/tools/troubles.py
+++ b/tools/troubles.py
@@ -5,7 +5,6 @@
 perhaps a part that ends engines, and a last part of its own.
 """
 
-from collections import Counter
 from functools import partial
 from heapq import heappop
 from heapq import heappush
@@ -108,7 +107,6 @@
         self.crashing = set()
         self.requests = []
         self.ends = []
-        self.late_sends = Counter()
         self.sends = []
         self.messages = 0
         self.hosts = {
