--- a/src/magnoliaflow/policy/crashes.py
+++ b/src/magnoliaflow/policy/crashes.py
@@ -372,7 +372,7 @@
                 held[-1] = replace(held[-1], parts=(*held[-1].parts, part))
                 continue
             left = [end for end in ends if end.engine not in explained]
-            if _is_guilty(left, reputed) and self._is_main_cause(
+            if _suffices(left, reputed) and self._is_main_cause(
                 left, explained
             ):
                 held.append(_hold(part, ends))
@@ -426,7 +426,7 @@
                 del self._records[part]
 
 
-def _is_guilty(ends: list[EngineEnd], reputed: bool) -> bool:
+def _suffices(ends: list[EngineEnd], reputed: bool) -> bool:
     """Return whether unexplained ends suffice to hold a part back."""
     times = _separate_times(ends)
     if not reputed:
