Log the era of the store and what is read again

The logs did not tell a store that had gone back from one that trimmed its records. STORE_RESTORED names the new era, LOG_READ_AGAIN each topic that was read from its beginning, LOG_TRIMMED the reader; metrics _store_era and _store_restores; explain has a row for the store. No logic changes.

--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -27,6 +27,8 @@
     LOG_UP = 301
     LOG_TRIMMED = 302
     RECORD_UNREADABLE = 303
+    STORE_RESTORED = 304
+    LOG_READ_AGAIN = 305
     PROFILE_IN_FORCE = 400
     REQUEST_ACCEPTED = 500
     REQUEST_REFUSED = 501
@@ -71,6 +73,8 @@
     LogEvent.LOG_UP: "The platform's log can be reached again.",
     LogEvent.LOG_TRIMMED: "Records were gone before they were read.",
     LogEvent.RECORD_UNREADABLE: "A record on the log was skipped.",
+    LogEvent.STORE_RESTORED: "The store lost records that it had confirmed.",
+    LogEvent.LOG_READ_AGAIN: "A topic was read again from its beginning.",
     LogEvent.PROFILE_IN_FORCE: "A profile change took hold here.",
     LogEvent.REQUEST_ACCEPTED: "A request was accepted.",
     LogEvent.REQUEST_REFUSED: "A request was refused, with its code.",
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -1,5 +1,6 @@
 """Entry daemon: listeners, followers, the tick loop and the drain."""
 
+from functools import partial
 from json import dumps
 from os import environ
 from os import urandom
@@ -49,6 +50,8 @@
 from magnoliaflow.entry.orders import OrderDuty
 from magnoliaflow.entry.reports import ReportSender
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.storeera import observe_store_era
+from magnoliaflow.entry.storeera import store_details
 from magnoliaflow.entry.systems import ENTRY_SYSTEMS
 from magnoliaflow.platform.cloud import CloudClient
 from magnoliaflow.platform.headers import json_answer_headers
@@ -105,7 +108,9 @@
             logger=logger,
         )
         self.store = StoreClient(
-            host_settings.store_address, timeout_s=STORE_TIMEOUT_S
+            host_settings.store_address,
+            timeout_s=STORE_TIMEOUT_S,
+            on_era=partial(observe_store_era, self.state),
         )
         self.cloud = CloudClient(
             host_settings.cloud_address,
@@ -194,6 +199,7 @@
                     for hold in self.state.crash_judge.holds()
                 ],
                 "limit": limit_details(self.state),
+                "store": [store_details(self.state)],
             }
             inbound.respond(
                 200, json_answer_headers(None), dumps(rows).encode()
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -25,7 +25,9 @@
         "refusals",
         "registry",
         "retries",
+        "store_era",
         "store_errors",
+        "store_restores",
     )
 
     def __init__(self) -> None:
@@ -97,6 +99,16 @@
             "1 while this host holds the duties.",
             registry=registry,
         )
+        self.store_era = Gauge(
+            "magnoliaflow_entry_store_era",
+            "Era of the platform's store, 0 if it names none.",
+            registry=registry,
+        )
+        self.store_restores = Counter(
+            "magnoliaflow_entry_store_restores",
+            "Times that the store came back without confirmed records.",
+            registry=registry,
+        )
         self.store_errors = Counter(
             "magnoliaflow_entry_store_errors",
             "Failed calls to the platform's store.",
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -83,7 +83,7 @@
             try:
                 page = yield self._read()
             except TrimmedError as exc:
-                self.state.log(LogEvent.LOG_TRIMMED, reason=str(exc))
+                log_trimmed(self.state, "configuration", exc)
                 self.offset = -1
                 continue
             except PortError as exc:
@@ -95,6 +95,8 @@
                 continue
             self.retry_delay_s = MIN_RETRY_DELAY_S
             record_store_success(self.state)
+            if self.offset < 0:
+                log_read_again(self.state, "configuration", page)
             self._apply_page(page)
             self._advance(page, began)
 
@@ -173,7 +175,7 @@
             try:
                 yield self._read_once(began)
             except TrimmedError as exc:
-                self.state.log(LogEvent.LOG_TRIMMED, reason=str(exc))
+                log_trimmed(self.state, "engines", exc)
                 self.has_listing = False
                 continue
             except PortError as exc:
@@ -211,6 +213,7 @@
         )
         self._apply_page(page, after_outage=outage)
         if not self.has_listing:
+            log_read_again(self.state, "engines", page)
             present = {entry.key for entry in page.entries if entry.value}
             for name in registry.missing(present):
                 self._apply(name, None, page.end)
@@ -273,6 +276,27 @@
     return deferLater(reactor, delay_s * jitter, lambda: None)
 
 
+def log_trimmed(state: EntryState, reading: str, exc: TrimmedError) -> None:
+    """Log that the records to read next are not in the store."""
+    state.log(
+        LogEvent.LOG_TRIMMED,
+        reading=reading,
+        era=state.store_era,
+        reason=str(exc),
+    )
+
+
+def log_read_again(state: EntryState, reading: str, page: Page) -> None:
+    """Log that a topic was read from its beginning."""
+    state.log(
+        LogEvent.LOG_READ_AGAIN,
+        reading=reading,
+        era=page.era,
+        entries=len(page.entries),
+        end=page.end,
+    )
+
+
 def record_store_failure(
     state: EntryState, operation: str, exc: Exception
 ) -> None:
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -170,6 +170,8 @@
         "spent",
         "started_at",
         "store_down_since",
+        "store_era",
+        "store_era_since",
         "reported_demands",
         "usage",
         "view",
@@ -202,6 +204,8 @@
         self.registry = EngineRegistry()
         self.registry_confirmed_at = -inf
         self.store_down_since = inf
+        self.store_era = 0
+        self.store_era_since = -inf
         self.routing = RoutingState(
             name=identity, weights=CostWeights(0.0, 1.0), rng=rng
         )
--- a/src/magnoliaflow/platform/store.py
+++ b/src/magnoliaflow/platform/store.py
@@ -1,7 +1,9 @@
 """Client of the platform's store: a log with partitions and offsets."""
 
 from base64 import b64decode
+from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from json import loads
 from struct import Struct
 from typing import Any
@@ -20,6 +22,9 @@
 ENGINES_TOPIC = "keyed.servers"
 DUTY_TOPIC = "duty"
 HOSTS_TOPIC = "keyed.members"
+# Header of every answer; its value rises by one when the store has lost
+# records that it had confirmed.
+ERA_HEADER = b"store-era"
 
 LENGTH_PREFIX = Struct(">I")
 READ_HEADER = Struct(">QQ")
@@ -48,20 +53,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Entries read from a topic, and the offset at which its log ends."""
+    """Entries read from a topic, and the offset at which its log ends.
+
+    ``era`` is that of the store, 0 if it names none.
+    """
 
     entries: tuple[Entry, ...]
     end: int
+    era: int = 0
 
 
 class StoreClient:
-    """Client of the store; each call fails with PortError."""
+    """Client of the store; each call fails with PortError.
+
+    ``on_era`` is called with the era that each answer names.
+    """
 
-    __slots__ = ("address", "calls", "timeout_s")
+    __slots__ = ("address", "calls", "on_era", "timeout_s")
 
-    def __init__(self, address: str, *, timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        timeout_s: float,
+        on_era: Callable[[int], None] = lambda era: None,
+    ) -> None:
         self.address = address
         self.timeout_s = timeout_s
+        self.on_era = on_era
         self.calls = 0
 
     @inlineCallbacks
@@ -79,7 +98,8 @@
         if reply.status == 410:
             raise TrimmedError(int(_json(reply)["firstOffset"]))
         _check(reply)
-        return decode_page(topic, offset, reply.body)
+        page = decode_page(topic, offset, reply.body)
+        return replace(page, era=decode_era(reply))
 
     @inlineCallbacks
     def read_newest(self, topic: str) -> Any:
@@ -99,7 +119,7 @@
             # page are read from its end offset on.
             end = int(values["endOffset"]) if end < 0 else end
             if not values.get("hasMore") or not page:
-                return Page(tuple(entries), end)
+                return Page(tuple(entries), end, decode_era(reply))
             query["after"] = page[-1].key
 
     @inlineCallbacks
@@ -142,7 +162,21 @@
         target = f"/magnoliaflow/{name}?{urlencode(query)}".encode()
         return fetch(
             self.address, method, target, body=body, timeout_s=timeout_s
-        )
+        ).addCallback(self._observe_era)
+
+    def _observe_era(self, reply: Reply) -> Reply:
+        era = decode_era(reply)
+        if era:
+            self.on_era(era)
+        return reply
+
+
+def decode_era(reply: Reply) -> int:
+    """Return the era that an answer names, 0 if it names none."""
+    value = next(
+        (value for name, value in reply.headers if name == ERA_HEADER), b""
+    )
+    return int(value) if value.isdigit() else 0
 
 
 def decode_page(topic: str, offset: int, data: bytes) -> Page:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,7 +25,7 @@
 PLATFORM_NAMES = re.compile(
     r"/magnoliaflow/(log-|report|kv-|resolution|readiness)"
     r"|X-(Attempt-Id|Expected-Instance|Credential|Fencing-Token"
-    r"|Response-Signature)|keyed\.",
+    r"|Response-Signature)|keyed\.|store-era",
     re.IGNORECASE,
 )
 IMPORT_PATTERN = re.compile(r"^from magnoliaflow\.(\w+)\.", re.MULTILINE)
