--- a/src/magnoliaflow_standins/metadatastore.py
+++ b/src/magnoliaflow_standins/metadatastore.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' metadata store: keyed topics over HTTP.
 
-It can refuse hosts, lose the answers of appends and trim topics.
+It can refuse hosts, lose the answers of appends, trim topics and go back to a
+copy of itself.
 """
 
 from base64 import b64encode
@@ -15,13 +16,16 @@
 from magnoliaflow_standins.httpbase import QuietServer
 
 PAGE_HEADER = ">QQ"  # end offset, first offset
+ERA_HEADER = "Store-Era"
+# Topics that the operator and the engines write, who write again what is lost.
+REWRITTEN_TOPICS = ("keyed.op", "keyed.servers")
 
 
 class MetadataStore:
     """Topics of one partition each, with their HTTP server.
 
     While ``down``, every request is refused; otherwise those whose Host
-    header is in ``refused_hosts``.
+    header is in ``refused_hosts``.  All answers name the ``era``.
     """
 
     def __init__(self) -> None:
@@ -31,6 +35,7 @@
         self.down = False
         self.refused_hosts: set[str] = set()
         self.answers_to_lose = 0
+        self.era = 1
         self.server = QuietServer(_Handler, self)
         self.address = self.server.address
 
@@ -65,6 +70,38 @@
         with self.changed:
             self.first_offsets[topic] = len(self.topics.get(topic, []))
 
+    def copy(self) -> dict[str, list[bytes]]:
+        """Return the records of all topics."""
+        with self.changed:
+            return {name: list(topic) for name, topic in self.topics.items()}
+
+    def go_back(self, copy: dict[str, list[bytes]]) -> None:
+        """Go back to a copy and begin an era.
+
+        What the operator and the engines wrote since is written again, the
+        newest record of each key.
+        """
+        with self.changed:
+            lost = {name: self.newest_records(name) for name in self.topics}
+            self.topics = {name: list(topic) for name, topic in copy.items()}
+            self.first_offsets.clear()
+            for name in REWRITTEN_TOPICS:
+                kept = self.newest_records(name)
+                self.topics.setdefault(name, []).extend(
+                    record
+                    for key, record in lost.get(name, {}).items()
+                    if kept.get(key) != record
+                )
+            self.era += 1
+            self.changed.notify_all()
+
+    def newest_records(self, topic: str) -> dict[bytes, bytes]:
+        """Return the newest record of each key, removals included."""
+        return {
+            record[1 : 1 + record[0]]: record
+            for record in self.topics.get(topic, [])
+        }
+
     def newest(self, topic: str) -> dict[str, tuple[int, bytes]]:
         """Return the newest value of each key with its offset.
 
@@ -144,13 +181,21 @@
         start = int(query["source"])
         wait_s = int(query.get("waitTimeoutMs", "0")) / 1000
         first_offset = store.first_offsets.get(topic, 0)
-        if start < first_offset:
-            self._answer(410, dumps({"firstOffset": first_offset}).encode())
-            return
+        era = store.era
         with store.changed:
+            end = len(store.topics.get(topic, []))
+            if not first_offset <= start <= end:
+                reply = {"firstOffset": first_offset}
+                self._answer(410, dumps(reply).encode())
+                return
             store.changed.wait_for(
-                lambda: len(store.topics.get(topic, [])) > start, wait_s
+                lambda: len(store.topics.get(topic, [])) > start
+                or store.era > era,
+                wait_s,
             )
+            if store.era > era:
+                self.close_connection = True
+                return
             records = store.topics.get(topic, [])[start:]
             end = len(store.topics.get(topic, []))
         body = pack(PAGE_HEADER, end, first_offset)
@@ -161,6 +206,7 @@
 
     def _answer(self, status: int, body: bytes) -> None:
         self.send_response(status)
+        self.send_header(ERA_HEADER, str(self.store.era))
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
