--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -38,10 +38,12 @@
   1: list<ProfileEntry> entries, 2: i64 as_of, 3: double written_at
 }
 struct LeaseClaim {
-  1: string name, 2: string holder, 3: i64 replaces, 4: double written_at
+  1: string name, 2: string holder, 3: i64 replaces, 4: double written_at,
+  5: optional i64 era, 6: optional i64 generation
 }
 struct LeaseRenew {
-  1: string name, 2: string holder, 3: i64 fence, 4: double written_at
+  1: string name, 2: string holder, 3: i64 fence, 4: double written_at,
+  5: optional i64 era, 6: optional i64 generation
 }
 struct Mark { 1: i64 as_of, 2: double horizon, 3: double written_at }
 struct AccountCount { 1: string account, 2: i64 window, 3: i32 count }
@@ -105,7 +107,7 @@
 struct EngineEntry {
   1: string engine, 2: string backend, 3: string address, 4: string zone,
   5: i32 slots, 6: bool leaving, 7: double leaves_s, 8: bool spot,
-  9: i64 born, 10: bool gone, 11: i64 offset
+  9: i64 born, 10: bool gone, 11: i64 offset, 12: optional i64 sequence
 }
 struct Beat {
   1: string identity, 2: string host, 3: string zone,
@@ -118,7 +120,8 @@
   19: list<EngineEntry> entries, 20: binary document,
   21: i64 lease_offset, 22: double lease_age, 23: i64 entries_from,
   24: optional i64 number, 25: optional i64 heard_number,
-  26: optional bool groups
+  26: optional bool groups, 27: optional i64 store_era,
+  28: optional i64 lease_era
 }
 struct HostFact {
   1: string host, 2: string identity, 3: string zone,
@@ -133,10 +136,12 @@
 }
 struct Progress {
   1: i64 version, 2: double config_age, 3: i64 fleet_end,
-  4: double fleet_age, 5: i64 fleet_change, 6: i64 fleet_complete_from
+  4: double fleet_age, 5: i64 fleet_change, 6: i64 fleet_complete_from,
+  7: optional i64 store_era
 }
 struct LeaseFact {
-  1: string holder, 2: i64 fence, 3: i64 offset, 4: double age
+  1: string holder, 2: i64 fence, 3: i64 offset, 4: double age,
+  5: optional i64 era
 }
 struct Report {
   1: HostFact fact, 2: i64 number, 3: LoadSums loads, 4: Progress progress,
--- a/src/magnoliaflow/cluster/hostsettings.py
+++ b/src/magnoliaflow/cluster/hostsettings.py
@@ -5,7 +5,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
-    """Names, addresses (``IP:PORT``) and bounds, with times in seconds."""
+    """Names, addresses (``IP:PORT``) and bounds, with times in seconds.
+
+    ``first_start`` tells whether the whole deployment starts for the first
+    time.
+    """
 
     host: str
     zone: str
@@ -16,6 +20,7 @@
     peer_address: str
     directory_address: str
     seeds: tuple[str, ...]
+    first_start: bool
     store_address: str
     cloud_address: str
     reports_usage: bool
@@ -30,6 +35,7 @@
     cap_overage: float
     cap_tolerance: float
     lease_s: float
+    engine_heartbeat_s: float
     usage_window_s: float
     usage_delay_s: float
     directory_ttl_s: float
--- a/src/magnoliaflow/cluster/leasemanager.py
+++ b/src/magnoliaflow/cluster/leasemanager.py
@@ -77,10 +77,25 @@
 
     @property
     def last_offset(self) -> int:
-        """Return the offset of the latest record of the lease."""
+        """Return the position of the latest record of the lease."""
         lease = self.lease_table.leases.get(self.name)
         return NO_FENCE if lease is None else lease.offset
 
+    @property
+    def lease_era(self) -> int:
+        """Return the era of the latest record of the lease, -1 without."""
+        lease = self.lease_table.leases.get(self.name)
+        return -1 if lease is None else lease.era
+
+    def begin_era(self, era: int, now: float, *, wait: bool) -> None:
+        """Begin to read the log of another era; see LeaseTable."""
+        self.lease_table.begin_era(era, now, wait=wait)
+        self.append_failed()
+
+    def sole_until(self) -> float:
+        """Return until when no other process can have claimed the lease."""
+        return self.lease_table.sole_until(self.name, self.holder)
+
     def append_failed(self) -> None:
         """Allow a new append because the last record never reached the log."""
         self.pending_until = -inf
@@ -97,19 +112,21 @@
         """Return the record to append now, if any."""
         if now < self.pending_until:
             return None
-        lease = self.lease_table.leases.get(self.name)
-        held_by_self = lease is not None and lease.holder == self.holder
-        if held_by_self and self.holds(now):
+        era = self.lease_table.era
+        generation = self.lease_table.next_generation(self.name)
+        body: LeaseClaim | LeaseRenew
+        if self.holds(now):
             start = self.lease_table.valid_from[self.name]
-            if now < start + self.lease_table.ttl_s / RENEWALS_PER_TTL:
+            due_at = start + self.lease_table.ttl_s / RENEWALS_PER_TTL
+            if now < due_at and self.lease_era == era:
                 return None
-            body: LeaseClaim | LeaseRenew = LeaseRenew(
-                self.name, self.holder, self.fence, wall
+            body = LeaseRenew(
+                self.name, self.holder, self.fence, wall, era, generation
+            )
+        elif self.may_claim(now):
+            body = LeaseClaim(
+                self.name, self.holder, self.fence, wall, era, generation
             )
-        elif self.held_by_local_host() or self.lease_table.may_claim(
-            self.name, now
-        ):
-            body = LeaseClaim(self.name, self.holder, self.fence, wall)
         else:
             return None
         self.serial += 1
@@ -119,6 +136,21 @@
         self.lease_table.append_started(record.record_id, now)
         return record
 
+    def may_claim(self, now: float, *, delay_s: float = 0.0) -> bool:
+        """Return whether this process may claim the lease at ``now``.
+
+        ``delay_s`` is waited after the previous holder of another host must
+        have stopped.
+        """
+        if self.lease_table.may_claim(self.name, now - delay_s):
+            return True
+        if now < self.sole_until():
+            return True
+        return (
+            self.held_by_local_host()
+            and self.lease_era >= self.lease_table.era
+        )
+
     def held_by_local_host(self) -> bool:
         """Return whether a process run of the local host holds the lease.
 
--- a/src/magnoliaflow/cluster/leases.py
+++ b/src/magnoliaflow/cluster/leases.py
@@ -1,9 +1,12 @@
-"""Leases on the log; the offset of a claim record is its fence."""
+"""Leases on the log; the position of a claim record is its fence."""
 
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from typing import Any
 
+from magnoliaflow.cluster.positions import era_of
+from magnoliaflow.cluster.positions import make_position
 from magnoliaflow.common.records import LeaseClaim
 from magnoliaflow.common.records import LeaseRenew
 
@@ -15,7 +18,8 @@
     """A lease as derived from the order of the log.
 
     ``last_read_at`` is the local monotonic time at which the latest record
-    of the lease was read, and ``offset`` is the offset of that record.
+    of the lease was read, ``offset`` is the position of that record, and
+    ``era`` the era of the store in which it was written.
     """
 
     name: str
@@ -23,6 +27,7 @@
     fence: int
     last_read_at: float
     offset: int = NO_FENCE
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -37,6 +42,12 @@
     With ``conditional``, a record is appended only if its writer had read
     the log to the end.  Every record on the log is then valid, also for a
     reader of a log whose beginning was trimmed.
+
+    A store that goes back begins an ``era`` and gives out offsets again.  The
+    position of a record is therefore its offset and a generation, which grows
+    with the era; records that are read again keep their positions.  What was
+    lost may have had another holder, so that nobody claims a lease of an
+    earlier era before ``claims_from``, except its holder.
     """
 
     ttl_s: float
@@ -46,44 +57,85 @@
     valid_from: dict[str, float] = field(default_factory=dict)
     applied: int = -1
     conditional: bool = False
+    era: int = 0
+    read_generation: int = 0
+    claims_from: float = -inf
+
+    def begin_era(self, era: int, now: float, *, wait: bool) -> None:
+        """Begin to read the log of another era from its beginning.
+
+        Appends whose result is not known do not count.  ``wait``: holders
+        that are not known may still act.
+        """
+        self.era = era
+        self.read_generation = 0
+        self.append_started_at.clear()
+        if wait:
+            self.claims_from = now + self.ttl_s + self.margin_s
+
+    def next_generation(self, name: str) -> int:
+        """Return the generation of a record that is written now."""
+        lease = self.leases.get(name)
+        if lease is None:
+            return self.era
+        return era_of(lease.offset) + self.era - lease.era
 
     def apply(self, offset: int, record: Any, now: float) -> bool:
         """Apply a record read at ``now``; return whether it is valid."""
-        if offset <= self.applied:
+        if not isinstance(record, (LeaseClaim, LeaseRenew)):
+            return False
+        # Older builds write no generation; theirs is that of the records
+        # before.
+        generation = record.generation
+        if generation < 0:
+            generation = self.read_generation
+        self.read_generation = max(self.read_generation, generation)
+        position = make_position(generation, offset)
+        if position <= self.applied:
             return False
-        self.applied = offset
+        self.applied = position
+        era = self.era if record.era < 0 else record.era
         lease = self.leases.get(record.name)
         fence = NO_FENCE if lease is None else lease.fence
         if isinstance(record, LeaseClaim):
             if record.replaces != fence and not self.conditional:
                 return False
             self.leases[record.name] = Lease(
-                record.name, record.holder, offset, now, offset
+                record.name, record.holder, position, now, position, era
             )
             return True
-        if isinstance(record, LeaseRenew):
-            if self.conditional:
-                self.observe_holder(
-                    record.name, record.holder, record.fence, offset, now
-                )
-                return True
-            if lease is None or record.fence != fence:
-                return False
-            lease.last_read_at = now
+        if self.conditional:
+            self.observe_holder(
+                record.name, record.holder, record.fence, position, now, era
+            )
             return True
-        return False
+        if lease is None or record.fence != fence:
+            return False
+        lease.last_read_at = now
+        return True
 
     def observe_holder(
-        self, name: str, holder: str, fence: int, offset: int, at: float
+        self,
+        name: str,
+        holder: str,
+        fence: int,
+        offset: int,
+        at: float,
+        era: int = -1,
     ) -> None:
-        """Apply a lease record that was on the log no later than ``at``."""
+        """Apply a lease record that was on the log no later than ``at``.
+
+        ``offset`` is its position; ``era`` is that in which it was written,
+        -1 if its writer does not know of eras.
+        """
         known = self.leases.get(name)
         if known is not None and (fence, offset) <= (
             known.fence,
             known.offset,
         ):
             return
-        self.leases[name] = Lease(name, holder, fence, at, offset)
+        era = self.era if era < 0 else era
+        self.leases[name] = Lease(name, holder, fence, at, offset, era)
 
     def append_started(self, record_id: str, now: float) -> None:
         """Record when this process began to append its own record."""
@@ -110,9 +162,22 @@
         """Return whether the previous holder must have stopped by ``now``."""
         lease = self.leases.get(name)
         if lease is None:
-            return True
+            return now >= self.claims_from
+        if lease.era < self.era and now < self.claims_from:
+            return False
         return now >= lease.last_read_at + self.ttl_s + self.margin_s
 
+    def sole_until(self, name: str, holder: str) -> float:
+        """Return until when no other process can have claimed a lease.
+
+        It is -inf if the holder has not held it.
+        """
+        lease = self.leases.get(name)
+        start = self.valid_from.get(name)
+        if lease is None or lease.holder != holder or start is None:
+            return -inf
+        return start + self.ttl_s + self.margin_s
+
     def fence(self, name: str) -> int:
         """Return the current fencing token, or NO_FENCE without a lease."""
         lease = self.leases.get(name)
--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -2,15 +2,20 @@
 
 from dataclasses import replace
 
+from magnoliaflow.cluster.positions import era_of
 from magnoliaflow.common.messages import EngineEntry
 
 
 class EngineRegistry:
-    """Entries by engine id, each with the log offset of its last change.
+    """Entries by engine id, each with the position of its last change.
 
-    Entries before the offset ``end`` were applied; ``last_change_offset``
-    is the offset of the latest change.  Peers at a lower offset are sent
+    Entries before the position ``end`` were applied; ``last_change_offset``
+    is the position of the latest change.  Peers at a lower position are sent
     the entries that changed since.
+
+    After the store went back, a listing may hold entries that are older than
+    the known ones.  Entries of the same run of an engine are therefore
+    ordered by the sequence that the engine gives them.
     """
 
     __slots__ = ("last_change_offset", "end", "entries", "complete_from")
@@ -22,42 +27,72 @@
         self.entries: dict[str, EngineEntry] = {}
 
     def apply(
-        self, engine_id: str, entry: EngineEntry | None, offset: int
+        self,
+        engine_id: str,
+        entry: EngineEntry | None,
+        offset: int,
+        *,
+        alive: bool = False,
     ) -> EngineEntry | None:
         """Apply an entry, or None for a removal; return it if it changed.
 
-        An unreadable entry counts as a removal.  The removal of an unknown
-        engine is kept as a tombstone, because a peer may still hold or send
-        an older entry of that engine.
+        ``offset`` is its position.  An unreadable entry counts as a removal.
+        The removal of an unknown engine is kept as a tombstone, because a
+        peer may still hold or send an older entry of that engine.  With
+        ``alive``, the entry would have lapsed if its engine had left.
         """
         known = self.entries.get(engine_id)
-        if known is not None and offset <= known.offset:
-            return None
         if known is None and offset < self.complete_from:
             return None
         if entry is None:
-            if known is None:
-                known = EngineEntry(engine_id, "", "", "", 0, False)
-            if known.gone:
+            entry = replace(
+                known or EngineEntry(engine_id, "", "", "", 0, False),
+                gone=True,
+            )
+        entry = replace(entry, offset=offset)
+        if known is not None:
+            if not self._supersedes(entry, known, alive):
+                return None
+            if known.gone and entry.gone:
+                return None
+            if _is_unchanged(known, entry):
+                self.entries[engine_id] = replace(
+                    known, sequence=max(known.sequence, entry.sequence)
+                )
                 return None
-            entry = replace(known, gone=True)
-        if known is not None and _is_unchanged(known, entry):
-            return None
         self.last_change_offset = max(self.last_change_offset, offset)
-        self.entries[engine_id] = replace(entry, offset=offset)
-        return self.entries[engine_id]
+        self.entries[engine_id] = entry
+        return entry
+
+    def _supersedes(
+        self, entry: EngineEntry, known: EngineEntry, alive: bool
+    ) -> bool:
+        """Return whether an entry is newer than the known one."""
+        same_run = entry.born == known.born
+        numbered = min(entry.sequence, known.sequence) >= 0
+        if same_run and numbered and entry.sequence != known.sequence:
+            return entry.sequence > known.sequence
+        may_be_copy = era_of(entry.offset) != era_of(known.offset) and (
+            entry.offset < self.complete_from
+            or era_of(entry.offset) > era_of(self.complete_from)
+        )
+        if not may_be_copy:
+            return entry.offset > known.offset
+        if same_run:
+            return entry.gone or alive
+        return entry.born > known.born
 
     def record_listing(self, end: int) -> None:
         """Record that a full listing up to ``end`` was applied.
 
         A listing contains no tombstones.  Unknown engines with an older
-        offset are therefore ignored as removed, and removals can be
+        position are therefore ignored as removed, and removals can be
         reported to peers only from ``end`` on.
         """
         self.complete_from = max(self.complete_from, end)
 
     def complete_since(self, offset: int) -> bool:
-        """Return whether every change since an offset is known."""
+        """Return whether every change since a position is known."""
         return 0 <= self.complete_from <= offset
 
     def advance(self, end: int) -> None:
@@ -65,7 +100,7 @@
         self.end = max(self.end, end)
 
     def changed_since(self, offset: int) -> tuple[EngineEntry, ...]:
-        """Return the entries that changed at or after an offset."""
+        """Return the entries that changed at or after a position."""
         return tuple(
             entry for entry in self.entries.values() if entry.offset >= offset
         )
@@ -78,8 +113,20 @@
             if not entry.gone and name not in listed
         ]
 
+    def any_gone(self, listed: set[str]) -> bool:
+        """Return whether a listing has engines that are known to be gone."""
+        return any(
+            self.entries[name].gone for name in listed & self.entries.keys()
+        )
+
 
 def _is_unchanged(known: EngineEntry, entry: EngineEntry) -> bool:
     return (
-        replace(entry, offset=known.offset, leaves_s=known.leaves_s) == known
+        replace(
+            entry,
+            offset=known.offset,
+            leaves_s=known.leaves_s,
+            sequence=known.sequence,
+        )
+        == known
     )
--- a/src/magnoliaflow/common/errors.py
+++ b/src/magnoliaflow/common/errors.py
@@ -52,6 +52,16 @@
         self.first_offset = first_offset
 
 
+class RestoredError(PortError):
+    """The store went back since the offset of a call was taken."""
+
+    def __init__(self, era: int) -> None:
+        super().__init__(
+            f"the store is in era {era}; read from the beginning again"
+        )
+        self.era = era
+
+
 class FormatError(PortError):
     """A platform document is malformed or lacks a field."""
 
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -29,6 +29,7 @@
     RECORD_UNREADABLE = 303
     STORE_RESTORED = 304
     LOG_READ_AGAIN = 305
+    RECORD_WRITTEN_AGAIN = 306
     PROFILE_IN_FORCE = 400
     REQUEST_ACCEPTED = 500
     REQUEST_REFUSED = 501
@@ -49,6 +50,7 @@
     USAGE_REPORTED = 622
     DUTY_FAILED = 623
     ENGINE_ENDED = 624
+    USAGE_LEFT_OUT = 625
     CALL_PLACED = 630
     CALL_ENDED = 631
     CALL_REJECTED = 632
@@ -75,6 +77,7 @@
     LogEvent.RECORD_UNREADABLE: "A record on the log was skipped.",
     LogEvent.STORE_RESTORED: "The store lost records that it had confirmed.",
     LogEvent.LOG_READ_AGAIN: "A topic was read again from its beginning.",
+    LogEvent.RECORD_WRITTEN_AGAIN: "A record that was lost was written again.",
     LogEvent.PROFILE_IN_FORCE: "A profile change took hold here.",
     LogEvent.REQUEST_ACCEPTED: "A request was accepted.",
     LogEvent.REQUEST_REFUSED: "A request was refused, with its code.",
@@ -95,6 +98,7 @@
     LogEvent.USAGE_REPORTED: "The usage of a window was reported.",
     LogEvent.DUTY_FAILED: "A call for a duty failed; it is tried again.",
     LogEvent.ENGINE_ENDED: "Answers broke off; the engine has ended.",
+    LogEvent.USAGE_LEFT_OUT: "A window's counts may have been lost when sent.",
     LogEvent.CALL_PLACED: "A request was sent to an engine.",
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -216,8 +216,9 @@
     """An engine's registration; ``gone`` marks one that was removed.
 
     ``leaves_s`` counts from when the entry was read; ``born`` distinguishes
-    runs under the same id; ``offset`` is that of the last change, -1 if
-    unknown.
+    runs under the same id; ``offset`` is the position of the last change, -1
+    if unknown.  ``sequence`` grows with each entry that a run writes, -1 if
+    it is not known.
     """
 
     engine: str
@@ -231,6 +232,7 @@
     born: int = 0
     gone: bool = False
     offset: int = -1
+    sequence: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,7 +249,9 @@
     the sender's estimate of the time of day.  ``number`` counts the
     heartbeats to this receiver; ``heard_number`` is that of the last one
     received from it, -1 if there is none.  ``groups`` tells whether the
-    sender can exchange reports and views.
+    sender can exchange reports and views.  ``store_era`` is the newest era of
+    the store that the sender knows, ``lease_era`` that of the last record of
+    the lease; both are -1 from builds that do not know of eras.
     """
 
     identity: str
@@ -276,6 +280,8 @@
     number: int = -1
     heard_number: int = -1
     groups: bool = False
+    store_era: int = -1
+    lease_era: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,9 +322,10 @@
     """How current a host's configuration and registrations are.
 
     ``version`` is -1 without a configuration.  Ages are seconds since the
-    confirmation as the newest.  ``fleet_change`` is the offset of the last
+    confirmation as the newest.  ``fleet_change`` is the position of the last
     change up to ``fleet_end``; changes from ``fleet_complete_from`` on are
-    known without gaps, -1 if that is not known.
+    known without gaps, -1 if that is not known.  ``store_era`` is the newest
+    era of the store, -1 from builds that do not know of eras.
     """
 
     version: int
@@ -327,6 +334,7 @@
     fleet_age: float
     fleet_change: int
     fleet_complete_from: int
+    store_era: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -334,13 +342,15 @@
     """The duty lease as its holder knows it.
 
     ``age`` is in seconds since the holder began to append the last record,
-    which is at ``offset``.
+    which is at the position ``offset`` and was written in ``era``, -1 from
+    builds that do not know of eras.
     """
 
     holder: str
     fence: int
     offset: int
     age: float
+    era: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/common/records.py
+++ b/src/magnoliaflow/common/records.py
@@ -128,22 +128,34 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseClaim:
-    """Acquire a lease; the offset of the record is the fencing token."""
+    """Acquire a lease; the position of the record is the fencing token.
+
+    ``era`` is that of the store as its writer knew it, ``generation`` the
+    upper part of the position; both are -1 from builds that do not know of
+    eras.
+    """
 
     name: str
     holder: str
     replaces: int
     written_at: float
+    era: int = -1
+    generation: int = -1
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseRenew:
-    """Renew a lease that has not been replaced."""
+    """Renew a lease that has not been replaced.
+
+    ``era`` and ``generation`` are as in LeaseClaim.
+    """
 
     name: str
     holder: str
     fence: int
     written_at: float
+    era: int = -1
+    generation: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 from json import dumps
+from math import inf
 from os import environ
 from os import urandom
 from pathlib import Path
@@ -85,6 +86,10 @@
 # Interval of peer discovery through the store while no peer is known.
 DISCOVERY_INTERVAL_S = 5.0
 FIRST_DISCOVERY_INTERVAL_S = 1.0
+# Registrations of hosts a second, of all hosts together, when the store has
+# lost them.
+REGISTRATIONS_PER_S = 40.0
+REGISTRATION_RETRY_S = 1.0
 EXPLAIN_TARGET = b"/explain"
 METRICS_CONTENT_TYPE = CONTENT_TYPE_LATEST.encode()
 
@@ -134,6 +139,9 @@
         self.listeners: list[Any] = []
         self.ticker = LoopingCall(self.tick)
         self.next_discovery_at = 0.0
+        self.is_registered = False
+        self.registered_era = -1
+        self.next_registration_at = 0.0
         self.drain_started_at = 0.0
 
     def start(self) -> None:
@@ -256,6 +264,7 @@
         self.heartbeat_sender.tick(now)
         self.report_sender.tick(now)
         self.findings_sender.tick(now)
+        self._register(now)
         self._discover_peers(now)
         for _, _, function in ENTRY_SYSTEMS:
             function(state)
@@ -265,6 +274,35 @@
         if self.host_settings.orders_engines:
             self.order_duty.tick(now)
 
+    def _register(self, now: float) -> None:
+        """Write this host's addresses to the store, in each of its eras."""
+        state = self.state
+        if state.store_era > self.registered_era:
+            spread_s = 0.0
+            if self.registered_era > 0:
+                spread_s = state.host_count() / REGISTRATIONS_PER_S
+            self.registered_era = state.store_era
+            self.next_registration_at = now + state.rng.random() * spread_s
+        if now < self.next_registration_at:
+            return
+        self.next_registration_at = now + REGISTRATION_RETRY_S
+        self.store.put(
+            HOSTS_TOPIC,
+            self.host_settings.host,
+            encode_value(state.own_fact(now)),
+        ).addCallbacks(self._on_registered, self._on_discovery_failure)
+
+    def _on_registered(self, offset: int) -> None:
+        self.next_registration_at = inf
+        self.registered_era = self.state.store_era
+        if self.is_registered:
+            self.state.log(
+                LogEvent.RECORD_WRITTEN_AGAIN,
+                record="host",
+                era=self.registered_era,
+            )
+        self.is_registered = True
+
     def _discover_peers(self, now: float) -> None:
         """Find peers through the store while none is heard.
 
@@ -282,12 +320,6 @@
         self.next_discovery_at = now + (
             FIRST_DISCOVERY_INTERVAL_S if first else DISCOVERY_INTERVAL_S
         )
-        if first:
-            self.store.put(
-                HOSTS_TOPIC,
-                self.host_settings.host,
-                encode_value(state.own_fact(now)),
-            ).addCallbacks(lambda _: None, self._on_discovery_failure)
         self.store.read_newest(HOSTS_TOPIC).addCallbacks(
             self._add_discovered, self._on_discovery_failure
         )
--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -3,7 +3,8 @@
 Lease records and the usage counts of each window are kept in one log.  An
 append succeeds only at the offset up to which its writer has read.  So the
 counts of a report are fixed before it is sent, by a holder that has not been
-replaced.
+replaced.  When the store has gone back, the log is read again from its
+beginning, and the holder writes again what it lacks.
 """
 
 from math import inf
@@ -11,11 +12,13 @@
 
 from twisted.internet.defer import inlineCallbacks
 
+from magnoliaflow.cluster.usageledger import UsageLedger
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codec import decode_record
 from magnoliaflow.common.codec import encode_record
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.lifecycle import Phase
@@ -27,6 +30,7 @@
 from magnoliaflow.entry.followers import record_store_failure
 from magnoliaflow.entry.followers import record_store_success
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.platform.cloud import CloudClient
 from magnoliaflow.platform.store import ConflictError
 from magnoliaflow.platform.store import DUTY_TOPIC
@@ -58,14 +62,18 @@
 
 
 class DutyLog:
-    """Reads and appends to the log of the lease and the usage reports."""
+    """Reads and appends to the log of the lease and the usage reports.
+
+    ``next_offset`` was taken in ``era``.
+    """
 
     __slots__ = (
         "busy",
         "caught_up",
+        "era",
         "retry_at",
         "next_offset",
-        "reports",
+        "ledger",
         "holds_lease",
         "last_read_at",
         "state",
@@ -76,6 +84,7 @@
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self.state = state
         self.store = store
+        self.era = 0
         self.next_offset = 0
         self.caught_up = False
         self.busy = False
@@ -83,11 +92,13 @@
         self.retry_at = -inf
         self.last_read_at = -inf
         self.claim_jitter = state.rng.random() * MAX_CLAIM_JITTER_S
-        self.reports: dict[int, dict[str, int]] = {}
+        self.ledger = UsageLedger()
 
     def tick(self, now: float) -> None:
         """Read the log, or claim or renew the lease, whichever is due."""
         self._update_lease_held(now)
+        if self.state.store_era > self.era:
+            self._begin_era(self.state.store_era, now)
         if self.busy or now < self.retry_at:
             return
         if self.state.phase >= Phase.DRAINING:
@@ -101,6 +112,23 @@
         if record is not None:
             self._start(self.append(record))
 
+    def _begin_era(self, era: int, now: float) -> None:
+        """Read the log again, whose offsets have gone back.
+
+        A process that has just started does not know either what was lost.
+        """
+        state = self.state
+        manager = state.lease_manager
+        is_sole = now < manager.sole_until()
+        self.ledger.begin_era(state.true_time(now), is_sole=is_sole)
+        known = not self.era and state.host_settings.first_start
+        manager.begin_era(era, now, wait=not known)
+        if self.era and not is_sole:
+            self.retry_at = now + self.claim_jitter
+        self.era = era
+        self.next_offset = 0
+        self.caught_up = False
+
     def _renewals_missing(self, now: float) -> bool:
         """Return whether to read the log for unreported renewals."""
         lease_table = self.state.lease_manager.lease_table
@@ -124,12 +152,8 @@
         """Return whether this candidate may claim the lease now."""
         others = self.state.host_count() - 1
         jitter_share = min(1.0, others / FULL_JITTER_HOSTS)
-        return (
-            self.state.lease_manager.lease_table.may_claim(
-                self.state.lease_manager.name,
-                now - self.claim_jitter * jitter_share,
-            )
-            or self.state.lease_manager.held_by_local_host()
+        return self.state.lease_manager.may_claim(
+            now, delay_s=self.claim_jitter * jitter_share
         )
 
     def _update_lease_held(self, now: float) -> None:
@@ -139,7 +163,9 @@
         self.holds_lease = holds_lease
         self.state.metrics.lease_held.set(int(holds_lease))
         event = LogEvent.LEASE_ACQUIRED if holds_lease else LogEvent.LEASE_LOST
-        self.state.log(event, fence=self.state.lease_manager.fence)
+        self.state.log(
+            event, fence=self.state.lease_manager.fence, era=self.era
+        )
 
     def _start(self, work: Any) -> None:
         self.busy = True
@@ -153,8 +179,13 @@
     def _read(self) -> Any:
         """Read the next page of the log."""
         self.last_read_at = boot_time()
+        era = self.era
         try:
-            page = yield self.store.read(DUTY_TOPIC, self.next_offset)
+            page = yield self.store.read(DUTY_TOPIC, self.next_offset, era=era)
+        except RestoredError as exc:
+            self.caught_up = False
+            observe_store_era(self.state, exc.era)
+            return
         except TrimmedError as exc:
             self.next_offset = exc.first_offset
             return
@@ -163,6 +194,8 @@
             self.retry_at = boot_time() + STORE_RETRY_DELAY_S
             return
         record_store_success(self.state)
+        if era != self.era:
+            return
         now = boot_time()
         for entry in page.entries:
             self._apply_entry(entry.offset, entry.value or b"", now)
@@ -185,15 +218,23 @@
             self.state.lease_manager.apply(offset, record, now)
         elif isinstance(body, UsageReport):
             counts = {entry.account: entry.count for entry in body.counts}
-            self.reports.setdefault(body.window, counts)
+            self.ledger.record(body.window, counts)
 
     @inlineCallbacks
     def append(self, record: Record) -> Any:
         """Append a record at the next offset; return whether it succeeded."""
+        era = self.era
         try:
             offset = yield self.store.append(
-                DUTY_TOPIC, encode_record(record), at=self.next_offset
+                DUTY_TOPIC,
+                encode_record(record),
+                at=self.next_offset,
+                era=era,
             )
+        except RestoredError as exc:
+            self.caught_up = False
+            observe_store_era(self.state, exc.era)
+            return False
         except ConflictError:
             self.caught_up = False
             self.state.lease_manager.append_failed()
@@ -204,6 +245,8 @@
             self.retry_at = boot_time() + STORE_RETRY_DELAY_S
             return False
         record_store_success(self.state)
+        if era != self.era:
+            return False
         self.next_offset = offset + 1
         self._apply_record(offset, record, boot_time())
         return True
@@ -236,8 +279,14 @@
     def tick(self, now: float) -> None:
         """Report the oldest window that is due."""
         usage = self.state.usage
+        ledger = self.duty_log.ledger
         current = usage.window(self.state.true_time(now))
-        usage.forget_before(current - KEPT_WINDOWS)
+        oldest = current - KEPT_WINDOWS
+        usage.forget_before(oldest)
+        ledger.forget_before(oldest)
+        self.reported_windows = {
+            window for window in self.reported_windows if window >= oldest
+        }
         if self.busy or self.duty_log.busy or now < self.retry_at:
             return
         if (
@@ -245,33 +294,58 @@
             or not self.duty_log.caught_up
         ):
             return
-        for window in range(
-            max(self.first_window, current - KEPT_WINDOWS), current
-        ):
-            if window not in self.reported_windows and self._is_due(
-                window, now
+        for window, counts in ledger.missing():
+            self._start(self._write_again(window, counts))
+            return
+        for window in range(max(self.first_window, oldest), current):
+            due_at = self._due_at(window)
+            if window in self.reported_windows or (
+                self.state.true_time(now) < due_at
             ):
-                self._start(window)
-                return
+                continue
+            if ledger.counts(window) is None and ledger.may_be_lost(due_at):
+                self._leave_out(window)
+                continue
+            self._start(self._report(window))
+            return
 
-    def _is_due(self, window: int, now: float) -> bool:
-        window_s = self.state.host_settings.usage_window_s
-        end = (window + 1) * window_s
-        delay_s = self.state.host_settings.usage_delay_s * REPORT_DELAY_SHARE
-        return self.state.true_time(now) >= end + delay_s
+    def _due_at(self, window: int) -> float:
+        """Return the true time at which to report a window."""
+        host_settings = self.state.host_settings
+        end = (window + 1) * host_settings.usage_window_s
+        return end + host_settings.usage_delay_s * REPORT_DELAY_SHARE
 
-    def _start(self, window: int) -> None:
+    def _leave_out(self, window: int) -> None:
+        """Report nothing for a window that may have been reported."""
+        self.reported_windows.add(window)
+        self.state.log(
+            LogEvent.USAGE_LEFT_OUT, window=window, era=self.duty_log.era
+        )
+
+    def _start(self, work: Any) -> None:
         self.busy = True
 
         def finished(result: Any) -> Any:
             self.busy = False
             return result
 
-        self._report(window).addBoth(finished)
+        work.addBoth(finished)
+
+    @inlineCallbacks
+    def _write_again(self, window: int, counts: dict[str, int]) -> Any:
+        """Put counts on the log again that the store has lost."""
+        written = yield self._append_counts(window, counts)
+        if written:
+            self.state.log(
+                LogEvent.RECORD_WRITTEN_AGAIN,
+                record="usage",
+                window=window,
+                era=self.duty_log.era,
+            )
 
     @inlineCallbacks
     def _report(self, window: int) -> Any:
-        counts = self.duty_log.reports.get(window)
+        counts = self.duty_log.ledger.counts(window)
         if counts is None:
             counts = yield self._commit_counts(window)
             if counts is None:
@@ -299,6 +373,12 @@
     def _commit_counts(self, window: int) -> Any:
         """Append a window's counts to the log and return the logged ones."""
         counts = self.state.usage.totals(window)
+        appended = yield self._append_counts(window, counts)
+        return self.duty_log.ledger.counts(window) if appended else None
+
+    @inlineCallbacks
+    def _append_counts(self, window: int, counts: dict[str, int]) -> Any:
+        """Append the counts of a window; return whether it succeeded."""
         record = Record(
             f"usage-{self.state.identity}-{window}",
             UsageReport(
@@ -316,4 +396,4 @@
             appended = yield self.duty_log.append(record)
         finally:
             self.duty_log.busy = False
-        return self.duty_log.reports.get(window) if appended else None
+        return appended
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -12,8 +12,12 @@
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.task import deferLater
 
+from magnoliaflow.cluster.listings import ListingSchedule
+from magnoliaflow.cluster.positions import make_position
+from magnoliaflow.cluster.positions import offset_of
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.loop import reactor
@@ -59,17 +63,35 @@
 LAPSED_REMOVAL_DELAY_S = 1.5
 # Registrations not confirmed for this long indicate a store outage.
 MIN_OUTAGE_S = 2.0
+# Listings a second of all hosts together after the store went back, besides
+# those of hosts that read the registrations anyway.
+LISTINGS_PER_S = 40.0
+# Heartbeats of an engine after which its entry lapses.
+HEARTBEATS_TO_LAPSE = 3
 
 
 class ConfigFollower:
-    """Keeps the configuration current and notes when it was confirmed."""
-
-    __slots__ = ("offset", "retry_delay_s", "state", "store")
+    """Keeps the configuration current and notes when it was confirmed.
+
+    ``offset`` was taken in ``era``.  ``lacks_version``: the store has gone
+    back and lacks the version in force, until its writer writes it again.
+    """
+
+    __slots__ = (
+        "era",
+        "lacks_version",
+        "offset",
+        "retry_delay_s",
+        "state",
+        "store",
+    )
 
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self.state = state
         self.store = store
+        self.era = 0
         self.offset = -1
+        self.lacks_version = False
         self.retry_delay_s = MIN_RETRY_DELAY_S
 
     @inlineCallbacks
@@ -86,6 +108,9 @@
                 log_trimmed(self.state, "configuration", exc)
                 self.offset = -1
                 continue
+            except RestoredError:
+                self.offset = -1
+                continue
             except PortError as exc:
                 record_store_failure(self.state, "configuration", exc)
                 yield _pause(self.state, self.retry_delay_s)
@@ -95,9 +120,13 @@
                 continue
             self.retry_delay_s = MIN_RETRY_DELAY_S
             record_store_success(self.state)
+            version = self._apply_page(page)
             if self.offset < 0:
                 log_read_again(self.state, "configuration", page)
-            self._apply_page(page)
+                self.era = page.era
+                self.lacks_version = version < self._version_in_force()
+            elif version >= self._version_in_force():
+                self.lacks_version = False
             self._advance(page, began)
 
     def _keeps_poll(self) -> bool:
@@ -123,7 +152,13 @@
             wait_s = CONFIG_POLL_WAIT_S
         elif self._keeps_poll():
             wait_s = GROUP_POLL_WAIT_S
-        return self.store.read(CONFIG_TOPIC, self.offset, wait_s=wait_s)
+        return self.store.read(
+            CONFIG_TOPIC, self.offset, era=self.era, wait_s=wait_s
+        )
+
+    def _version_in_force(self) -> int:
+        route_table = self.state.route_table
+        return -1 if route_table is None else route_table.version
 
     def _advance(self, page: Page, began: float) -> None:
         """Advance the offset; a read to the log's end is a confirmation."""
@@ -133,12 +168,17 @@
         elif page.entries:
             read_to = page.entries[-1].offset + 1
         self.offset = read_to
-        if read_to >= page.end:
+        if read_to >= page.end and not self.lacks_version:
             self.state.config_confirmed_at = max(
                 self.state.config_confirmed_at, began
             )
 
-    def _apply_page(self, page: Page) -> None:
+    def _apply_page(self, page: Page) -> int:
+        """Apply the newest configuration of a page; return its version.
+
+        The version is -1 if there is none, and that in force if it cannot be
+        read.
+        """
         values = [
             entry.value
             for entry in page.entries
@@ -149,26 +189,36 @@
                 route_table = decode_document(value)
             except PortError as exc:
                 self.state.log(LogEvent.RECORD_UNREADABLE, reason=str(exc))
-                continue
+                return self._version_in_force()
             apply_config(self.state, route_table, value)
+            return route_table.version
+        return -1
 
 
 class RegistrationFollower:
-    """Keeps the registry of engines current."""
+    """Keeps the registry of engines current.
+
+    When the store has gone back, every host reads a listing, since what
+    peers pass on begins with what they have read.
+    """
 
-    __slots__ = ("has_listing", "state", "store")
+    __slots__ = ("listings", "state", "store")
 
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self.state = state
         self.store = store
-        self.has_listing = False
+        heartbeat_s = state.host_settings.engine_heartbeat_s
+        self.listings = ListingSchedule(
+            lapse_s=HEARTBEATS_TO_LAPSE * heartbeat_s
+        )
 
     @inlineCallbacks
     def run(self) -> Any:
         """Read registrations while it is this host's turn."""
         retry_delay_s = MIN_RETRY_DELAY_S
         while True:
-            if self.has_listing and not self._is_due():
+            self._observe_era(boot_time())
+            if not (self.listings.is_due or self._is_due()):
                 yield _pause(self.state, REGISTRY_READ_INTERVAL_S / 4)
                 continue
             began = boot_time()
@@ -176,7 +226,10 @@
                 yield self._read_once(began)
             except TrimmedError as exc:
                 log_trimmed(self.state, "engines", exc)
-                self.has_listing = False
+                self.listings.is_due = True
+                continue
+            except RestoredError:
+                self.listings.is_due = True
                 continue
             except PortError as exc:
                 record_store_failure(self.state, "engines", exc)
@@ -187,6 +240,12 @@
             record_store_success(self.state)
             yield _pause(self.state, REGISTRY_READ_INTERVAL_S)
 
+    def _observe_era(self, now: float) -> None:
+        spread_s = self.state.host_count() / LISTINGS_PER_S
+        self.listings.observe_era(
+            self.state.store_era, now, self.state.rng.random() * spread_s
+        )
+
     def _is_due(self) -> bool:
         now = boot_time()
         if self.state.lease_manager.holds(now):
@@ -203,32 +262,47 @@
     @inlineCallbacks
     def _read_once(self, began: float) -> Any:
         registry = self.state.registry
-        if self.has_listing:
-            page = yield self.store.read(ENGINES_TOPIC, registry.end)
-        else:
+        if self.listings.is_due:
             page = yield self.store.read_newest(ENGINES_TOPIC)
-        outage = (
-            began - self.state.registry_confirmed_at > MIN_OUTAGE_S
-            and self.has_listing
-        )
-        self._apply_page(page, after_outage=outage)
-        if not self.has_listing:
             log_read_again(self.state, "engines", page)
-            present = {entry.key for entry in page.entries if entry.value}
-            for name in registry.missing(present):
-                self._apply(name, None, page.end)
-            registry.record_listing(page.end)
-        self.has_listing = True
-        registry.advance(page.end)
+            self._apply_listing(page, began)
+        else:
+            page = yield self.store.read(
+                ENGINES_TOPIC, offset_of(registry.end), era=self.listings.era
+            )
+            outage = began - self.state.registry_confirmed_at > MIN_OUTAGE_S
+            self._apply_page(page, after_outage=outage)
+        registry.advance(make_position(page.era, page.end))
         self.state.registry_confirmed_at = max(
             self.state.registry_confirmed_at, began
         )
 
-    def _apply_page(self, page: Page, *, after_outage: bool) -> None:
+    def _apply_listing(self, page: Page, began: float) -> None:
+        """Apply a listing of all engines."""
+        registry, listings = self.state.registry, self.listings
+        listings.begin(page.era, began)
+        alive = listings.entries_are_alive(began)
+        self._apply_page(page, after_outage=False, alive=alive)
+        present = {entry.key for entry in page.entries if entry.value}
+        missing = registry.missing(present)
+        end = make_position(page.era, page.end)
+        if listings.finish(
+            began,
+            any_missing=bool(missing),
+            any_returned=registry.any_gone(present),
+        ):
+            for name in missing:
+                self._apply(name, None, end)
+        registry.record_listing(end)
+
+    def _apply_page(
+        self, page: Page, *, after_outage: bool, alive: bool = False
+    ) -> None:
         """Apply the newest entry of each engine in a page.
 
         ``after_outage``: delay removals that would leave a service without
-        any engine, since live engines register again.
+        any engine, since live engines register again.  ``alive``: entries of
+        engines that have left would have lapsed.
         """
         newest = {entry.key: entry for entry in page.entries if entry.key}
         registrations = {
@@ -238,20 +312,18 @@
         }
         for name, entry in newest.items():
             if registrations.get(name) is not None:
-                self._apply(name, registrations[name], entry.offset)
+                offset = make_position(page.era, entry.offset)
+                self._apply(name, registrations[name], offset, alive=alive)
         for name, entry in newest.items():
             if registrations.get(name) is not None:
                 continue
+            offset = make_position(page.era, entry.offset)
             if after_outage and self._is_last_engine(name):
                 reactor.callLater(
-                    LAPSED_REMOVAL_DELAY_S,
-                    self._apply,
-                    name,
-                    None,
-                    entry.offset,
+                    LAPSED_REMOVAL_DELAY_S, self._apply, name, None, offset
                 )
                 continue
-            self._apply(name, None, entry.offset)
+            self._apply(name, None, offset)
 
     def _is_last_engine(self, name: str) -> bool:
         """Return whether an engine is the last registered of its service."""
@@ -265,9 +337,14 @@
         )
 
     def _apply(
-        self, name: str, entry: EngineEntry | None, offset: int
+        self,
+        name: str,
+        entry: EngineEntry | None,
+        offset: int,
+        *,
+        alive: bool = False,
     ) -> None:
-        apply_registration(self.state, name, entry, offset)
+        apply_registration(self.state, name, entry, offset, alive=alive)
 
 
 def _pause(state: EntryState, delay_s: float) -> Any:
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -7,6 +7,7 @@
 
 from magnoliaflow.cluster.groups import rendezvous_score
 from magnoliaflow.cluster.peers import PeerLinks
+from magnoliaflow.cluster.positions import era_of
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.eventlog import LogEvent
@@ -37,6 +38,7 @@
 from magnoliaflow.entry.state import heartbeat_interval
 from magnoliaflow.entry.state import MAX_CLOCK_SAMPLE_AGE_S
 from magnoliaflow.entry.state import PeerHost
+from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
 from magnoliaflow.platform.document import decode_document
@@ -173,7 +175,11 @@
     stale = (
         heartbeat.fleet_age + now - peer.last_heartbeat_at > STALE_REGISTRY_S
     )
-    if state.lease_manager.holds(now) or (is_relay and stale):
+    # Builds that do not know of eras take positions for offsets.
+    orders_alike = heartbeat.store_era >= 0 or not era_of(state.registry.end)
+    if orders_alike and (
+        state.lease_manager.holds(now) or (is_relay and stale)
+    ):
         since = max(0, heartbeat.fleet_end)
         entries = state.registry.changed_since(since)
         entries_from = since if state.registry.complete_since(since) else -1
@@ -259,6 +265,8 @@
         number=number,
         heard_number=heard_number,
         groups=True,
+        store_era=state.store_era,
+        lease_era=state.lease_manager.lease_era,
     )
 
 
@@ -307,6 +315,7 @@
             LogEvent.PEER_ALIVE, host=message.host, identity=message.identity
         )
     made_after = _update_peer(state, message, previous, now)
+    observe_store_era(state, message.store_era)
     state.peer_addresses[message.peer_address] = now
     for address in message.peers:
         state.peer_addresses.setdefault(address, now)
@@ -323,6 +332,7 @@
             message.lease_fence,
             message.lease_offset,
             now - message.lease_age,
+            message.lease_era,
         )
     _apply_engine_loads(state, message, previous, now)
     _correct_clock(state, now)
@@ -384,12 +394,7 @@
     if not state.registry.entries and not heartbeat.entries:
         return
     for entry in heartbeat.entries:
-        apply_registration(
-            state,
-            entry.engine,
-            None if entry.gone else entry,
-            entry.offset,
-        )
+        apply_registration(state, entry.engine, entry, entry.offset)
     end = state.registry.end
     complete = 0 <= heartbeat.entries_from <= end <= heartbeat.fleet_end
     if complete or heartbeat.fleet_end == end:
--- a/src/magnoliaflow/entry/reports.py
+++ b/src/magnoliaflow/entry/reports.py
@@ -5,6 +5,7 @@
 
 from magnoliaflow.cluster.leasemanager import host_of
 from magnoliaflow.cluster.peers import PeerLinks
+from magnoliaflow.cluster.positions import era_of
 from magnoliaflow.cluster.views import GroupView
 from magnoliaflow.cluster.views import MEMBER_TIMEOUT_S
 from magnoliaflow.cluster.views import REPORT_INTERVAL_S
@@ -26,6 +27,7 @@
 from magnoliaflow.entry.state import DUTY_LEASE
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.state import MAX_CLOCK_SAMPLE_AGE_S
+from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
 from magnoliaflow.platform.document import decode_document
@@ -209,6 +211,8 @@
             registry.end > progress.fleet_end
             and not registry.complete_since(progress.fleet_end)
         )
+        # Builds that do not know of eras take positions for offsets.
+        lacks_entries &= progress.store_era >= 0 or not era_of(registry.end)
         if not document and not lacks_entries:
             return
         version = -1 if route_table is None else route_table.version
@@ -300,6 +304,7 @@
         fleet_age=min(1e6, now - state.registry_confirmed_at),
         fleet_change=registry.last_change_offset,
         fleet_complete_from=registry.complete_from,
+        store_era=state.store_era,
     )
 
 
@@ -314,6 +319,7 @@
             lease_manager.fence,
             lease_manager.last_offset,
             lease_manager.record_age(now),
+            lease_manager.lease_era,
         ),
     )
 
@@ -370,9 +376,7 @@
     They are not confirmed as the newest by that; a view confirms them.
     """
     for entry in changes.entries:
-        apply_registration(
-            state, entry.engine, None if entry.gone else entry, entry.offset
-        )
+        apply_registration(state, entry.engine, entry, entry.offset)
     if 0 <= changes.entries_from <= state.registry.end <= changes.fleet_end:
         state.registry.advance(changes.fleet_end)
     if not changes.document:
@@ -423,11 +427,13 @@
             lease.fence,
             lease.offset,
             now - lease.age,
+            lease.era,
         )
 
 
 def _confirm(state: EntryState, progress: Progress, made_after: float) -> None:
     """Confirm this host's configuration and registrations by another's."""
+    observe_store_era(state, progress.store_era)
     version = -1 if state.route_table is None else state.route_table.version
     if progress.version == version:
         state.config_confirmed_at = max(
--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from math import inf
 
+from magnoliaflow.cluster.positions import era_of
+from magnoliaflow.cluster.positions import offset_of
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.lifecycle import Phase
@@ -66,11 +68,19 @@
 
 
 def apply_registration(
-    state: EntryState, name: str, entry: EngineEntry | None, offset: int
+    state: EntryState,
+    name: str,
+    entry: EngineEntry | None,
+    offset: int,
+    *,
+    alive: bool = False,
 ) -> None:
-    """Apply a registration of an engine, None for its removal."""
+    """Apply a registration of an engine, None for its removal.
+
+    ``offset`` and ``alive`` are as in EngineRegistry.apply.
+    """
     previous = state.registry.entries.get(name)
-    changed = state.registry.apply(name, entry, offset)
+    changed = state.registry.apply(name, entry, offset, alive=alive)
     if changed is None:
         return
     state.log(
@@ -82,7 +92,8 @@
         gone=changed.gone,
         leaves_s=changed.leaves_s,
         spot=changed.spot,
-        offset=offset,
+        era=era_of(offset),
+        offset=offset_of(offset),
     )
     restarted = previous is not None and previous.born != changed.born
     engine = state.routing.engines.get(name)
--- a/src/magnoliaflow/platform/nodefile.py
+++ b/src/magnoliaflow/platform/nodefile.py
@@ -65,6 +65,7 @@
         seeds=tuple(
             part for part in values.get("seedNodes", "").split(",") if part
         ),
+        first_start=values.get("isBootstrap") == "true",
         store_address=required("platform.address"),
         cloud_address=values.get("cloudApi.address", ""),
         reports_usage="usage_reporting" in duties,
@@ -80,6 +81,7 @@
         cap_overage=get("bounds.quotaOverage", float, 0.1),
         cap_tolerance=get("bounds.quotaTolerance", float, 0),
         lease_s=get("bounds.leaseDurationMs", float, 3000) / MS,
+        engine_heartbeat_s=get("heartbeatIntervalMs", float, 1200) / MS,
         usage_window_s=get("bounds.usageWindowS", float, 5),
         usage_delay_s=get("bounds.usageDelayS", float, 10),
         directory_ttl_s=get("bounds.ttl_max_s", float, 5),
--- a/src/magnoliaflow/platform/registrations.py
+++ b/src/magnoliaflow/platform/registrations.py
@@ -37,6 +37,8 @@
         spot=fields.get("isSpot") is True,
         # Start of this engine run; a new run begins without any state.
         born=_parse_int(fields.get("born"), 0),
+        # Grows with each heartbeat of the run.
+        sequence=_parse_int(fields.get("sequence"), -1),
     )
 
 
--- a/src/magnoliaflow/platform/store.py
+++ b/src/magnoliaflow/platform/store.py
@@ -13,6 +13,7 @@
 
 from magnoliaflow.common.errors import FormatError
 from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.transport.client import fetch
 from magnoliaflow.transport.client import Reply
@@ -66,10 +67,11 @@
 class StoreClient:
     """Client of the store; each call fails with PortError.
 
-    ``on_era`` is called with the era that each answer names.
+    ``era`` is the newest that an answer has named, 0 before.  ``on_era`` is
+    called with each new one.
     """
 
-    __slots__ = ("address", "calls", "on_era", "timeout_s")
+    __slots__ = ("address", "calls", "era", "on_era", "timeout_s")
 
     def __init__(
         self,
@@ -81,13 +83,18 @@
         self.address = address
         self.timeout_s = timeout_s
         self.on_era = on_era
+        self.era = 0
         self.calls = 0
 
     @inlineCallbacks
-    def read(self, topic: str, offset: int, *, wait_s: float = 0.0) -> Any:
+    def read(
+        self, topic: str, offset: int, *, era: int, wait_s: float = 0.0
+    ) -> Any:
         """Return a Page from an offset on, waiting up to ``wait_s``.
 
-        Raises TrimmedError if the record at the offset was trimmed.
+        ``era`` is that in which the offset was taken.  Raises RestoredError
+        if the store is in another one, and TrimmedError if the record at the
+        offset was trimmed.
         """
         query = {"topic": topic, "part": PARTITION, "source": offset}
         if wait_s:
@@ -95,23 +102,26 @@
         reply = yield self._call(
             b"GET", "log-read", query, timeout_s=self.timeout_s + wait_s
         )
+        self._check_era(reply, era)
         if reply.status == 410:
             raise TrimmedError(int(_json(reply)["firstOffset"]))
         _check(reply)
         page = decode_page(topic, offset, reply.body)
-        return replace(page, era=decode_era(reply))
+        return replace(page, era=self.era)
 
     @inlineCallbacks
     def read_newest(self, topic: str) -> Any:
         """Return a Page with the newest entry of each key."""
         entries: list[Entry] = []
         query: dict[str, Any] = {"topic": topic, "part": PARTITION}
-        end = -1
+        end = era = -1
         while True:
             reply = yield self._call(
                 b"GET", "log-newest", query, timeout_s=self.timeout_s
             )
             _check(reply)
+            era = self.era if era < 0 else era
+            self._check_era(reply, era)
             values = _json(reply)
             page = [_newest_entry(item) for item in values["items"]]
             entries.extend(page)
@@ -119,15 +129,24 @@
             # page are read from its end offset on.
             end = int(values["endOffset"]) if end < 0 else end
             if not values.get("hasMore") or not page:
-                return Page(tuple(entries), end, decode_era(reply))
+                return Page(tuple(entries), end, era)
             query["after"] = page[-1].key
 
     @inlineCallbacks
-    def append(self, topic: str, data: bytes, *, at: int | None = None) -> Any:
+    def append(
+        self,
+        topic: str,
+        data: bytes,
+        *,
+        at: int | None = None,
+        era: int = 0,
+    ) -> Any:
         """Append one record and return its offset.
 
-        With ``at``, raises ConflictError unless the log ends there.  An
-        append that is not answered may still take effect, even later.
+        With ``at``, raises ConflictError unless the log ends there, and
+        RestoredError if the store is no longer in the ``era`` in which this
+        offset was taken; the record may be on the log then.  An append that
+        is not answered may still take effect, even later.
         """
         query: dict[str, Any] = {"topic": topic, "part": PARTITION}
         if at is not None:
@@ -139,6 +158,8 @@
             body=LENGTH_PREFIX.pack(len(data)) + data,
             timeout_s=self.timeout_s,
         )
+        if at is not None:
+            self._check_era(reply, era)
         if reply.status == 412:
             raise ConflictError(int(_json(reply)["endOffset"]))
         _check(reply)
@@ -165,11 +186,23 @@
         ).addCallback(self._observe_era)
 
     def _observe_era(self, reply: Reply) -> Reply:
+        """Note a new era; raises PortError for an answer of an old one."""
         era = decode_era(reply)
-        if era:
+        if 0 < era < self.era:
+            raise PortError(
+                f"answer of era {era} of the store, which is in {self.era}"
+            )
+        if era > self.era:
+            self.era = era
             self.on_era(era)
         return reply
 
+    def _check_era(self, reply: Reply, era: int) -> None:
+        """Raise RestoredError if an answer is not of an era."""
+        found = decode_era(reply)
+        if found and found != era:
+            raise RestoredError(found)
+
 
 def decode_era(reply: Reply) -> int:
     """Return the era that an answer names, 0 if it names none."""
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -1136,6 +1136,8 @@
      - holder
      - replaces
      - written_at
+     - era
+     - generation
 
     """
 
@@ -1144,14 +1146,18 @@
         'holder',
         'replaces',
         'written_at',
+        'era',
+        'generation',
     )
 
 
-    def __init__(self, name=None, holder=None, replaces=None, written_at=None,):
+    def __init__(self, name=None, holder=None, replaces=None, written_at=None, era=None, generation=None,):
         self.name = name
         self.holder = holder
         self.replaces = replaces
         self.written_at = written_at
+        self.era = era
+        self.generation = generation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1182,6 +1188,16 @@
                     self.written_at = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1208,6 +1224,14 @@
             oprot.writeFieldBegin('written_at', TType.DOUBLE, 4)
             oprot.writeDouble(self.written_at)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 6)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1240,6 +1264,8 @@
      - holder
      - fence
      - written_at
+     - era
+     - generation
 
     """
 
@@ -1248,14 +1274,18 @@
         'holder',
         'fence',
         'written_at',
+        'era',
+        'generation',
     )
 
 
-    def __init__(self, name=None, holder=None, fence=None, written_at=None,):
+    def __init__(self, name=None, holder=None, fence=None, written_at=None, era=None, generation=None,):
         self.name = name
         self.holder = holder
         self.fence = fence
         self.written_at = written_at
+        self.era = era
+        self.generation = generation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1286,6 +1316,16 @@
                     self.written_at = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1312,6 +1352,14 @@
             oprot.writeFieldBegin('written_at', TType.DOUBLE, 4)
             oprot.writeDouble(self.written_at)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 6)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3945,6 +3993,7 @@
      - born
      - gone
      - offset
+     - sequence
 
     """
 
@@ -3960,10 +4009,11 @@
         'born',
         'gone',
         'offset',
+        'sequence',
     )
 
 
-    def __init__(self, engine=None, backend=None, address=None, zone=None, slots=None, leaving=None, leaves_s=None, spot=None, born=None, gone=None, offset=None,):
+    def __init__(self, engine=None, backend=None, address=None, zone=None, slots=None, leaving=None, leaves_s=None, spot=None, born=None, gone=None, offset=None, sequence=None,):
         self.engine = engine
         self.backend = backend
         self.address = address
@@ -3975,6 +4025,7 @@
         self.born = born
         self.gone = gone
         self.offset = offset
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4040,6 +4091,11 @@
                     self.offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4094,6 +4150,10 @@
             oprot.writeFieldBegin('offset', TType.I64, 11)
             oprot.writeI64(self.offset)
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 12)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4148,6 +4208,8 @@
      - number
      - heard_number
      - groups
+     - store_era
+     - lease_era
 
     """
 
@@ -4178,10 +4240,12 @@
         'number',
         'heard_number',
         'groups',
+        'store_era',
+        'lease_era',
     )
 
 
-    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None, lease_offset=None, lease_age=None, entries_from=None, number=None, heard_number=None, groups=None,):
+    def __init__(self, identity=None, host=None, zone=None, caller_address=None, peer_address=None, ready=None, leaving=None, true_time=None, version=None, config_age=None, fleet_end=None, fleet_age=None, lease_fence=None, peers=None, demands=None, usage=None, engines=None, services=None, entries=None, document=None, lease_offset=None, lease_age=None, entries_from=None, number=None, heard_number=None, groups=None, store_era=None, lease_era=None,):
         self.identity = identity
         self.host = host
         self.zone = zone
@@ -4208,6 +4272,8 @@
         self.number = number
         self.heard_number = heard_number
         self.groups = groups
+        self.store_era = store_era
+        self.lease_era = lease_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4383,6 +4449,16 @@
                     self.groups = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.I64:
+                    self.store_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.I64:
+                    self.lease_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4515,6 +4591,14 @@
             oprot.writeFieldBegin('groups', TType.BOOL, 26)
             oprot.writeBool(self.groups)
             oprot.writeFieldEnd()
+        if self.store_era is not None:
+            oprot.writeFieldBegin('store_era', TType.I64, 27)
+            oprot.writeI64(self.store_era)
+            oprot.writeFieldEnd()
+        if self.lease_era is not None:
+            oprot.writeFieldBegin('lease_era', TType.I64, 28)
+            oprot.writeI64(self.lease_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4925,6 +5009,7 @@
      - fleet_age
      - fleet_change
      - fleet_complete_from
+     - store_era
 
     """
 
@@ -4935,16 +5020,18 @@
         'fleet_age',
         'fleet_change',
         'fleet_complete_from',
+        'store_era',
     )
 
 
-    def __init__(self, version=None, config_age=None, fleet_end=None, fleet_age=None, fleet_change=None, fleet_complete_from=None,):
+    def __init__(self, version=None, config_age=None, fleet_end=None, fleet_age=None, fleet_change=None, fleet_complete_from=None, store_era=None,):
         self.version = version
         self.config_age = config_age
         self.fleet_end = fleet_end
         self.fleet_age = fleet_age
         self.fleet_change = fleet_change
         self.fleet_complete_from = fleet_complete_from
+        self.store_era = store_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4985,6 +5072,11 @@
                     self.fleet_complete_from = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.store_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5019,6 +5111,10 @@
             oprot.writeFieldBegin('fleet_complete_from', TType.I64, 6)
             oprot.writeI64(self.fleet_complete_from)
             oprot.writeFieldEnd()
+        if self.store_era is not None:
+            oprot.writeFieldBegin('store_era', TType.I64, 7)
+            oprot.writeI64(self.store_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5051,6 +5147,7 @@
      - fence
      - offset
      - age
+     - era
 
     """
 
@@ -5059,14 +5156,16 @@
         'fence',
         'offset',
         'age',
+        'era',
     )
 
 
-    def __init__(self, holder=None, fence=None, offset=None, age=None,):
+    def __init__(self, holder=None, fence=None, offset=None, age=None, era=None,):
         self.holder = holder
         self.fence = fence
         self.offset = offset
         self.age = age
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5097,6 +5196,11 @@
                     self.age = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5123,6 +5227,10 @@
             oprot.writeFieldBegin('age', TType.DOUBLE, 4)
             oprot.writeDouble(self.age)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6822,6 +6930,8 @@
     (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
     (3, TType.I64, 'replaces', None, None, ),  # 3
     (4, TType.DOUBLE, 'written_at', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.I64, 'generation', None, None, ),  # 6
 )
 all_structs.append(LeaseRenew)
 LeaseRenew.thrift_spec = (
@@ -6830,6 +6940,8 @@
     (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
     (3, TType.I64, 'fence', None, None, ),  # 3
     (4, TType.DOUBLE, 'written_at', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.I64, 'generation', None, None, ),  # 6
 )
 all_structs.append(Mark)
 Mark.thrift_spec = (
@@ -7039,6 +7151,7 @@
     (9, TType.I64, 'born', None, None, ),  # 9
     (10, TType.BOOL, 'gone', None, None, ),  # 10
     (11, TType.I64, 'offset', None, None, ),  # 11
+    (12, TType.I64, 'sequence', None, None, ),  # 12
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
@@ -7069,6 +7182,8 @@
     (24, TType.I64, 'number', None, None, ),  # 24
     (25, TType.I64, 'heard_number', None, None, ),  # 25
     (26, TType.BOOL, 'groups', None, None, ),  # 26
+    (27, TType.I64, 'store_era', None, None, ),  # 27
+    (28, TType.I64, 'lease_era', None, None, ),  # 28
 )
 all_structs.append(HostFact)
 HostFact.thrift_spec = (
@@ -7103,6 +7218,7 @@
     (4, TType.DOUBLE, 'fleet_age', None, None, ),  # 4
     (5, TType.I64, 'fleet_change', None, None, ),  # 5
     (6, TType.I64, 'fleet_complete_from', None, None, ),  # 6
+    (7, TType.I64, 'store_era', None, None, ),  # 7
 )
 all_structs.append(LeaseFact)
 LeaseFact.thrift_spec = (
@@ -7111,6 +7227,7 @@
     (2, TType.I64, 'fence', None, None, ),  # 2
     (3, TType.I64, 'offset', None, None, ),  # 3
     (4, TType.DOUBLE, 'age', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
 )
 all_structs.append(Report)
 Report.thrift_spec = (
--- a/tests/test_entry_followers.py
+++ b/tests/test_entry_followers.py
@@ -29,7 +29,7 @@
     def __init__(self, page):
         self.page = page
 
-    def read(self, topic, offset):
+    def read(self, topic, offset, *, era):
         """Return the page."""
         return self.page
 
@@ -64,7 +64,7 @@
             3 + len(removed),
         )
         follower = RegistrationFollower(state, StubStore(page))
-        follower.has_listing = True
+        follower.listings.is_due = False
         follower._read_once(10.0)
         return state, clock
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -74,11 +74,11 @@
 def test_leaving_engines_get_nothing_after_the_store_went_back(site):
     copy = site.store.copy()
     for _ in range(10):
-        site.register("m2", "llm", sequence=1, leaves_ms=1)
+        site.register("m2", "llm", leaves_ms=1)
     send_everywhere(site, "/look/x", 1.0)
     go_back(site, copy)
     sleep(CONTACT_TIMEOUT_S)
-    site.register("a1", "app", state="draining", sequence=5)
+    site.register("a1", "app", state="draining")
     sleep(DRAIN_S)
     arrived = len(site.engines["a1"].arrivals)
     statuses = send_everywhere(site, "/look/x", 2.0)
@@ -89,7 +89,7 @@
 def test_engines_that_left_before_the_store_went_back_stay_away(site):
     """The copy lists them as ready until they are written again."""
     copy = site.store.copy()
-    site.register("a1", "app", state="draining", sequence=5)
+    site.register("a1", "app", state="draining")
     sleep(DRAIN_S)
     arrived = len(site.engines["a1"].arrivals)
     site.store.topics["keyed.servers"].pop()
@@ -103,7 +103,7 @@
     copy = site.store.copy()
     add_engines(site, 3)
     for name in ("a1", "a2"):
-        site.register(name, "app", state="draining", sequence=5)
+        site.register(name, "app", state="draining")
     sleep(DRAIN_S)
     removed = site.store.topics["keyed.servers"]
     site.store.topics["keyed.servers"] = [
@@ -200,7 +200,7 @@
 
 def test_logs_name_the_era_and_what_was_read_again(site):
     copy = site.store.copy()
-    site.register("m2", "llm", sequence=2, leaves_ms=1)
+    site.register("m2", "llm", leaves_ms=1)
     go_back(site, copy)
     sleep(CONTACT_TIMEOUT_S)
     for number in range(3):
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -3,6 +3,7 @@
 The store and the engines are replaced by stand-ins.
 """
 
+from collections import Counter
 from http.client import HTTPConnection
 from itertools import count
 from json import dumps
@@ -109,6 +110,7 @@
         self.metrics_port = 0
         self.store = MetadataStore()
         self.engines = {}
+        self.sequences = Counter()
         self.processes = []
         self.launched = []
         self.entry_ports = []
@@ -134,12 +136,14 @@
 
     def register(self, name, service, **overrides):
         """Write an engine's record to the store, as its heartbeat does."""
+        self.sequences[name] += 1
         entry = {
             "service": service,
             "address": self.engines[name].address,
             "zone": "z1",
             "slots": 4,
             "state": "ready",
+            "sequence": self.sequences[name],
             "born": FIRST_BORN,
         }
         self.store.put(
