Log a name of a broken request that it keeps when it is sent again

The logs did not tell whether a request is the same as one before it: clients send it again under a new id. ATTEMPT_FAILED has same_as, a digest of method, host, path, account and body. No logic changes.

--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -35,6 +35,7 @@
 from magnoliaflow.platform.headers import json_answer_headers
 from magnoliaflow.policy.crashes import Hold
 from magnoliaflow.policy.crashes import part_name
+from magnoliaflow.policy.crashes import request_name
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.eventstream import Event
 from magnoliaflow.policy.placement import first_token_s
@@ -88,6 +89,7 @@
         "key",
         "last_event",
         "may_have_run",
+        "request_name",
         "route",
         "service",
         "shared_parts",
@@ -123,6 +125,7 @@
         self.hedge_timer: Any = None
         self.last_event = -1
         self.may_have_run = False
+        self.request_name = ""
         self.status = 0
         self.deadline_timer: Any = None
         self.tried_engines: set[str] = set()
@@ -155,8 +158,24 @@
         self.route = found.route
         self.account = found.account
         self.service = found.route.service_for(self.call.request_id)
+        if not self.request_name:
+            self.request_name = self._name_request()
         return True
 
+    def _name_request(self) -> str:
+        """Return the name that this request has whenever it is sent."""
+        call = self.call
+        caller = self.account.name if self.account else ""
+        return request_name(
+            (
+                call.method,
+                call.host.encode(),
+                call.target,
+                caller.encode(),
+                call.body,
+            )
+        )
+
     def _start_deadline_timer(self) -> None:
         """Start the timer of the request's deadline or timeout."""
         assert self.route is not None
@@ -409,6 +428,7 @@
             events=attempt.event_count,
             written_s=round(attempt.written_s(), 3),
             parts=list(self.shared_parts),
+            same_as=self.request_name,
         )
         self.tried_engines.add(attempt.engine.name)
         if failure is Failure.UNSENT:
--- a/src/magnoliaflow/policy/crashes.py
+++ b/src/magnoliaflow/policy/crashes.py
@@ -18,6 +18,8 @@
 from itertools import pairwise
 from math import inf
 
+from xxhash import xxh3_128
+
 # Engines that end under a part, without a written answer in between, until it
 # is held back.
 MAX_ENDS = 3
@@ -64,6 +66,8 @@
 MAX_ENGINES_KEPT = 256
 MAX_SOUND = 2048
 MAX_SENT_PARTS = 32
+# Begins the names of requests; those of parts are hexadecimal.
+REQUEST_PREFIX = "r"
 
 
 def part_name(part: int) -> str:
@@ -75,6 +79,21 @@
     return f"{part:x}"[:MAX_PART_DIGITS]
 
 
+def request_name(fields: Iterable[bytes]) -> str:
+    """Return a name that a request keeps when it is sent again.
+
+    ``fields`` are what two requests must agree in to be the same.
+
+    >>> request_name([b"ab", b"c"]) == request_name([b"a", b"bc"])
+    False
+    """
+    digest = xxh3_128()
+    for field_bytes in fields:
+        digest.update(len(field_bytes).to_bytes(8, "big"))
+        digest.update(field_bytes)
+    return REQUEST_PREFIX + digest.hexdigest()
+
+
 @dataclass(frozen=True, slots=True)
 class EngineEnd:
     """The end of one run of an engine of a service, under some part.
