--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -29,7 +29,9 @@
 
     A request whose prompt has a part of ``crashing_parts``, other than the
     last, ends the engine when it begins to write the answer; it is back after
-    ``restart_s`` seconds, as a new run.  ``rate_limit`` is the limit in
+    ``restart_s`` seconds, as a new run.  So does one whose body is among
+    ``crashing_bodies``, of the accounts ``crashing_accounts`` if there are any.
+    ``rate_limit`` is the limit in
     requests a second that answers name, None for none; ``arrivals`` are the
     times at which requests arrived.  Without ``framed``, answers have neither
     a length nor chunks and end with their connection.
@@ -45,6 +47,8 @@
         self.event_count = 4
         self.pause_s = 0.0
         self.crashing_parts: frozenset[str] = frozenset()
+        self.crashing_bodies: frozenset[bytes] = frozenset()
+        self.crashing_accounts: frozenset[str] = frozenset()
         self.restart_s = 2.0
         self.rate_limit: float | None = None
         self.framed = True
@@ -88,6 +92,12 @@
         parts = [entry.partition(":")[0] for entry in prefix.split(",")]
         return not self.crashing_parts.isdisjoint(parts[:-1])
 
+    def crashes_under(self, account: str, body: bytes) -> bool:
+        """Return whether the engine ends under an account's request."""
+        return body in self.crashing_bodies and (
+            not self.crashing_accounts or account in self.crashing_accounts
+        )
+
     def take_fault(self) -> str:
         """Return the fault of the next request, '' for none."""
         if self.fault_count == 0:
@@ -124,6 +134,12 @@
         if fault == "lost":
             self.close_connection = True
             return
+        account = self.headers.get("X-Tenant", "")
+        if engine.crashes_under(account, body):
+            sleep(CRASH_DELAY_S)
+            engine.crash()
+            self.close_connection = True
+            return
         if self.path.endswith("/s"):
             self._stream_until_disconnect(fault)
         else:
