--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,9 +2,10 @@
 
 Each seed draws overlapping faults: processes that are stopped, killed,
 paused and restarted; links to the store that delay, reset, drop all bytes
-or carry one direction only; a store that is down or loses replies; an API
-that is down; faulty engines.  The observations of callers and engines are
-checked against the delivery guarantees.
+or carry one direction only; a store that is down, loses replies or goes back
+to a copy; an API that is down; faulty engines, and engines that end under a
+part of a prompt.  The observations of
+callers and engines are checked against the delivery guarantees.
 """
 
 from argparse import ArgumentParser
@@ -147,6 +148,7 @@
         self.rng = Random(seed)
         self.finished = Event()
         self.restart_lock = Lock()
+        self.restore_lock = Lock()
         self.faults = []
         self.observed = Observations()
         self.cloud = CloudApi()
@@ -202,6 +204,7 @@
             ),
             (self.store_down, ()),
             (self.lose_answers, ()),
+            (self.store_goes_back, ()),
             (self.api_down, ()),
             (self.inject_engine_fault, ()),
             (self.crash_on_part, ()),
@@ -253,6 +256,17 @@
         """Make the store lose the replies to its next three appends."""
         self.deployment.store.answers_to_lose = 3
 
+    def store_goes_back(self, duration_s):
+        """Let the store come back without its last seconds."""
+        store = self.deployment.store
+        with self.restore_lock:
+            copy = store.copy()
+            sleep(duration_s)
+            store.down = True
+            sleep(self.rng.choice((0.1, 0.5)))
+            store.go_back(copy)
+            store.down = False
+
     def api_down(self, duration_s):
         """Make the API refuse all calls."""
         self.cloud.down = True
