Hold back requests under which engines end, at all hosts

Callers saw 502 beside such a request, and no server of a service for seconds at a time; one request ended 10 and 14 servers.

Cause: the judgement of ends knew shared parts of prompts only. A request without a prompt, or one that its client sends again under a new id to another host, left no evidence that another host could use.

Change: a request has a name of method, host, path, account and body, and is judged as parts are. Requests that were only at the same ends are not told apart and not held before the next end. Three failed trials lead to the longest hold. Memory and messages keep room for parts; older builds ignore requests. A single end at a trial no longer releases a hold because engines ended for other reasons before.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -174,7 +174,8 @@
 }
 struct NamedLimit { 1: string engine, 2: double rate, 3: double age }
 struct Findings {
-  1: string host, 2: list<SuspectPart> parts, 3: list<NamedLimit> limits
+  1: string host, 2: list<SuspectPart> parts, 3: list<NamedLimit> limits,
+  4: optional list<SuspectPart> requests
 }
 struct PeerMessage {
   1: optional Heartbeat heartbeat, 2: optional Hold hold,
--- a/src/magnoliaflow/common/codes.py
+++ b/src/magnoliaflow/common/codes.py
@@ -148,7 +148,7 @@
     Code.PROMPT_HELD: CodeInfo(
         Executed.NO,
         503,
-        "Engines ended under a part of this prompt; it is held back.",
+        "Engines ended under this request or its prompt; it is held back.",
     ),
     Code.BACKEND_FAILED: CodeInfo(
         Executed.YES,
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -59,6 +59,8 @@
     PART_RELEASED = 641
     ENGINE_LIMITED = 642
     ENGINE_UNLIMITED = 643
+    REQUEST_HELD = 644
+    REQUEST_RELEASED = 645
 
 
 EXPLANATIONS = {
@@ -102,11 +104,13 @@
     LogEvent.CALL_PLACED: "A request was sent to an engine.",
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
-    LogEvent.CALL_REFUSED: "A request was not admitted: cap, pace or prompt.",
+    LogEvent.CALL_REFUSED: "A request was not admitted: cap, pace or held.",
     LogEvent.PART_HELD: "A part of prompts is held back: engines ended.",
     LogEvent.PART_RELEASED: "A part of prompts is no longer held back.",
     LogEvent.ENGINE_LIMITED: "An engine named a limit of requests a second.",
     LogEvent.ENGINE_UNLIMITED: "An engine no longer names a limit.",
+    LogEvent.REQUEST_HELD: "A request is held back: engines ended.",
+    LogEvent.REQUEST_RELEASED: "A request is no longer held back.",
 }
 
 
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -459,7 +459,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspectPart:
-    """Evidence for and against a part of prompts, named in hexadecimal."""
+    """Evidence for and against a part of prompts or a request, by name."""
 
     part: str
     ends: tuple[EndedEngine, ...]
@@ -485,6 +485,7 @@
     host: str
     parts: tuple[SuspectPart, ...]
     limits: tuple[NamedLimit, ...] = ()
+    requests: tuple[SuspectPart, ...] = ()
 
 
 Message = Union[
--- a/src/magnoliaflow/entry/brokenanswers.py
+++ b/src/magnoliaflow/entry/brokenanswers.py
@@ -24,7 +24,7 @@
     )
     if not leaves and attempt.written_s() < SOUND_AFTER_S:
         state.crash_judge.record_broken(
-            run, handler.service, handler.shared_parts, boot_time()
+            run, handler.service, handler.judged_names(), boot_time()
         )
     if run in state.probed_engines:
         return
@@ -42,7 +42,7 @@
     """Record that an engine has written on the parts of a request."""
     handler = attempt.handler
     handler.state.crash_judge.record_sound(
-        handler.service, handler.shared_parts, begun_at, boot_time()
+        handler.service, handler.judged_names(), begun_at, boot_time()
     )
 
 
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -176,6 +176,10 @@
             )
         )
 
+    def judged_names(self) -> tuple[str, ...]:
+        """Return the names by which engines' ends are judged."""
+        return (*self.shared_parts, self.request_name)
+
     def _start_deadline_timer(self) -> None:
         """Start the timer of the request's deadline or timeout."""
         assert self.route is not None
@@ -236,8 +240,8 @@
         self._send(engine, choice.uncached_tokens, routing_request, left_s)
 
     def _find_hold(self, now: float) -> Hold | None:
-        """Return a hold on a part of the prompt, None if it may be sent."""
-        return find_hold(self.state, self.service, self.shared_parts, now)
+        """Return a hold on the request, None if it may be sent."""
+        return find_hold(self.state, self.service, self.judged_names(), now)
 
     def _policy(self) -> Any:
         return find_policy(
@@ -340,7 +344,7 @@
             ),
             resume_after=str(self.last_event) if self.last_event >= 0 else "",
         )
-        self.state.crash_judge.begin_trial(self.shared_parts, boot_time())
+        self.state.crash_judge.begin_trial(self.judged_names(), boot_time())
         self.attempt = Attempt(self, engine, uncached)
         self.attempt.open(self.call, forward)
         self._start_hedge_timer()
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -42,6 +42,7 @@
 from magnoliaflow.entry.duties import UsageDuty
 from magnoliaflow.entry.findings import FindingsSender
 from magnoliaflow.entry.findings import hold_details
+from magnoliaflow.entry.findings import holds_request
 from magnoliaflow.entry.followers import ConfigFollower
 from magnoliaflow.entry.followers import RegistrationFollower
 from magnoliaflow.entry.heartbeats import handle_message
@@ -201,10 +202,17 @@
         """Serve the metrics as text, and what is held back as JSON."""
         if inbound.target == EXPLAIN_TARGET:
             now = boot_time()
+            holds = self.state.crash_judge.holds()
             rows = {
                 "part": [
                     hold_details(hold, now)
-                    for hold in self.state.crash_judge.holds()
+                    for hold in holds
+                    if not holds_request(hold)
+                ],
+                "request": [
+                    hold_details(hold, now)
+                    for hold in holds
+                    if holds_request(hold)
                 ],
                 "limit": limit_details(self.state),
                 "store": [store_details(self.state)],
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -24,6 +24,7 @@
         "parts_held",
         "refusals",
         "registry",
+        "requests_held",
         "retries",
         "store_era",
         "store_errors",
@@ -67,6 +68,11 @@
             "Parts of prompts that are held back.",
             registry=registry,
         )
+        self.requests_held = Gauge(
+            "magnoliaflow_entry_requests_held",
+            "Requests that are held back, whatever their ids.",
+            registry=registry,
+        )
         self.engines_limited = Gauge(
             "magnoliaflow_entry_engines_limited",
             "Engines that name a limit of requests a second.",
--- a/src/magnoliaflow/entry/findings.py
+++ b/src/magnoliaflow/entry/findings.py
@@ -16,6 +16,7 @@
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.policy.crashes import EngineEnd
 from magnoliaflow.policy.crashes import Hold
+from magnoliaflow.policy.crashes import is_request
 from magnoliaflow.policy.crashes import PartEvidence
 from magnoliaflow.policy.enginelimits import EngineLimit
 
@@ -53,14 +54,14 @@
             apply_limits(state, now)
         findings = make_findings(state, now)
         hosts = state.live_hosts(now)
-        if findings.parts or findings.limits:
+        if findings.parts or findings.limits or findings.requests:
             for fact in state.rng.sample(hosts, min(count, len(hosts))):
                 self.links.send(fact.peer_address, findings)
 
 
 def make_findings(state: EntryState, now: float) -> Findings:
     """Return this host's findings, with ages in place of times."""
-    parts = tuple(
+    suspects = [
         SuspectPart(
             item.part,
             tuple(
@@ -70,7 +71,7 @@
             tuple(SoundAnswer(name, now - at) for name, at in item.sound),
         )
         for item in state.crash_judge.evidence(now)
-    )
+    ]
     limits = tuple(
         NamedLimit(
             limit.engine,
@@ -79,7 +80,12 @@
         )
         for limit in state.engine_limits.known()
     )
-    return Findings(state.host_settings.host, parts, limits)
+    return Findings(
+        state.host_settings.host,
+        tuple(item for item in suspects if not is_request(item.part)),
+        limits,
+        tuple(item for item in suspects if is_request(item.part)),
+    )
 
 
 def handle_findings(state: EntryState, findings: Findings) -> None:
@@ -94,7 +100,7 @@
             ),
             tuple((answer.backend, now - answer.age) for answer in item.sound),
         )
-        for item in findings.parts
+        for item in (*findings.parts, *findings.requests)
     ]
     state.crash_judge.merge(evidence, now)
     limits = [
@@ -123,10 +129,16 @@
     return max(TRIAL_RETRY_AFTER_S, hold.until - now)
 
 
+def holds_request(hold: Hold) -> bool:
+    """Return whether a hold concerns one request."""
+    return any(map(is_request, hold.parts))
+
+
 def hold_details(hold: Hold, now: float) -> dict[str, object]:
     """Return the fields of a hold for logs and ``explain``."""
     return {
-        "parts": list(hold.parts),
+        "parts": [part for part in hold.parts if not is_request(part)],
+        "requests": [part for part in hold.parts if is_request(part)],
         "engines": list(hold.engines),
         "services": list(hold.services),
         "until_s": round(hold.until - now, 3),
@@ -134,19 +146,31 @@
 
 
 def log_changed_holds(state: EntryState, now: float) -> None:
-    """Log the parts that are held back since, or no longer."""
+    """Log what is held back since, or no longer."""
     holds = state.crash_judge.holds()
     if holds == state.known_holds:
         return
     for hold in holds:
         if hold not in state.known_holds:
-            state.log(LogEvent.PART_HELD, **hold_details(hold, now))
+            event = (
+                LogEvent.REQUEST_HELD
+                if holds_request(hold)
+                else LogEvent.PART_HELD
+            )
+            state.log(event, **hold_details(hold, now))
     parts = {hold.parts for hold in holds}
     for hold in state.known_holds:
         if hold.parts not in parts:
-            state.log(LogEvent.PART_RELEASED, **hold_details(hold, now))
+            event = (
+                LogEvent.REQUEST_RELEASED
+                if holds_request(hold)
+                else LogEvent.PART_RELEASED
+            )
+            state.log(event, **hold_details(hold, now))
     state.known_holds = holds
-    state.metrics.parts_held.set(len(holds))
+    requests = sum(map(holds_request, holds))
+    state.metrics.requests_held.set(requests)
+    state.metrics.parts_held.set(len(holds) - requests)
 
 
 def _trial_rank(state: EntryState, now: float, part: str) -> int:
--- a/src/magnoliaflow/policy/crashes.py
+++ b/src/magnoliaflow/policy/crashes.py
@@ -1,12 +1,16 @@
-"""Judgement of prompt parts under which engines end.
-
-Evidence is the end of an engine while a request with the part was about to
-write or had just begun its answer.  Answers that were written acquit their
-parts.  Ends are explained by the part with the most of them first, so that
-parts which only shared a batch or a prompt with it are not blamed.  All hosts
-that have the same evidence reach the same verdict.
-
-Times are in seconds of one clock, handed in by the caller.
+"""Judgement of requests and prompt parts under which engines end.
+
+Evidence is the end of an engine while a request was about to write or had
+just begun its answer.  It concerns the parts of its prompt and the request
+itself, by a name that it keeps when its client sends it again.  Answers that
+were written acquit.  Ends are explained by the part or request with the most
+of them first, so that those which only shared a batch, an engine or a prompt
+with it are not blamed.  Requests that occurred at the same ends only are not
+told apart; the next end tells.  All hosts that have the same evidence reach
+the same verdict.
+
+Here a part is also a request, by its name.  Times are in seconds of one clock,
+handed in by the caller.
 """
 
 from collections.abc import Callable
@@ -64,12 +68,20 @@
 MAX_PART_DIGITS = 32
 MAX_ENDS_KEPT = 8
 MAX_ENGINES_KEPT = 256
+MAX_REQUESTS = 128
 MAX_SOUND = 2048
 MAX_SENT_PARTS = 32
+# Trials of a request until it is held back for the longest time.
+MAX_REQUEST_TRIALS = 3
 # Begins the names of requests; those of parts are hexadecimal.
 REQUEST_PREFIX = "r"
 
 
+def is_request(part: str) -> bool:
+    """Return whether a name is that of a request."""
+    return part.startswith(REQUEST_PREFIX)
+
+
 def part_name(part: int) -> str:
     """Return the name of a part, in hexadecimal, of bounded length.
 
@@ -124,7 +136,7 @@
     """Parts held back, the engines that ended under them, and the end time.
 
     Several parts occurred together so far: only prompts with all of them are
-    held back.
+    held back.  At most one of them is a request.
     """
 
     parts: tuple[str, ...]
@@ -143,6 +155,35 @@
     changed_at: float = -inf
 
 
+class SoundAnswers:
+    """Times of written answers, the newest of parts and of requests."""
+
+    __slots__ = ("_parts", "_requests")
+
+    def __init__(self) -> None:
+        self._parts: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._requests: OrderedDict[tuple[str, str], float] = OrderedDict()
+
+    def get(self, service: str, part: str) -> float:
+        """Return when the last answer was begun, -inf if there is none."""
+        return self._of(part).get((service, part), -inf)
+
+    def add(self, service: str, part: str, begun_at: float) -> None:
+        """Record a written answer."""
+        times = self._of(part)
+        key = (service, part)
+        times[key] = max(begun_at, times.get(key, -inf))
+        times.move_to_end(key)
+        if len(times) > MAX_SOUND:
+            times.popitem(last=False)
+
+    def __len__(self) -> int:
+        return max(len(self._parts), len(self._requests))
+
+    def _of(self, part: str) -> OrderedDict[tuple[str, str], float]:
+        return self._requests if is_request(part) else self._parts
+
+
 class CrashJudge:
     """Evidence on parts of prompts, and which of them are held back."""
 
@@ -158,7 +199,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
-        self._sound: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._sound = SoundAnswers()
         self._services: set[str] = set()
         self._ended: OrderedDict[str, float] = OrderedDict()
         self._held: list[Hold] = []
@@ -238,7 +279,10 @@
         return bool(self._records)
 
     def evidence(self, now: float) -> tuple[PartEvidence, ...]:
-        """Return what other hosts need to know, the most grave first."""
+        """Return what other hosts need to know, the most grave first.
+
+        Parts and requests are bounded separately.
+        """
         held = self._held_parts()
         found = []
         for part, record in self._records.items():
@@ -251,19 +295,22 @@
                 continue
             record.shared = True
             sound = tuple(
-                (service, self._sound[service, part])
+                (service, at)
                 for service in self._services
-                if (service, part) in self._sound
+                if (at := self._sound.get(service, part)) > -inf
             )
             found.append(PartEvidence(part, ends, sound))
         found.sort(key=lambda item: (item.part in held, len(item.ends)))
-        return tuple(found[: -MAX_SENT_PARTS - 1 : -1])
+        found.reverse()
+        requests = [item for item in found if is_request(item.part)]
+        parts = [item for item in found if not is_request(item.part)]
+        return (*parts[:MAX_SENT_PARTS], *requests[:MAX_SENT_PARTS])
 
     def merge(self, evidence: Iterable[PartEvidence], now: float) -> None:
         """Add what another host knows, in times of this host's clock."""
         for item in evidence:
             for service, at in item.sound:
-                if at > self._sound.get((service, item.part), -inf):
+                if at > self._sound.get(service, item.part):
                     self._acquit(item.part, service, at, now)
             for end in item.ends:
                 if end.at > now - FORGET_S - MAX_HOLD_S + RECEIVE_MARGIN_S:
@@ -277,7 +324,9 @@
                 self._touch(item.part, now)
 
     def _knows_sound(self, part: str) -> bool:
-        return any((name, part) in self._sound for name in self._services)
+        return any(
+            self._sound.get(name, part) > -inf for name in self._services
+        )
 
     def _add_end(self, part: str, end: EngineEnd, now: float) -> None:
         """Add an end unless a later answer refutes it."""
@@ -286,15 +335,14 @@
             self._ended[end.engine] = end.at
             if len(self._ended) > MAX_ENGINES_KEPT:
                 self._ended.popitem(last=False)
-        if end.at <= self._sound.get((end.service, part), -inf):
+        if end.at <= self._sound.get(end.service, part):
             return
         record = self._records.get(part)
         known = None if record is None else record.ends.get(end.engine)
         if known is not None and (known.confirmed or not end.confirmed):
             return
         if record is None:
-            if len(self._records) >= MAX_PARTS:
-                self._drop_weakest()
+            self._make_room(part)
             record = self._records[part] = _Record()
         at = end.at if known is None else min(known.at, end.at)
         record.ends[end.engine] = replace(end, at=at)
@@ -306,11 +354,7 @@
     def _acquit(
         self, part: str, service: str, begun_at: float, now: float
     ) -> None:
-        key = (service, part)
-        self._sound[key] = max(begun_at, self._sound.get(key, -inf))
-        self._sound.move_to_end(key)
-        if len(self._sound) > MAX_SOUND:
-            self._sound.popitem(last=False)
+        self._sound.add(service, part, begun_at)
         record = self._records.get(part)
         if record is None:
             return
@@ -333,10 +377,18 @@
             return
         self.changed_at = now
 
-    def _drop_weakest(self) -> None:
+    def _make_room(self, part: str) -> None:
+        """Drop the weakest evidence if there is no room for a part."""
+        alike = [
+            name
+            for name in self._records
+            if is_request(name) == is_request(part)
+        ]
+        if len(alike) < (MAX_REQUESTS if is_request(part) else MAX_PARTS):
+            return
         held = self._held_parts()
         weakest = min(
-            self._records,
+            alike,
             key=lambda part: (
                 part in held,
                 len(self._records[part].ends),
@@ -350,7 +402,7 @@
         """Return whether answers were written shortly before the ends."""
         first = min(end.at for end in ends)
         return any(
-            first - self._sound.get((service, part), -inf) < REPUTATION_S
+            first - self._sound.get(service, part) < REPUTATION_S
             for service in {end.service for end in ends}
         )
 
@@ -374,36 +426,45 @@
     def _judge(self) -> list[Hold]:
         """Return the parts that explain the ends, the strongest first.
 
-        Parts with the same ends are held back together.
+        Parts with the same ends are held back together; several requests
+        are not, since only one of them is at fault.
         """
         explained: set[str] = set()
         held: list[Hold] = []
-        suspects = [
-            (self._is_reputed(part, ends), -len(ends), part, ends)
+        suspects = sorted(
+            (self._is_reputed(part, ends), -len(ends), part)
             for part, record in self._records.items()
-            if (ends := list(record.ends.values()))
-        ]
-        suspects.sort(key=lambda suspect: suspect[:3])
-        alike: tuple[bool, set[str]] = (False, set())
-        for reputed, _, part, ends in suspects:
-            names = {end.engine for end in ends}
-            if held and alike == (reputed, names):
-                held[-1] = replace(held[-1], parts=(*held[-1].parts, part))
-                continue
+            if len(ends := list(record.ends.values())) >= MAX_ENDS
+        )
+        alike: dict[tuple[bool, frozenset[str]], list[str]] = {}
+        for reputed, _, part in suspects:
+            engines = frozenset(self._records[part].ends)
+            alike.setdefault((reputed, engines), []).append(part)
+        for (reputed, engines), parts in alike.items():
+            ends = list(self._records[parts[0]].ends.values())
             left = [end for end in ends if end.engine not in explained]
-            if _suffices(left, reputed) and self._is_main_cause(
+            requests = sum(map(is_request, parts))
+            if not _suffices(left, reputed) or not self._is_main_cause(
                 left, explained
             ):
-                held.append(_hold(part, ends))
-                alike = (reputed, names)
-                explained |= names
+                continue
+            explained.update(engines)
+            if requests > 1:
+                parts = [part for part in parts if not is_request(part)]
+            if parts:
+                ends = list(self._records[parts[0]].ends.values())
+                held.append(_hold(tuple(parts), ends))
         return held
 
     def _is_main_cause(
         self, ends: list[EngineEnd], explained: set[str]
     ) -> bool:
-        """Return whether a part's last ends are most of all at that time."""
-        newest = sorted(end.at for end in ends)[-MAX_ENDS:]
+        """Return whether a part's last ends are most of all at that time.
+
+        Single ends of trials do not count: engines that end for other reasons
+        before a trial release nothing.
+        """
+        newest = _last_series(sorted(end.at for end in ends))[-MAX_ENDS:]
         others = sum(
             1
             for engine, at in self._ended.items()
@@ -455,6 +516,18 @@
     return times[-1] - times[0] >= MIN_REPUTED_SPAN_S
 
 
+def _last_series(times: list[float]) -> list[float]:
+    """Return the last series of at least MAX_ENDS times, all without one."""
+    series: list[list[float]] = []
+    for at in times:
+        if not series or at - series[-1][-1] > SERIES_GAP_S:
+            series.append([])
+        series[-1].append(at)
+    return next(
+        (found for found in reversed(series) if len(found) >= MAX_ENDS), times
+    )
+
+
 def _separate_times(ends: list[EngineEnd]) -> list[float]:
     """Return the times of the ends, in order, one for those at once."""
     times: list[float] = []
@@ -464,19 +537,23 @@
     return times
 
 
-def _hold(part: str, ends: list[EngineEnd]) -> Hold:
-    """Return the hold that a part's ends lead to."""
+def _hold(parts: tuple[str, ...], ends: list[EngineEnd]) -> Hold:
+    """Return the hold that the ends of parts lead to."""
     ordered = sorted(ends, key=lambda end: end.at)
     trials = sum(
         1
         for first, second in pairwise(ordered)
         if second.at - first.at > SERIES_GAP_S
     )
+    if trials >= MAX_REQUEST_TRIALS and any(map(is_request, parts)):
+        hold_s = MAX_HOLD_S
+    else:
+        hold_s = _hold_s(trials)
     return Hold(
-        (part,),
+        parts,
         tuple(end.engine for end in ordered),
         tuple(sorted({end.service for end in ends})),
-        ordered[-1].at + _hold_s(trials),
+        ordered[-1].at + hold_s,
     )
 
 
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype278, _size275) = iprot.readListBegin()
-                    for _i279 in range(_size275):
-                        _elem280 = PeerMessage()
-                        _elem280.read(iprot)
-                        self.messages.append(_elem280)
+                    (_etype285, _size282) = iprot.readListBegin()
+                    for _i286 in range(_size282):
+                        _elem287 = PeerMessage()
+                        _elem287.read(iprot)
+                        self.messages.append(_elem287)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter281 in self.messages:
-                iter281.write(oprot)
+            for iter288 in self.messages:
+                iter288.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -6419,6 +6419,7 @@
      - host
      - parts
      - limits
+     - requests
 
     """
 
@@ -6426,13 +6427,15 @@
         'host',
         'parts',
         'limits',
+        'requests',
     )
 
 
-    def __init__(self, host=None, parts=None, limits=None,):
+    def __init__(self, host=None, parts=None, limits=None, requests=None,):
         self.host = host
         self.parts = parts
         self.limits = limits
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6470,6 +6473,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype276, _size273) = iprot.readListBegin()
+                    for _i277 in range(_size273):
+                        _elem278 = SuspectPart()
+                        _elem278.read(iprot)
+                        self.requests.append(_elem278)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6487,15 +6501,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter273 in self.parts:
-                iter273.write(oprot)
+            for iter279 in self.parts:
+                iter279.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter274 in self.limits:
-                iter274.write(oprot)
+            for iter280 in self.limits:
+                iter280.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter281 in self.requests:
+                iter281.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7315,6 +7336,7 @@
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'parts', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 2
     (3, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 3
+    (4, TType.LIST, 'requests', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 4
 )
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -29,12 +29,13 @@
 
     A request whose prompt has a part of ``crashing_parts``, other than the
     last, ends the engine when it begins to write the answer; it is back after
-    ``restart_s`` seconds, as a new run.  So does one whose body is among
-    ``crashing_bodies``, of the accounts ``crashing_accounts`` if there are any.
-    ``rate_limit`` is the limit in
-    requests a second that answers name, None for none; ``arrivals`` are the
-    times at which requests arrived.  Without ``framed``, answers have neither
-    a length nor chunks and end with their connection.
+    ``restart_s`` seconds, as a new run.  So does one with a body of
+    ``crashing_bodies``, if it is of ``crashing_accounts`` or these are empty.
+
+    ``rate_limit`` is the limit in requests a second that answers name, None
+    for none; ``arrivals`` are the times at which requests arrived.  Without
+    ``framed``, answers have neither a length nor chunks and end with their
+    connection.
     """
 
     def __init__(self, engine_id: str) -> None:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,7 +4,7 @@
 paused and restarted; links to the store that delay, reset, drop all bytes
 or carry one direction only; a store that is down, loses replies or goes back
 to a copy; an API that is down; faulty engines, and engines that end under a
-part of a prompt.  The observations of
+part of a prompt or under a request that comes again.  The observations of
 callers and engines are checked against the delivery guarantees.
 """
 
@@ -44,11 +44,14 @@
 CLIENTS = 6
 SOUND_PARTS = ("b1", "b2", "b3", "b4", "b5")
 CRASHING_PART = "c0de"
+CRASHING_BODY = b"crash"
+CRASHING_PATH = "/look/again"
 PATHS = (
     ("POST", "/book/x", False),
     ("GET", "/look/x", True),
     ("POST", "/chat/s", False),
     ("POST", "/draft/s", True),
+    ("POST", CRASHING_PATH, True),
 )
 
 
@@ -92,6 +95,8 @@
             observed.once_only.add(request_id)
         observed.sent_at[request_id] = monotonic()
         body = request_id.encode() if method == "POST" else None
+        if path == CRASHING_PATH:
+            body = CRASHING_BODY
         request_headers = {
             "Host": HOST,
             "X-Attempt-Id": request_id,
@@ -129,6 +134,8 @@
         expected = b"answer to " + (
             request_id.encode() if path.startswith("/book") else b""
         )
+        if path == CRASHING_PATH:
+            expected = b"answer to " + CRASHING_BODY
         if path.endswith("/s"):
             expected = b"".join(
                 b"id: %d\ndata: t%d\n\n" % (offset, offset)
@@ -208,6 +215,7 @@
             (self.api_down, ()),
             (self.inject_engine_fault, ()),
             (self.crash_on_part, ()),
+            (self.crash_on_request, ()),
             (self.limit_engine, ()),
             (self.publish_config, ()),
         )
@@ -290,6 +298,15 @@
         for engine in engines:
             engine.crashing_parts = frozenset()
 
+    def crash_on_request(self, duration_s):
+        """Let all engines end under one request for a time."""
+        engines = self.deployment.engines.values()
+        for engine in engines:
+            engine.crashing_bodies = frozenset([CRASHING_BODY])
+        sleep(duration_s)
+        for engine in engines:
+            engine.crashing_bodies = frozenset()
+
     def limit_engine(self, duration_s):
         """Let an engine name a limit for a time."""
         engine = self.rng.choice(list(self.deployment.engines.values()))
--- a/tools/troubles.py
+++ b/tools/troubles.py
@@ -2,7 +2,9 @@
 
 The hosts run the product's own judgement of prompts and its spread of
 findings.  A prompt has a first part shared by many, a document shared by few,
-perhaps a part that ends engines, and a last part of its own.
+perhaps a part that ends engines, and a last part of its own.  Requests of a
+plain service have no prompt.  Clients send requests that failed again under a
+new id, at any host.
 """
 
 from functools import partial
@@ -15,6 +17,7 @@
 from magnoliaflow.cluster.groups import rendezvous_score
 from magnoliaflow.cluster.spread import Spread
 from magnoliaflow.policy.crashes import CrashJudge
+from magnoliaflow.policy.crashes import REQUEST_PREFIX
 from magnoliaflow.policy.crashes import SOUND_AFTER_S
 from magnoliaflow.policy.enginelimits import EngineLimits
 from magnoliaflow.policy.enginelimits import send_interval
@@ -30,15 +33,30 @@
 AVOID_S = 2.0
 MAX_ATTEMPTS = 2
 FIRST_PARTS = 8
+# Time after which a client sends a failed request again.
+CLIENT_RETRY_S = 0.3
 
 
 class Request:
-    """A request, its parts without the last, and how it went."""
+    """A request, its parts without the last, and how it went.
 
-    __slots__ = ("attempts", "begun_at", "host", "outcome", "parts", "sent_at")
+    ``parts`` include the name that it has whenever it is sent.  ``left`` is
+    how often its client sends it again.
+    """
 
-    def __init__(self, host, parts, sent_at):
+    __slots__ = (
+        "attempts",
+        "begun_at",
+        "host",
+        "left",
+        "outcome",
+        "parts",
+        "sent_at",
+    )
+
+    def __init__(self, host, parts, sent_at, left=0):
         self.host = host
+        self.left = left
         self.parts = parts
         self.sent_at = sent_at
         self.attempts = 0
@@ -97,10 +115,17 @@
         delay_s=0.05,
         old_hosts=0,
         documents=60,
+        plain=False,
+        client_retries=0,
+        answer_s=ANSWER_S,
     ):
         self.rng = Random(seed)
         self.delay_s = delay_s
         self.documents = documents
+        self.plain = plain
+        self.client_retries = client_retries
+        self.answer_s = answer_s
+        self.request_numbers = count()
         self.now = 0.0
         self.events = []
         self.numbers = count()
@@ -133,11 +158,11 @@
             action(*args)
         self.now = until
 
-    def traffic(self, rate, duration_s, part=None):
-        """Schedule requests, all with a part if one is given."""
+    def traffic(self, rate, duration_s, part=None, *, name=None):
+        """Schedule requests, all with a part or a name if one is given."""
         at = 0.0
         while (at := at + self.rng.expovariate(rate)) < duration_s:
-            self.push(at, self._arrive, part)
+            self.push(at, self._arrive, part, name)
 
     def restart(self, name):
         """Replace a host's process by one that knows nothing."""
@@ -174,18 +199,30 @@
             if part in parts and since <= at < until
         )
 
-    def _arrive(self, part):
+    def _arrive(self, part, name):
+        if name is None:
+            name = f"{REQUEST_PREFIX}{next(self.request_numbers)}"
+        parts = () if self.plain else self._prompt_parts(part)
+        self._send((*parts, name), self.client_retries)
+
+    def _prompt_parts(self, part):
         document = self.rng.randrange(self.documents)
-        parts = (
-            (f"a{document % FIRST_PARTS}", f"d{document}")
-            if part is None
-            else (f"a{document % FIRST_PARTS}", part, f"d{document}")
-        )
+        if part is None:
+            return (f"a{document % FIRST_PARTS}", f"d{document}")
+        return (f"a{document % FIRST_PARTS}", part, f"d{document}")
+
+    def _send(self, parts, left):
+        """Send a request to a random host, as its client does."""
         host = self.hosts[f"h{self.rng.randrange(len(self.hosts))}"]
-        req = Request(host, parts, self.now)
+        req = Request(host, parts, self.now, left)
         self.requests.append(req)
         self._dispatch(req, set())
 
+    def _fail(self, req, outcome):
+        req.outcome = outcome
+        if req.left:
+            self.push(CLIENT_RETRY_S, self._send, req.parts, req.left - 1)
+
     def _dispatch(self, req, tried):
         host = req.host
         if host.find_hold(req.parts, self.now, self.hosts) is not None:
@@ -193,7 +230,7 @@
             return
         engine = self._choose(host, tried)
         if engine is None:
-            req.outcome = "no engine"
+            self._fail(req, "no engine")
             return
         req.attempts += 1
         self.sends.append((self.now, host.name, req.parts))
@@ -229,7 +266,7 @@
         if not self.crashing.isdisjoint(req.parts):
             self.push(CRASH_DELAY_S, self._crash, engine, run)
             return
-        length = self.rng.uniform(*ANSWER_S)
+        length = self.rng.uniform(*self.answer_s)
         if length > SOUND_AFTER_S:
             self.push(SOUND_AFTER_S, self._acquit, req, engine, run, self.now)
         self.push(length, self._finish, req, engine, run, self.now)
@@ -255,7 +292,7 @@
                 req.begun_at = inf
                 self._dispatch(req, {engine.name})
             else:
-                req.outcome = "failed"
+                self._fail(req, "failed")
         self.push(RESTART_S, self._restart_engine, engine)
 
     def _restart_engine(self, engine):
