--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -100,7 +100,7 @@
     LogEvent.USAGE_REPORTED: "The usage of a window was reported.",
     LogEvent.DUTY_FAILED: "A call for a duty failed; it is tried again.",
     LogEvent.ENGINE_ENDED: "Answers broke off; the engine has ended.",
-    LogEvent.USAGE_LEFT_OUT: "A window's counts may have been lost when sent.",
+    LogEvent.USAGE_LEFT_OUT: "A window is left out: perhaps it was reported.",
     LogEvent.CALL_PLACED: "A request was sent to an engine.",
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -294,8 +294,9 @@
             or not self.duty_log.caught_up
         ):
             return
-        for window, counts in ledger.missing():
-            self._start(self._write_again(window, counts))
+        lost = ledger.missing()
+        if lost:
+            self._start(self._write_again(*lost[0]))
             return
         for window in range(max(self.first_window, oldest), current):
             due_at = self._due_at(window)
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -176,10 +176,8 @@
         heartbeat.fleet_age + now - peer.last_heartbeat_at > STALE_REGISTRY_S
     )
     # Builds that do not know of eras take positions for offsets.
-    orders_alike = heartbeat.store_era >= 0 or not era_of(state.registry.end)
-    if orders_alike and (
-        state.lease_manager.holds(now) or (is_relay and stale)
-    ):
+    knows_eras = heartbeat.store_era >= 0 or not era_of(state.registry.end)
+    if knows_eras and (state.lease_manager.holds(now) or (is_relay and stale)):
         since = max(0, heartbeat.fleet_end)
         entries = state.registry.changed_since(since)
         entries_from = since if state.registry.complete_since(since) else -1
