--- a/tools/restores.py
+++ b/tools/restores.py
@@ -7,11 +7,10 @@
 
 from dataclasses import dataclass
 from dataclasses import replace
-from heapq import heappop
-from heapq import heappush
-from itertools import count
 from random import Random
 
+from virtualtime import VirtualTime
+
 from magnoliaflow.cluster.leasemanager import LeaseManager
 from magnoliaflow.cluster.listings import ListingSchedule
 from magnoliaflow.cluster.positions import make_position
@@ -358,7 +357,7 @@
     return UsageReport(0, window, rows, 0.0)
 
 
-class RestoreFleet:
+class RestoreFleet(VirtualTime):
     """Hosts, engines and the store.
 
     ``acts`` are (time, host, fence) of each tick in which a host may act,
@@ -375,12 +374,10 @@
         append_delay_s=0.0,
         old_hosts=0,
     ):
+        super().__init__()
         self.rng = Random(seed)
         self.delay_s = delay_s
         self.append_delay_s = append_delay_s
-        self.now = 0.0
-        self.events = []
-        self.numbers = count()
         self.acts = []
         self.sent = []
         self.store = PlayedStore()
@@ -396,20 +393,6 @@
         for host in self.hosts:
             self.push(self.rng.random() * TICK_S, self._tick, host)
 
-    def push(self, delay, action, *args):
-        """Schedule an action."""
-        heappush(
-            self.events, (self.now + delay, next(self.numbers), action, args)
-        )
-
-    def run(self, duration_s):
-        """Let time pass."""
-        until = self.now + duration_s
-        while self.events and self.events[0][0] <= until:
-            self.now, _, action, args = heappop(self.events)
-            action(*args)
-        self.now = until
-
     def _tick(self, host):
         if host in self.hosts:
             self.push(TICK_S, self._tick, host)
--- a/tools/troubles.py
+++ b/tools/troubles.py
@@ -14,6 +14,8 @@
 from math import inf
 from random import Random
 
+from virtualtime import VirtualTime
+
 from magnoliaflow.cluster.groups import rendezvous_score
 from magnoliaflow.cluster.spread import Spread
 from magnoliaflow.policy.crashes import CrashJudge
@@ -103,7 +105,7 @@
         return sum(1 for name in hosts if rendezvous_score(part, name) > own)
 
 
-class TroubleFleet:
+class TroubleFleet(VirtualTime):
     """Hosts and engines; ``crashing`` are the parts that end engines."""
 
     def __init__(
@@ -119,6 +121,7 @@
         client_retries=0,
         answer_s=ANSWER_S,
     ):
+        super().__init__()
         self.rng = Random(seed)
         self.delay_s = delay_s
         self.documents = documents
@@ -126,9 +129,6 @@
         self.client_retries = client_retries
         self.answer_s = answer_s
         self.request_numbers = count()
-        self.now = 0.0
-        self.events = []
-        self.numbers = count()
         self.crashing = set()
         self.requests = []
         self.ends = []
@@ -144,20 +144,6 @@
         for host in self.hosts.values():
             self.push(self.rng.random() * TICK_S, self._tick, host)
 
-    def push(self, delay, action, *args):
-        """Schedule an action."""
-        heappush(
-            self.events, (self.now + delay, next(self.numbers), action, args)
-        )
-
-    def run(self, duration_s):
-        """Let time pass."""
-        until = self.now + duration_s
-        while self.events and self.events[0][0] <= until:
-            self.now, _, action, args = heappop(self.events)
-            action(*args)
-        self.now = until
-
     def traffic(self, rate, duration_s, part=None, *, name=None):
         """Schedule requests, all with a part or a name if one is given."""
         at = 0.0
