Keep an engine that registers again after its delayed removal

Callers would get 503 for a service whose last engine is running. Cause: the removal of a service's last engine is delayed after an outage; an engine that registers again with the same entry left no trace, so the removal was applied to it. Found by reading; seen in no play. The entry's position moves on now. tests/test_entry_followers.py failed before with the engine gone.

--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -57,7 +57,9 @@
                 return None
             if _is_unchanged(known, entry):
                 self.entries[engine_id] = replace(
-                    known, sequence=max(known.sequence, entry.sequence)
+                    known,
+                    sequence=max(known.sequence, entry.sequence),
+                    offset=self._reached_offset(entry, known),
                 )
                 return None
         self.last_change_offset = max(self.last_change_offset, offset)
@@ -82,6 +84,17 @@
             return entry.gone or alive
         return entry.born > known.born
 
+    def _reached_offset(self, entry: EngineEntry, known: EngineEntry) -> int:
+        """Return the position of an engine whose entry is written as before.
+
+        An engine that registers again is not removed by what was read before.
+        """
+        is_copy = era_of(entry.offset) not in (
+            era_of(known.offset),
+            era_of(self.complete_from),
+        )
+        return known.offset if is_copy else max(known.offset, entry.offset)
+
     def record_listing(self, end: int) -> None:
         """Record that a full listing up to ``end`` was applied.
 
--- a/tests/test_entry_followers.py
+++ b/tests/test_entry_followers.py
@@ -1,5 +1,6 @@
 """Removals that are read after a store outage."""
 
+from dataclasses import replace
 from logging import getLogger
 from random import Random
 
@@ -95,3 +96,12 @@
         entry for entry in state.registry.entries.values() if not entry.gone
     ]
     assert {entry.backend for entry in remaining} == {"llm", "desk"}
+
+
+def test_an_engine_that_registers_again_is_not_removed_later(read_removals):
+    """Its entry is as before, so that it changes nothing."""
+    state, clock = read_removals("m2")
+    entry = replace(state.registry.entries["m2"], sequence=9)
+    apply_registration(state, "m2", entry, 5)
+    clock.advance(LAPSED_REMOVAL_DELAY_S)
+    assert not state.registry.entries["m2"].gone
