Wait until the log is known to be down before it is reached again in a test

A gateway notices an outage after log_down_s, 3 s, without a read; the test ended the hang after 2.5 s and went on as soon as the gateway said that the log is up, which was still the answer from before the hang. The read that hung ends by its timeout and its successor waits for records, so that the gateway counted the log as down from 3.0 s on, rightly.

The test waits now until the gateway has noticed the outage. The hang is longer than before and the checks are the same.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -338,7 +338,7 @@
 def test_log_connections_that_go_silent_are_abandoned(fleet):
     """Requests sent during the hang get no reply; later connections work."""
     fleet.set_switches("log", hang=True)
-    sleep(2.5)
+    fleet.wait_until(lambda: not fleet.status("entry-1")["log_up"])
     fleet.set_switches("log", hang=False)
     key = make_key("silent-log")
     fleet.wait_until(lambda: fleet.status("entry-1")["log_up"])
