Log the era of the product's own log

The log port names an era now, 0 for a log that has never gone back, and a read fails with RestoredError if its offset was taken in an earlier one. Gateways and controllers log STORE_RESTORED with the offset they stood at; gateways show the era in /status and as magnoliaflow_log_era. What they keep is unchanged.

--- a/src/magnoliaflow/adapters/httpports.py
+++ b/src/magnoliaflow/adapters/httpports.py
@@ -21,6 +21,7 @@
 
 from magnoliaflow.common.errors import NotStartedError
 from magnoliaflow.common.errors import PortError
+from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import StaleFenceError
 from magnoliaflow.common.errors import StartRefusedError
 from magnoliaflow.common.errors import TrimmedError
@@ -133,19 +134,28 @@
             raise PortError(f"append to {stream}: status {code}")
 
     @inlineCallbacks
-    def read(self, stream: str, first_offset: int) -> DeferredGenerator:
+    def read(
+        self, stream: str, first_offset: int, era: int = 0
+    ) -> DeferredGenerator:
         """Read from an offset on, with a long poll."""
         path = f"/streams/{stream}?from={first_offset}&wait={LONG_POLL_S}"
         code, value = yield self.call("GET", path, timeout_s=READ_TIMEOUT_S)
+        if code not in (200, 410):
+            raise PortError(f"read of {stream}: status {code}")
+        reply_era = int(value.get("era", 0))
+        if reply_era > era:
+            raise RestoredError(reply_era)
+        if reply_era < era:
+            raise PortError(
+                f"read of {stream}: answer of era {reply_era}, in era {era}"
+            )
         if code == 410:
             raise TrimmedError(int(value["first"]))
-        if code != 200:
-            raise PortError(f"read of {stream}: status {code}")
         records = tuple(
             NewsRecord(offset, b64decode(encoded))
             for offset, encoded in value["records"]
         )
-        return LogPage(records, int(value["end"]))
+        return LogPage(records, int(value["end"]), reply_era)
 
 
 @adapter("http", "host_list")
--- a/src/magnoliaflow/common/metrics.py
+++ b/src/magnoliaflow/common/metrics.py
@@ -35,6 +35,7 @@
         "in_flight",
         "latency",
         "lease_held",
+        "log_era",
         "log_up",
         "registry",
         "refusals",
@@ -119,6 +120,11 @@
             "1 while the platform's log can be reached.",
             registry=registry,
         )
+        self.log_era = Gauge(
+            "magnoliaflow_log_era",
+            "Era of the log, which rises when it loses records.",
+            registry=registry,
+        )
         self.applied_offset = Gauge(
             "magnoliaflow_applied_offset",
             "Last applied offset by stream.",
--- a/src/magnoliaflow/common/ports.py
+++ b/src/magnoliaflow/common/ports.py
@@ -21,10 +21,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LogPage:
-    """Records read from a stream; ``end`` is the next free offset."""
+    """Records read from a stream; ``end`` is the next free offset.
+
+    ``era`` rises each time the log loses records that it had acknowledged,
+    and is 0 until then.
+    """
 
     records: tuple[NewsRecord, ...]
     end: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,10 +139,13 @@
     ) -> "Deferred[None]":
         """Append records in one call; a failed call may take effect."""
 
-    def read(self, stream: str, first_offset: int) -> "Deferred[LogPage]":
+    def read(
+        self, stream: str, first_offset: int, era: int = 0
+    ) -> "Deferred[LogPage]":
         """Read from an offset on, with a long poll.
 
-        Raises TrimmedError if the offset was trimmed.
+        Raises RestoredError if the log has gone back since ``era``, in which
+        the offset was taken, and TrimmedError if the offset was trimmed.
         """
 
 
--- a/src/magnoliaflow/core/inputs.py
+++ b/src/magnoliaflow/core/inputs.py
@@ -96,6 +96,7 @@
     records: tuple[RecordAtOffset, ...]
     end: int
     from_log: bool = True
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +107,14 @@
     first_offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class StreamRestored:
+    """The log has gone back; a stream is to be read again in a new era."""
+
+    stream: str
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class AppendEnded:
     """An append returned; one that failed may still take effect."""
@@ -178,6 +187,7 @@
     | StatusAnswered
     | RecordsRead
     | StreamTrimmed
+    | StreamRestored
     | AppendEnded
     | MessageArrived
     | PeerProbed
--- a/src/magnoliaflow/core/state.py
+++ b/src/magnoliaflow/core/state.py
@@ -74,9 +74,13 @@
 
 @dataclass(slots=True)
 class StreamCursor:
-    """Read position in a stream, and when it was last read."""
+    """Read position in a stream, and when it was last read.
+
+    ``next_offset`` is an offset in ``era`` of the log.
+    """
 
     stream: str
+    era: int = 0
     next_offset: int = 0
     last_read_at: float = -inf
     behind_since: float = inf
--- a/src/magnoliaflow/daemons/controller.py
+++ b/src/magnoliaflow/daemons/controller.py
@@ -18,6 +18,7 @@
 from magnoliaflow.common.codec import encode_record
 from magnoliaflow.common.errors import MagnoliaflowError
 from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import StaleFenceError
 from magnoliaflow.common.errors import StartRefusedError
 from magnoliaflow.common.errors import TrimmedError
@@ -72,6 +73,7 @@
         self.links = PeerLinks(self.identity)
         self.leaving: dict[str, float] = {}
         self.next_offset = 0
+        self.log_era = 0
         self.lease_held = False
         self.replacement = Replacement(fence=-1)
         self.lease_manager = LeaseManager(
@@ -152,7 +154,20 @@
     @inlineCallbacks
     def _read_leases(self) -> Any:
         try:
-            page = yield self.log_port.read(LEASE_STREAM, self.next_offset)
+            page = yield self.log_port.read(
+                LEASE_STREAM, self.next_offset, self.log_era
+            )
+        except RestoredError as exc:
+            log_event(
+                self.logger,
+                LogEvent.STORE_RESTORED,
+                stream=LEASE_STREAM,
+                era=exc.era,
+                previous=self.log_era,
+                next_offset=self.next_offset,
+            )
+            self.log_era = exc.era
+            return
         except TrimmedError as exc:
             self.next_offset = exc.first_offset
             return
--- a/src/magnoliaflow/daemons/publish.py
+++ b/src/magnoliaflow/daemons/publish.py
@@ -16,6 +16,7 @@
 from magnoliaflow.common.codec import encode_record
 from magnoliaflow.common.errors import MagnoliaflowError
 from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.common.records import ProfileChange
 from magnoliaflow.common.records import Record
@@ -41,12 +42,18 @@
         self.profile_table = ProfileTable()
         self.history: list[HistoryEntry] = []
         self.next_offset = 0
+        self.era = 0
 
     @inlineCallbacks
     def read_page(self) -> DeferredGenerator:
         """Apply the next page; return whether there are more."""
         try:
-            page = yield self.log_port.read(PROFILE_STREAM, self.next_offset)
+            page = yield self.log_port.read(
+                PROFILE_STREAM, self.next_offset, self.era
+            )
+        except RestoredError as exc:
+            self.era = exc.era
+            return True
         except TrimmedError as exc:
             self.next_offset = exc.first_offset
             self.profile_table.restart(exc.first_offset)
--- a/src/magnoliaflow/ingress/views.py
+++ b/src/magnoliaflow/ingress/views.py
@@ -89,6 +89,7 @@
         "zone": state.host.zone,
         "phase": state.phase.name,
         "log_up": state.log_up,
+        "log_era": max(cursor.era for cursor in state.cursors.values()),
         "applied": {
             name: cursor.next_offset - 1
             for name, cursor in state.cursors.items()
--- a/src/magnoliaflow/serving/logstreams.py
+++ b/src/magnoliaflow/serving/logstreams.py
@@ -9,6 +9,7 @@
 from magnoliaflow.core.commands import Append
 from magnoliaflow.core.inputs import AppendEnded
 from magnoliaflow.core.inputs import RecordsRead
+from magnoliaflow.core.inputs import StreamRestored
 from magnoliaflow.core.inputs import StreamTrimmed
 from magnoliaflow.core.state import GatewayState
 from magnoliaflow.core.state import PendingAppend
@@ -129,6 +130,21 @@
     state.metrics.log_up.set(1 if state.log_up else 0)
 
 
+@handles(StreamRestored)
+def handle_restored(state: GatewayState, restored: StreamRestored) -> None:
+    """Note that the log has gone back."""
+    cursor = state.cursors[restored.stream]
+    state.log(
+        LogEvent.STORE_RESTORED,
+        stream=restored.stream,
+        era=restored.era,
+        previous=cursor.era,
+        next_offset=cursor.next_offset,
+    )
+    cursor.era = restored.era
+    state.metrics.log_era.set(restored.era)
+
+
 @handles(StreamTrimmed)
 def handle_trimmed(state: GatewayState, trimmed: StreamTrimmed) -> None:
     """Restart a stream whose next records were trimmed."""
--- a/src/magnoliaflow/serving/shell.py
+++ b/src/magnoliaflow/serving/shell.py
@@ -17,6 +17,7 @@
 from magnoliaflow.common.errors import MagnoliaflowError
 from magnoliaflow.common.errors import NotStartedError
 from magnoliaflow.common.errors import RecordError
+from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.common.eventlog import log_event
 from magnoliaflow.common.eventlog import LogEvent
@@ -49,6 +50,7 @@
 from magnoliaflow.core.inputs import RecordsRead
 from magnoliaflow.core.inputs import ServiceAnswered
 from magnoliaflow.core.inputs import StatusAnswered
+from magnoliaflow.core.inputs import StreamRestored
 from magnoliaflow.core.inputs import StreamTrimmed
 from magnoliaflow.core.inputs import TokensArrived
 from magnoliaflow.core.systems import Core
@@ -150,7 +152,10 @@
             cursor = self.core.state.cursors[stream]
             first = cursor.next_offset
             try:
-                page = yield self.log_port.read(stream, first)
+                page = yield self.log_port.read(stream, first, cursor.era)
+            except RestoredError as exc:
+                self.feed(StreamRestored(stream, exc.era))
+                self.tick()
             except TrimmedError as exc:
                 self.feed(StreamTrimmed(stream, exc.first_offset))
                 self.tick()
@@ -158,7 +163,7 @@
                 yield sleep(READ_RETRY_DELAY_S)
             else:
                 records = tuple(_decode(entry) for entry in page.records)
-                self.feed(RecordsRead(stream, records, page.end))
+                self.feed(RecordsRead(stream, records, page.end, era=page.era))
                 self.tick()
 
     @inlineCallbacks
--- a/src/magnoliaflow_standins/fleet.py
+++ b/src/magnoliaflow_standins/fleet.py
@@ -252,6 +252,13 @@
             data=dumps(switches).encode(),
         )
 
+    def restore_log(self, age_s: float) -> None:
+        """Let the log come back from a copy of this age."""
+        fetch_json(
+            f"http://{self.address_of('log')}/restore",
+            data=dumps({"age_s": age_s}).encode(),
+        )
+
     def run_command(self, *args: str) -> tuple[int, str]:
         """Run a magnoliaflow command; return its exit code and output."""
         result = run(
--- a/src/magnoliaflow_standins/log.py
+++ b/src/magnoliaflow_standins/log.py
@@ -1,5 +1,6 @@
 """Stand-in for the log service: streams, offsets, retention, outages."""
 
+from bisect import bisect_right
 from typing import Any
 
 from klein import Klein
@@ -9,6 +10,7 @@
 from magnoliaflow_standins.base import add_control_routes
 from magnoliaflow_standins.base import json_body
 from magnoliaflow_standins.base import make_parser
+from magnoliaflow_standins.base import now
 from magnoliaflow_standins.base import reply
 from magnoliaflow_standins.base import serve
 from magnoliaflow_standins.base import sleep
@@ -23,12 +25,16 @@
     Further switches: ``late_s`` answers an append with a failure and
     applies it after that time; ``keep`` limits the records kept in a
     stream, 0 for no limit.
+
+    ``era`` rises each time the log goes back.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.switches.update(late_s=0.0, keep=0)
         self.streams: dict[str, list[str]] = {}
+        self.appended_at: dict[str, list[float]] = {}
+        self.era = 0
         self.first_offsets: dict[str, int] = {}
         self.waiting_reads: list[Deferred[None]] = []
 
@@ -36,13 +42,30 @@
         """Append records and wake the waiting reads."""
         stored = self.streams.setdefault(stream, [])
         stored.extend(records)
+        times = self.appended_at.setdefault(stream, [])
+        times.extend([now()] * len(records))
         keep = int(self.switches["keep"])
         if keep and len(stored) > keep:
             excess = len(stored) - keep
             del stored[:excess]
+            del times[:excess]
             self.first_offsets[stream] = (
                 self.first_offsets.get(stream, 0) + excess
             )
+        self.wake_reads()
+
+    def go_back(self, age_s: float) -> None:
+        """Come back from a copy of this age, in a new era."""
+        copied_at = now() - age_s
+        for stream, times in self.appended_at.items():
+            kept = bisect_right(times, copied_at)
+            del times[kept:]
+            del self.streams[stream][kept:]
+        self.era += 1
+        self.wake_reads()
+
+    def wake_reads(self) -> None:
+        """Let the waiting reads answer."""
         waiting_reads, self.waiting_reads = self.waiting_reads, []
         for deferred in waiting_reads:
             if not deferred.called:
@@ -54,6 +77,11 @@
     app = Klein()
     add_control_routes(app, log)
 
+    @app.route("/restore", methods=["POST"])
+    def restore(request: Any) -> Any:
+        log.go_back(float(json_body(request)["age_s"]))
+        return reply(request, {"era": log.era})
+
     @app.route("/streams/<stream>", methods=["POST"])
     async def append(request: Any, stream: str) -> Any:
         records = json_body(request)["records"]
@@ -83,7 +111,8 @@
             return reply(request, {}, 500)
         first_offset = log.first_offsets.get(stream, 0)
         if start < first_offset:
-            return reply(request, {"first": first_offset}, 410)
+            body = {"first": first_offset, "era": log.era}
+            return reply(request, body, 410)
         page = log.streams.get(stream, [])[start - first_offset :][
             :MAX_PAGE_RECORDS
         ]
@@ -94,6 +123,7 @@
                     [start + index, text] for index, text in enumerate(page)
                 ],
                 "end": end_offset(log, stream),
+                "era": log.era,
             },
         )
 
--- a/tools/world.py
+++ b/tools/world.py
@@ -5,6 +5,7 @@
 and faults reproduce the same run.
 """
 
+from bisect import bisect_right
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
@@ -43,6 +44,7 @@
 from magnoliaflow.core.inputs import RecordsRead
 from magnoliaflow.core.inputs import ServiceAnswered
 from magnoliaflow.core.inputs import StatusAnswered
+from magnoliaflow.core.inputs import StreamRestored
 from magnoliaflow.core.inputs import StreamTrimmed
 from magnoliaflow.core.inputs import Submitted
 from magnoliaflow.core.inputs import TokensArrived
@@ -203,6 +205,8 @@
         self.late_probability = 0.0
         self.late_s = 5.0
         self.keep = 0
+        self.era = 0
+        self.committed_at = {PROFILE_STREAM: [], CLAIM_STREAM: []}
 
     def append(self, node, stream, records):
         """Append records after a delay.
@@ -231,13 +235,25 @@
         """Commit records, trim the stream and notify all readers."""
         log = self.streams[stream]
         log.extend(records)
+        times = self.committed_at[stream]
+        times.extend([self.world.now] * len(records))
         if self.keep and len(log) > self.keep:
             gone = len(log) - self.keep
             del log[:gone]
+            del times[:gone]
             self.first_offsets[stream] += gone
         for node in self.world.nodes.values():
             self.read(node, stream)
 
+    def go_back(self, age_s):
+        """Come back from a copy of this age, in a new era."""
+        copied_at = self.world.now - age_s
+        for stream, times in self.committed_at.items():
+            kept = bisect_right(times, copied_at)
+            del times[kept:]
+            del self.streams[stream][kept:]
+        self.era += 1
+
     def read(self, node, stream):
         """Schedule a read, unless the node already has one pending."""
         if stream in node.pending_reads or not node.alive:
@@ -252,7 +268,12 @@
             return
         if node.frozen:
             return
-        start = node.state.cursors[stream].next_offset
+        cursor = node.state.cursors[stream]
+        if cursor.era < self.era:
+            node.feed(StreamRestored(stream, self.era))
+            self.read(node, stream)
+            return
+        start = cursor.next_offset
         first = self.first_offsets[stream]
         if start < first:
             node.feed(StreamTrimmed(stream, first))
@@ -263,7 +284,8 @@
             RecordAtOffset(start + index, record)
             for index, record in enumerate(unread)
         )
-        node.feed(RecordsRead(stream, records, start + len(unread)))
+        end = start + len(unread)
+        node.feed(RecordsRead(stream, records, end, era=self.era))
 
 
 class FakeEngine:
