Ask for more evidence on requests beside engines lost for other reasons

Cause: a request was the main cause if it was at half of the ends between its third last end and its last. Clients that come again within a third of a second are at half of the ends of such a series by chance. Ends shortly before and of other services were not or wrongly counted.

Each end without the request, from 2 s before its ends on and on the same service, now raises the number of ends that it takes by one; ends of suspects at other engines do not, so that two such requests at a time are still told apart.

--- a/src/magnoliaflow/policy/crashes.py
+++ b/src/magnoliaflow/policy/crashes.py
@@ -36,9 +36,9 @@
 MAX_REPUTED_ENDS = 5
 MIN_REPUTED_SPAN_S = 10.0
 REPUTATION_S = 60.0
-# Share that a part must have in the ends of engines since its last few: when
-# engines end for other reasons, no part explains most of the ends.
-MIN_SHARE = 0.5
+# Engines that end without a part, from LEAD_S before its ends on, raise the
+# number of ends that it takes: those beside lost engines come again too.
+LEAD_S = 2.0
 # An answer that is being written for this long acquits its parts.
 SOUND_AFTER_S = 1.0
 # Time after the last end until a part is tried again, first and after a trial
@@ -57,6 +57,7 @@
 FORGET_S = 600.0
 # Evidence on a part that is not held back counts for this long.
 EVIDENCE_S = 60.0
+EXPIRE_INTERVAL_S = 1.0
 # Evidence on a reputed part is passed on after this time only, since most is
 # refuted by then.
 SETTLE_S = 3.0
@@ -149,6 +150,7 @@
 class _Record:
     """Evidence on one part; ``shared`` once other hosts know of it."""
 
+    is_request: bool
     ends: dict[str, EngineEnd] = field(default_factory=dict)
     shared: bool = False
     trial_at: float = -inf
@@ -189,6 +191,7 @@
 
     __slots__ = (
         "_ended",
+        "_expire_at",
         "_held",
         "_is_current",
         "_records",
@@ -201,7 +204,8 @@
         self._records: dict[str, _Record] = {}
         self._sound = SoundAnswers()
         self._services: set[str] = set()
-        self._ended: OrderedDict[str, float] = OrderedDict()
+        self._ended: OrderedDict[str, EngineEnd] = OrderedDict()
+        self._expire_at = -inf
         self._held: list[Hold] = []
         self._is_current = True
         self.changed_at = -inf
@@ -284,8 +288,15 @@
         Parts and requests are bounded separately.
         """
         held = self._held_parts()
+        gravest = sorted(
+            self._records.items(),
+            key=lambda item: (item[0] in held, len(item[1].ends)),
+        )
+        room = {False: MAX_SENT_PARTS, True: MAX_SENT_PARTS}
         found = []
-        for part, record in self._records.items():
+        for part, record in reversed(gravest):
+            if not room[record.is_request]:
+                continue
             ends = tuple(
                 end
                 for end in record.ends.values()
@@ -293,6 +304,7 @@
             )
             if not ends and not record.shared:
                 continue
+            room[record.is_request] -= 1
             record.shared = True
             sound = tuple(
                 (service, at)
@@ -300,11 +312,7 @@
                 if (at := self._sound.get(service, part)) > -inf
             )
             found.append(PartEvidence(part, ends, sound))
-        found.sort(key=lambda item: (item.part in held, len(item.ends)))
-        found.reverse()
-        requests = [item for item in found if is_request(item.part)]
-        parts = [item for item in found if not is_request(item.part)]
-        return (*parts[:MAX_SENT_PARTS], *requests[:MAX_SENT_PARTS])
+        return tuple(found)
 
     def merge(self, evidence: Iterable[PartEvidence], now: float) -> None:
         """Add what another host knows, in times of this host's clock."""
@@ -312,17 +320,27 @@
             for service, at in item.sound:
                 if at > self._sound.get(service, item.part):
                     self._acquit(item.part, service, at, now)
+            oldest = now - FORGET_S - MAX_HOLD_S + RECEIVE_MARGIN_S
             for end in item.ends:
-                if end.at > now - FORGET_S - MAX_HOLD_S + RECEIVE_MARGIN_S:
+                if end.at > oldest and not self._is_confirmed(item.part, end):
                     self._add_end(item.part, end, now)
             record = self._records.get(item.part)
             if record is not None:
                 record.shared = True
             elif item.ends and self._knows_sound(item.part):
                 # Hosts that have seen no answer of this part need to know.
-                self._records[item.part] = _Record(shared=True)
+                self._make_room(item.part)
+                self._records[item.part] = _Record(
+                    is_request(item.part), shared=True
+                )
                 self._touch(item.part, now)
 
+    def _is_confirmed(self, part: str, end: EngineEnd) -> bool:
+        """Return whether an end under a part is known already."""
+        record = self._records.get(part)
+        known = None if record is None else record.ends.get(end.engine)
+        return known is not None and known.confirmed
+
     def _knows_sound(self, part: str) -> bool:
         return any(
             self._sound.get(name, part) > -inf for name in self._services
@@ -332,7 +350,7 @@
         """Add an end unless a later answer refutes it."""
         self._services.add(end.service)
         if end.engine not in self._ended:
-            self._ended[end.engine] = end.at
+            self._ended[end.engine] = end
             if len(self._ended) > MAX_ENGINES_KEPT:
                 self._ended.popitem(last=False)
         if end.at <= self._sound.get(end.service, part):
@@ -343,7 +361,7 @@
             return
         if record is None:
             self._make_room(part)
-            record = self._records[part] = _Record()
+            record = self._records[part] = _Record(is_request(part))
         at = end.at if known is None else min(known.at, end.at)
         record.ends[end.engine] = replace(end, at=at)
         if len(record.ends) > MAX_ENDS_KEPT:
@@ -379,12 +397,13 @@
 
     def _make_room(self, part: str) -> None:
         """Drop the weakest evidence if there is no room for a part."""
+        wanted = is_request(part)
         alike = [
             name
-            for name in self._records
-            if is_request(name) == is_request(part)
+            for name, record in self._records.items()
+            if record.is_request == wanted
         ]
-        if len(alike) < (MAX_REQUESTS if is_request(part) else MAX_PARTS):
+        if len(alike) < (MAX_REQUESTS if wanted else MAX_PARTS):
             return
         held = self._held_parts()
         weakest = min(
@@ -445,7 +464,7 @@
             left = [end for end in ends if end.engine not in explained]
             requests = sum(map(is_request, parts))
             if not _suffices(left, reputed) or not self._is_main_cause(
-                left, explained
+                left, explained, [others for _, others in alike]
             ):
                 continue
             explained.update(engines)
@@ -457,20 +476,43 @@
         return held
 
     def _is_main_cause(
-        self, ends: list[EngineEnd], explained: set[str]
+        self,
+        ends: list[EngineEnd],
+        explained: set[str],
+        suspects: Iterable[frozenset[str]],
     ) -> bool:
-        """Return whether a part's last ends are most of all at that time.
+        """Return whether a part's last ends outnumber others at that time.
 
-        Single ends of trials do not count: engines that end for other reasons
-        before a trial release nothing.
+        Ends of other ``suspects`` at other engines do not count, nor do single
+        ends of trials: engines that end for other reasons before a trial
+        release nothing.
         """
-        newest = _last_series(sorted(end.at for end in ends))[-MAX_ENDS:]
-        others = sum(
-            1
-            for engine, at in self._ended.items()
-            if newest[0] <= at <= newest[-1] and engine not in explained
+        own = {end.engine for end in ends}
+        elsewhere = explained.union(
+            *(engines for engines in suspects if own.isdisjoint(engines))
+        )
+        services = {end.service for end in ends}
+        others = [
+            end.at
+            for engine, end in self._ended.items()
+            if end.service in services
+            and engine not in own
+            and engine not in elsewhere
+        ]
+        # Older ends of the part itself may have been dropped.
+        is_full = len(ends) >= MAX_ENDS_KEPT
+        floor = min(end.at for end in ends) if is_full else -inf
+        times = _last_series(sorted(end.at for end in ends))
+        return any(
+            len(times) - first
+            >= MAX_ENDS
+            + sum(
+                1
+                for at in others
+                if max(floor, since - LEAD_S) <= at <= times[-1]
+            )
+            for first, since in enumerate(times)
         )
-        return len(newest) >= MIN_SHARE * others
 
     def _may_try(
         self, hold: Hold, now: float, rank: Callable[[str], int]
@@ -484,7 +526,10 @@
         return now >= hold.until + rank(hold.parts[0]) * TRIAL_STEP_S
 
     def expire(self, now: float) -> None:
-        """Drop evidence that no longer counts."""
+        """Drop evidence that no longer counts, once in a while."""
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_INTERVAL_S
         held = self._held_parts()
         for part, record in list(self._records.items()):
             hold = held.get(part)
