Write again what the product's own log has lost when it goes back

Cause, the same as for the entry processes: cursors, tables and peers ordered records by offset alone, and a log that goes back gives offsets out again.

Records are ordered by position, era before offset, in cursors, tables and heartbeats. After a restore a process reads the stream from its beginning, into its tables, whose rules ignore what they know, and into tables of their own, which tell what is missing. The process next in line writes that again, any process after 3 s; nothing else is appended until 5 s have passed or a Mark of the new era is read, so that no key starts anew whose claim was lost.

With no restore, era 0, positions equal offsets.

--- a/src/magnoliaflow/cluster/leases.py
+++ b/src/magnoliaflow/cluster/leases.py
@@ -41,7 +41,8 @@
 
     With ``conditional``, a record is appended only if its writer had read
     the log to the end.  Every record on the log is then valid, also for a
-    reader of a log whose beginning was trimmed.
+    reader of a log whose beginning was trimmed.  So is, without it, the first
+    record of a lease in an era: what it replaces may be lost.
 
     A store that goes back begins an ``era`` and gives out offsets again.  The
     position of a record is therefore its offset and a generation, which grows
@@ -97,14 +98,15 @@
         era = self.era if record.era < 0 else record.era
         lease = self.leases.get(record.name)
         fence = NO_FENCE if lease is None else lease.fence
+        adopts = self.conditional or era > (0 if lease is None else lease.era)
         if isinstance(record, LeaseClaim):
-            if record.replaces != fence and not self.conditional:
+            if record.replaces != fence and not adopts:
                 return False
             self.leases[record.name] = Lease(
                 record.name, record.holder, position, now, position, era
             )
             return True
-        if self.conditional:
+        if adopts:
             self.observe_holder(
                 record.name, record.holder, record.fence, position, now, era
             )
--- a/src/magnoliaflow/cluster/profiles.py
+++ b/src/magnoliaflow/cluster/profiles.py
@@ -10,6 +10,7 @@
 
 from jsonschema import Draft202012Validator
 
+from magnoliaflow.cluster.positions import offset_of
 from magnoliaflow.common.errors import SettingsError
 from magnoliaflow.common.records import ProfileChange
 from magnoliaflow.common.records import ProfileEntry
@@ -122,6 +123,11 @@
     The version of a profile never decreases: neither a change nor a
     snapshot can revert it.  A reader whose log was trimmed defers changes
     until a snapshot covers the missing records.
+
+    Offsets are positions: those of a log that went back are higher.  A change
+    that such a log has lost and another one may get the same version; then
+    the later snapshot on the log decides, for all readers alike.
+    ``snapshot_as_of`` is the latest position that a snapshot covers.
     """
 
     entries: dict[str, ProfileEntry] = field(default_factory=dict)
@@ -132,13 +138,14 @@
     complete: bool = True
     applied: int = -1
     last_snapshot_at: float = 0.0
+    snapshot_as_of: int = -1
 
     def restart(self, first_offset: int) -> None:
         """Continue at an offset because earlier records were trimmed."""
         self.deferred.clear()
         self.first_offset = first_offset
         self.applied = first_offset - 1
-        self.complete = first_offset == 0
+        self.complete = offset_of(first_offset) == 0
 
     def apply(self, offset: int, record: Any) -> bool:
         """Apply the record at an offset; return whether a profile changed."""
@@ -146,6 +153,7 @@
             return False
         self.applied = offset
         if isinstance(record, ProfileSnapshot):
+            self._settle_ties(record)
             return self._merge(record)
         if not isinstance(record, ProfileChange):
             return False
@@ -194,6 +202,17 @@
         )
         return True
 
+    def _settle_ties(self, record: ProfileSnapshot) -> None:
+        """Replace changes that got the version of another one."""
+        for entry in record.entries:
+            known = self.entries.get(entry.name)
+            if known is None or known.version != entry.version:
+                continue
+            if known.change_id != entry.change_id:
+                self._decide(known.change_id, Decision.CONFLICT)
+                self._decide(entry.change_id, Decision.IN_FORCE)
+                self._install(entry)
+
     def _merge(self, record: ProfileSnapshot) -> bool:
         newer = [
             entry
@@ -204,6 +223,7 @@
             self._install(entry)
             self._decide(entry.change_id, Decision.IN_FORCE)
         self.last_snapshot_at = max(self.last_snapshot_at, record.written_at)
+        self.snapshot_as_of = max(self.snapshot_as_of, record.as_of)
         if not self.complete and record.as_of >= self.first_offset - 1:
             self.complete = True
             self._replay(record.as_of)
--- a/src/magnoliaflow/common/metrics.py
+++ b/src/magnoliaflow/common/metrics.py
@@ -36,6 +36,7 @@
         "latency",
         "lease_held",
         "log_era",
+        "log_restores",
         "log_up",
         "registry",
         "refusals",
@@ -125,6 +126,11 @@
             "Era of the log, which rises when it loses records.",
             registry=registry,
         )
+        self.log_restores = Counter(
+            "magnoliaflow_log_restores",
+            "Streams read again because the log had lost records.",
+            registry=registry,
+        )
         self.applied_offset = Gauge(
             "magnoliaflow_applied_offset",
             "Last applied offset by stream.",
--- a/src/magnoliaflow/core/state.py
+++ b/src/magnoliaflow/core/state.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any
 
+from magnoliaflow.cluster.positions import make_position
 from magnoliaflow.cluster.profiles import ProfileTable
 from magnoliaflow.common.codes import Code
 from magnoliaflow.common.eventlog import LogEvent
@@ -72,11 +73,31 @@
     retry_at: float = 0.0
 
 
+@dataclass(slots=True)
+class StreamRestore:
+    """A stream that went back and is being read and completed again.
+
+    ``table`` is derived from the new log alone.  Earlier records had been read
+    up to ``known_offset``.  ``begun`` and ``completed`` tell which missing
+    records were written: those of this process, and all; ``record_ids`` are
+    their ids.
+    """
+
+    table: Any
+    known_offset: int
+    settles_at: float
+    caught_up: bool = False
+    begun: bool = False
+    completed: bool = False
+    record_ids: set[str] = field(default_factory=set)
+
+
 @dataclass(slots=True)
 class StreamCursor:
     """Read position in a stream, and when it was last read.
 
-    ``next_offset`` is an offset in ``era`` of the log.
+    ``next_offset`` is an offset in ``era`` of the log.  ``restore`` is None
+    unless the log has gone back lately.
     """
 
     stream: str
@@ -85,6 +106,12 @@
     last_read_at: float = -inf
     behind_since: float = inf
     gossip_requested_at: float = -inf
+    restore: StreamRestore | None = None
+
+    @property
+    def position(self) -> int:
+        """Return the position of the next record."""
+        return make_position(self.era, self.next_offset)
 
 
 @dataclass(slots=True)
--- a/src/magnoliaflow/daemons/controller.py
+++ b/src/magnoliaflow/daemons/controller.py
@@ -167,6 +167,8 @@
                 next_offset=self.next_offset,
             )
             self.log_era = exc.era
+            self.next_offset = 0
+            self.lease_manager.begin_era(exc.era, monotonic(), wait=True)
             return
         except TrimmedError as exc:
             self.next_offset = exc.first_offset
--- a/src/magnoliaflow/daemons/gatewaycore.py
+++ b/src/magnoliaflow/daemons/gatewaycore.py
@@ -15,6 +15,7 @@
 from magnoliaflow.serving import conflicts
 from magnoliaflow.serving import draining
 from magnoliaflow.serving import location
+from magnoliaflow.serving import logrestore
 from magnoliaflow.serving import logstreams
 from magnoliaflow.serving import membership
 from magnoliaflow.serving import profilesync
@@ -33,6 +34,7 @@
     draining,
     location,
     logstreams,
+    logrestore,
     membership,
     profilesync,
     ranges,
--- a/src/magnoliaflow/daemons/publish.py
+++ b/src/magnoliaflow/daemons/publish.py
@@ -10,6 +10,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import inlineCallbacks
 
+from magnoliaflow.cluster.positions import era_of
+from magnoliaflow.cluster.positions import make_position
 from magnoliaflow.cluster.profiles import Decision
 from magnoliaflow.cluster.profiles import ProfileTable
 from magnoliaflow.common.codec import decode_record
@@ -22,6 +24,9 @@
 from magnoliaflow.common.records import Record
 from magnoliaflow.core.state import PROFILE_STREAM
 
+# Time in which gateways write again what a log that went back has lost.
+CONFIRMATION_WAIT_S = 10.0
+
 DeferredGenerator = Generator[Deferred[Any], Any, Any]
 
 
@@ -44,6 +49,19 @@
         self.next_offset = 0
         self.era = 0
 
+    @property
+    def position(self) -> int:
+        """Return the position of the next record."""
+        return make_position(self.era, self.next_offset)
+
+    def is_confirmed(self) -> bool:
+        """Return whether a gateway has confirmed the profiles of this era.
+
+        After the log went back, it may lack changes that are in force.
+        """
+        confirmed_era = era_of(self.profile_table.snapshot_as_of)
+        return self.era == 0 or confirmed_era >= self.era
+
     @inlineCallbacks
     def read_page(self) -> DeferredGenerator:
         """Apply the next page; return whether there are more."""
@@ -53,10 +71,12 @@
             )
         except RestoredError as exc:
             self.era = exc.era
+            self.next_offset = 0
+            self.history.clear()
             return True
         except TrimmedError as exc:
             self.next_offset = exc.first_offset
-            self.profile_table.restart(exc.first_offset)
+            self.profile_table.restart(self.position)
             return True
         for entry in page.records:
             self.next_offset = entry.offset + 1
@@ -64,7 +84,9 @@
                 body = decode_record(entry.data).body
             except RecordError:
                 continue
-            took_effect = self.profile_table.apply(entry.offset, body)
+            took_effect = self.profile_table.apply(
+                make_position(self.era, entry.offset), body
+            )
             if isinstance(body, ProfileChange):
                 self.history.append(
                     HistoryEntry(entry.offset, body, took_effect)
@@ -93,9 +115,13 @@
     """Publish a change and return the decision on it.
 
     PENDING means that the change may still take effect: its record was
-    sent but not read back in time.
+    sent but not read back in time.  If the log goes back meanwhile, it is
+    sent again: its id keeps it from taking effect twice.
     """
     yield reader.read_all()
+    confirmed_by = monotonic() + CONFIRMATION_WAIT_S
+    while not reader.is_confirmed() and monotonic() < confirmed_by:
+        yield reader.read_page()
     base = base_version
     if base is None:
         base = reader.profile_table.version(name)
@@ -103,12 +129,15 @@
         urandom(8).hex(), name, base, spec, operator, time()
     )
     data = encode_record(Record(change.change_id, change))
-    try:
-        yield reader.log_port.append(PROFILE_STREAM, (data,))
-    except MagnoliaflowError:
-        pass
     deadline = monotonic() + wait_s
+    sent_in_era = -1
     while monotonic() < deadline:
+        if sent_in_era != reader.era:
+            sent_in_era = reader.era
+            try:
+                yield reader.log_port.append(PROFILE_STREAM, (data,))
+            except MagnoliaflowError:
+                pass
         decision = reader.profile_table.decision(change.change_id)
         if decision is not Decision.PENDING:
             return decision
--- a/src/magnoliaflow/ingress/views.py
+++ b/src/magnoliaflow/ingress/views.py
@@ -91,8 +91,7 @@
         "log_up": state.log_up,
         "log_era": max(cursor.era for cursor in state.cursors.values()),
         "applied": {
-            name: cursor.next_offset - 1
-            for name, cursor in state.cursors.items()
+            name: cursor.position - 1 for name, cursor in state.cursors.items()
         },
         "profiles_complete": state.profiles.complete,
         "profiles": {
--- a/src/magnoliaflow/operate.py
+++ b/src/magnoliaflow/operate.py
@@ -90,7 +90,7 @@
         )
         exit_code = max(exit_code, DECISION_EXIT_CODES[decision])
     if wait and exit_code is ExitCode.OK:
-        yield wait_until_applied(cfg, reader.next_offset - 1)
+        yield wait_until_applied(cfg, reader.position - 1)
     return exit_code
 
 
--- a/src/magnoliaflow/serving/claimprocessing.py
+++ b/src/magnoliaflow/serving/claimprocessing.py
@@ -67,6 +67,8 @@
         return None
     if not state.log_up or not state.claims.complete:
         return Code.LOG_DOWN
+    if state.cursors[CLAIM_STREAM].restore is not None:
+        return Code.LOG_DOWN
     if not state.routing.groups.get(profile.backend):
         return Code.NO_BACKEND
     job = ClaimJob(
--- a/src/magnoliaflow/serving/claimtakeover.py
+++ b/src/magnoliaflow/serving/claimtakeover.py
@@ -62,6 +62,8 @@
     state.set_timer(SWEEP_INTERVAL_S, "sweep claims", "")
     if state.phase is not Phase.SERVING or not state.log_up:
         return
+    if state.cursors[CLAIM_STREAM].restore is not None:
+        return
     silence_s = state.cfg.timings.silence_s
     startup_over = state.now - state.started_at > 2 * silence_s
     for claim in list(state.claims.unsettled()):
--- a/src/magnoliaflow/serving/logstreams.py
+++ b/src/magnoliaflow/serving/logstreams.py
@@ -3,17 +3,21 @@
 from collections.abc import Callable
 from itertools import islice
 
+from magnoliaflow.cluster.positions import era_of
+from magnoliaflow.cluster.positions import make_position
+from magnoliaflow.cluster.positions import offset_of
 from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.records import Mark
 from magnoliaflow.common.records import Record
 from magnoliaflow.common.records import RecordBody
 from magnoliaflow.core.commands import Append
 from magnoliaflow.core.inputs import AppendEnded
 from magnoliaflow.core.inputs import RecordsRead
-from magnoliaflow.core.inputs import StreamRestored
 from magnoliaflow.core.inputs import StreamTrimmed
 from magnoliaflow.core.state import GatewayState
 from magnoliaflow.core.state import PendingAppend
 from magnoliaflow.core.state import PROFILE_STREAM
+from magnoliaflow.core.state import StreamRestore
 from magnoliaflow.core.systems import handles
 from magnoliaflow.core.systems import system
 
@@ -34,10 +38,14 @@
 
 @system(70)
 def commit_pending(state: GatewayState) -> None:
-    """Append the queued records, with one call for each stream."""
+    """Append the queued records, with one call for each stream.
+
+    A stream that went back gets what it has lost before anything else.
+    """
     if not len(state.pending_appends):
         return
-    for stream in state.cursors:
+    for stream, cursor in state.cursors.items():
+        restore = cursor.restore
         if any(
             pending.append_running
             for pending in state.pending_appends
@@ -47,7 +55,12 @@
         waiting = (
             pending
             for pending in state.pending_appends
-            if pending.stream == stream and pending.retry_at <= state.now
+            if pending.stream == stream
+            and pending.retry_at <= state.now
+            and (
+                restore is None
+                or pending.record.record_id in restore.record_ids
+            )
         )
         group = list(islice(waiting, MAX_GROUP_COMMIT_RECORDS))
         if not group:
@@ -73,6 +86,8 @@
 def handle_records(state: GatewayState, batch: RecordsRead) -> None:
     """Apply records in order of their offsets, each once."""
     cursor = state.cursors[batch.stream]
+    if batch.era != cursor.era:
+        return
     if batch.from_log:
         cursor.last_read_at = state.now
         if not state.log_up:
@@ -86,12 +101,30 @@
             state.log(LogEvent.RECORD_UNREADABLE, offset=entry.offset)
             continue
         state.pending_appends.drop(entry.record.record_id)
-        APPLIERS[batch.stream](state, entry.offset, entry.record)
+        position = make_position(cursor.era, entry.offset)
+        APPLIERS[batch.stream](state, position, entry.record)
+        if cursor.restore is not None:
+            _apply_restored(state, cursor.restore, position, entry.record)
+    if cursor.restore is not None and cursor.next_offset >= batch.end:
+        cursor.restore.caught_up = True
     state.metrics.applied_offset.labels(batch.stream).set(
         cursor.next_offset - 1
     )
 
 
+def _apply_restored(
+    state: GatewayState, restore: StreamRestore, position: int, rec: Record
+) -> None:
+    """Apply a record of a log that went back to the table of its own.
+
+    A mark of the same era tells that others have settled.
+    """
+    restore.table.apply(position, rec.body)
+    if isinstance(rec.body, Mark):
+        if era_of(rec.body.as_of) == era_of(position):
+            restore.settles_at = min(restore.settles_at, state.now)
+
+
 Applier = Callable[[GatewayState, int, Record], None]
 APPLIERS: dict[str, Applier] = {}
 
@@ -107,12 +140,13 @@
 
 
 @applies(PROFILE_STREAM)
-def apply_profile(state: GatewayState, offset: int, rec: Record) -> None:
+def apply_profile(state: GatewayState, position: int, rec: Record) -> None:
     """Apply a record of the profile stream."""
-    if state.profiles.apply(offset, rec.body):
+    if state.profiles.apply(position, rec.body):
         state.log(
             LogEvent.PROFILE_IN_FORCE,
-            offset=offset,
+            offset=offset_of(position),
+            era=era_of(position),
             profile=getattr(rec.body, "name", ""),
         )
 
@@ -130,21 +164,6 @@
     state.metrics.log_up.set(1 if state.log_up else 0)
 
 
-@handles(StreamRestored)
-def handle_restored(state: GatewayState, restored: StreamRestored) -> None:
-    """Note that the log has gone back."""
-    cursor = state.cursors[restored.stream]
-    state.log(
-        LogEvent.STORE_RESTORED,
-        stream=restored.stream,
-        era=restored.era,
-        previous=cursor.era,
-        next_offset=cursor.next_offset,
-    )
-    cursor.era = restored.era
-    state.metrics.log_era.set(restored.era)
-
-
 @handles(StreamTrimmed)
 def handle_trimmed(state: GatewayState, trimmed: StreamTrimmed) -> None:
     """Restart a stream whose next records were trimmed."""
@@ -157,7 +176,13 @@
         first_offset=trimmed.first_offset,
     )
     cursor.next_offset = trimmed.first_offset
+    first_position = cursor.position
+    restore = cursor.restore
+    if restore is not None:
+        restore.table.restart(first_position)
+        if trimmed.first_offset <= restore.known_offset:
+            return
     table = (
         state.profiles if trimmed.stream == PROFILE_STREAM else state.claims
     )
-    table.restart(trimmed.first_offset)
+    table.restart(first_position)
--- a/src/magnoliaflow/serving/membership.py
+++ b/src/magnoliaflow/serving/membership.py
@@ -117,7 +117,7 @@
         caller_address=state.host.caller_address,
         peer_address=state.host.peer_address,
         applied={
-            stream: cursor.next_offset - 1
+            stream: cursor.position - 1
             for stream, cursor in state.cursors.items()
         },
         notices=tuple(
--- a/src/magnoliaflow/serving/profilesync.py
+++ b/src/magnoliaflow/serving/profilesync.py
@@ -2,6 +2,8 @@
 
 from math import inf
 
+from magnoliaflow.cluster.positions import era_of
+from magnoliaflow.cluster.positions import offset_of
 from magnoliaflow.common.codec import decode_record
 from magnoliaflow.common.codec import encode_record
 from magnoliaflow.common.errors import RecordError
@@ -35,7 +37,7 @@
     ahead = [
         peer
         for peer in state.peers
-        if peer.applied.get(PROFILE_STREAM, -1) >= cursor.next_offset
+        if peer.applied.get(PROFILE_STREAM, -1) >= cursor.position
     ]
     if not ahead and state.profiles.complete:
         cursor.behind_since = inf
@@ -74,9 +76,11 @@
             continue
         if isinstance(body, ProfileSnapshot):
             state.profiles.install_snapshot(body)
-            cursor.next_offset = max(
-                cursor.next_offset, state.profiles.applied + 1
-            )
+            applied = state.profiles.applied
+            if era_of(applied) == cursor.era and cursor.restore is None:
+                cursor.next_offset = max(
+                    cursor.next_offset, offset_of(applied) + 1
+                )
 
 
 @on_timer("snapshot")
--- a/src/magnoliaflow/work/claims.py
+++ b/src/magnoliaflow/work/claims.py
@@ -17,6 +17,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from magnoliaflow.cluster.positions import offset_of
 from magnoliaflow.common.codes import Code
 from magnoliaflow.common.errors import KeyFormatError
 from magnoliaflow.common.records import Accept
@@ -51,7 +52,8 @@
 class Claim:
     """The submission in force for a key, and its state.
 
-    ``stated_at`` is the time of its latest Accept or Restate.
+    ``stated_at`` is the time of its latest Accept or Restate, ``changed_at``
+    that of the latest record that changed it.
     """
 
     key: str
@@ -65,6 +67,13 @@
     code: int = int(Code.ACCEPTED)
     result: bytes = b""
     stated_at: float = 0.0
+    changed_at: float = 0.0
+
+    @property
+    def progress(self) -> tuple[int, bool]:
+        """Return its epoch and whether it was dispatched; both only rise."""
+        dispatched = (ClaimState.DISPATCHED, ClaimState.CLOSED)
+        return self.epoch, self.state in dispatched
 
 
 def key_created_at(key: str) -> float:
@@ -96,6 +105,8 @@
 class ClaimTable:
     """All claims within the key window, derived from the log alone.
 
+    Offsets are positions: those of a log that went back are higher.
+
     ``voided`` maps submissions that must not run to their keys.
     ``unmatched`` holds records of unknown claims, which a later Restate may
     need; ``deferred`` holds the records read before the first usable Mark.
@@ -124,7 +135,7 @@
         self.deferred.clear()
         self.first_offset = first_offset
         self.applied = first_offset - 1
-        self.complete = first_offset == 0
+        self.complete = offset_of(first_offset) == 0
 
     def apply(self, offset: int, record: Any) -> Verdict:
         """Apply the record at an offset and return its effect.
@@ -158,6 +169,9 @@
         """Apply a record, and retain it if its claim is unknown."""
         self.horizon = max(self.horizon, record.written_at)
         verdict = self._apply_record(record, offset)
+        if verdict is Verdict.APPLIED and record.key in self.claims:
+            claim = self.claims[record.key]
+            claim.changed_at = max(claim.changed_at, record.written_at)
         if record.key not in self.claims and self.first_offset > 0:
             self.unmatched.setdefault(record.key, []).append(
                 LoggedRecord(offset, record)
@@ -293,31 +307,54 @@
         claim.result = record.body
         return Verdict.APPLIED
 
+    def _restate_known(self, claim: Claim, record: Restate) -> Verdict:
+        """Apply a Restate of a claim that is known, perhaps as less.
+
+        It tells more only on a log that went back: what was dispatched then
+        stays in force, also if its key was accepted anew.
+        """
+        if claim.submission == record.submission:
+            claim.stated_at = record.written_at
+            is_ahead = (record.epoch, record.dispatched) > claim.progress
+            if claim.state is not ClaimState.OPEN or not is_ahead:
+                return Verdict.DUPLICATE
+        elif not record.dispatched or claim.progress[1]:
+            return Verdict.DUPLICATE
+        else:
+            self.voided[claim.submission] = record.key
+            self.voided.pop(record.submission, None)
+        self.claims[record.key] = _restated_claim(record)
+        return Verdict.APPLIED
+
     @_apply_record.register
     def _restate(self, record: Restate, offset: int) -> Verdict:
         claim = self.claims.get(record.key)
         if claim is not None:
-            if claim.submission == record.submission:
-                claim.stated_at = record.written_at
-            return Verdict.DUPLICATE
+            return self._restate_known(claim, record)
+        if record.dispatched:
+            # Only others of its submissions can have been refused.
+            self.voided.pop(record.submission, None)
         if record.submission in self.voided:
             return Verdict.VOID
         if record.as_of < self.first_offset - 1:
             return Verdict.VOID
-        self.claims[record.key] = Claim(
-            record.key,
-            record.submission,
-            record.owner,
-            record.account,
-            record.profile,
-            record.body,
-            epoch=record.epoch,
-            state=(
-                ClaimState.DISPATCHED if record.dispatched else ClaimState.OPEN
-            ),
-            stated_at=record.written_at,
-        )
+        self.claims[record.key] = _restated_claim(record)
         for entry in self.unmatched.pop(record.key, []):
             if entry.offset > record.as_of:
                 self._apply_record(entry.record, entry.offset)
         return Verdict.APPLIED
+
+
+def _restated_claim(record: Restate) -> Claim:
+    """Return the claim that a Restate describes."""
+    return Claim(
+        record.key,
+        record.submission,
+        record.owner,
+        record.account,
+        record.profile,
+        record.body,
+        epoch=record.epoch,
+        state=ClaimState.DISPATCHED if record.dispatched else ClaimState.OPEN,
+        stated_at=record.written_at,
+    )
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -25,6 +25,9 @@
             for name in names
         }
         self.next_offset = dict.fromkeys(names, 0)
+        self.era = 0
+        self.eras = dict.fromkeys(names, 0)
+        self.fences = {}
         self.paused = set()
         self.max_delay_s = 0.0
         self.overlaps = []
@@ -55,11 +58,18 @@
                 for name, lease_manager in self.lease_managers.items()
                 if lease_manager.holds(self.now)
             ]
+            for name in acting:
+                fence = self.lease_managers[name].fence
+                self.fences.setdefault(fence, set()).add(name)
             if len(acting) > 1:
                 self.overlaps.append((self.now, acting))
 
     def advance_lease_manager(self, name, lease_manager):
         """Let one lease manager read new records and append its own."""
+        if self.eras[name] < self.era:
+            self.eras[name] = self.era
+            self.next_offset[name] = 0
+            lease_manager.begin_era(self.era, self.now, wait=True)
         while self.next_offset[name] < len(self.log):
             offset = self.next_offset[name]
             lease_manager.apply(offset, self.log[offset], self.now)
@@ -69,6 +79,21 @@
             delay = 0.05 + self.rng.random() * self.max_delay_s
             self.appends_in_flight.append((self.now + delay, record))
 
+    def go_back(self, lost):
+        """Come back without the last records, in a new era."""
+        del self.log[max(0, len(self.log) - lost) :]
+        self.era += 1
+
+    def restart(self, name):
+        """Replace a process by one that knows nothing."""
+        self.lease_managers[name] = LeaseManager(
+            name="fleet",
+            holder=f"{name}-{self.now}",
+            ttl_s=TTL_S,
+            margin_s=MARGIN_S,
+        )
+        self.next_offset[name] = self.eras[name] = 0
+
     def run_until_held(self):
         """Advance time until one may act; return whether that happened."""
         for _ in range(100):
@@ -107,6 +132,31 @@
     assert world.overlaps == []
 
 
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("max_delay_s", (0.0, 3.0))
+def test_a_log_that_goes_back_lets_one_act_and_no_fence_return(
+    seed, max_delay_s
+):
+    """Also twice in a row, beside restarts and pauses."""
+    world = LeaseWorld("abc", seed=seed)
+    world.max_delay_s = max_delay_s
+    for _ in range(12):
+        world.run(world.rng.random() * 12)
+        name = world.rng.choice("abc")
+        step = world.rng.choice(("back", "back", "restart", "pause"))
+        if step == "restart":
+            world.restart(name)
+        elif step == "pause":
+            world.paused ^= {name}
+        else:
+            world.go_back(world.rng.randrange(1, 8))
+    world.paused.clear()
+    world.run(30.0)
+    assert world.holder()
+    assert world.overlaps == []
+    assert all(len(names) == 1 for names in world.fences.values())
+
+
 def test_paused_holder_stops_before_another_begins():
     world = LeaseWorld("ab")
     world.run(3.0)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -414,3 +414,28 @@
     refreshed = run_in_reactor(client.find_addresses)
     assert stopped_address in initial and cached == initial
     assert stopped_address not in refreshed and len(refreshed) == 3
+
+
+def test_what_a_log_that_went_back_has_lost_is_written_again(fleet, tmp_path):
+    key = make_key("lost")
+    first = call(fleet, "entry-1", "voucher-booking", payload={}, key=key)
+    path = tmp_path / "p.yaml"
+    path.write_text((ROOT / "examples/repair-profiles.yaml").read_text())
+    fleet.run_command("profile", "publish", str(path))
+    published = fleet.status("entry-2")["profiles"]
+    fleet.restore_log(60.0)
+    hosts = ("entry-1", "entry-2", "entry-4")
+    fleet.wait_until(
+        lambda: all(fleet.status(host)["log_era"] == 1 for host in hosts)
+    )
+    kill_and_restart(fleet, "entry-1")
+    fleet.wait_for_gateways()
+    sleep(6.0)
+    again = call(fleet, "entry-1", "voucher-booking", payload={}, key=key)
+    assert (first.code, again.code) == (Code.DONE, Code.DONE)
+    assert executions(fleet, key) == 1
+    assert fleet.status("entry-1")["profiles"] == published
+    code, output = fleet.run_command("profile", "publish", str(path))
+    assert code == 0, output
+    versions = fleet.status("entry-1")["profiles"]
+    assert all(versions[name] > published[name] for name in published)
