Keep a dispatched claim that a late reader finds refused before restated

Cause: a Refuse of an unknown claim voids its submission at once, before the records that it follows are known; the Restate was then void. Here a Refuse that follows what the Restate speaks for is undone and applied again in its order.

--- a/src/magnoliaflow/work/claims.py
+++ b/src/magnoliaflow/work/claims.py
@@ -307,6 +307,15 @@
         claim.result = record.body
         return Verdict.APPLIED
 
+    def _was_refused_unmatched(self, record: Restate) -> bool:
+        """Return whether a Refuse follows what a Restate speaks for."""
+        return any(
+            entry.offset > record.as_of
+            and isinstance(entry.record, Refuse)
+            and entry.record.submission == record.submission
+            for entry in self.unmatched.get(record.key, ())
+        )
+
     def _restate_known(self, claim: Claim, record: Restate) -> Verdict:
         """Apply a Restate of a claim that is known, perhaps as less.
 
@@ -331,8 +340,9 @@
         claim = self.claims.get(record.key)
         if claim is not None:
             return self._restate_known(claim, record)
-        if record.dispatched:
-            # Only others of its submissions can have been refused.
+        if record.dispatched or self._was_refused_unmatched(record):
+            # A Refuse of a claim that was not known yet voids nothing before
+            # it is applied in its order.
             self.voided.pop(record.submission, None)
         if record.submission in self.voided:
             return Verdict.VOID
--- a/tests/test_late_reader.py
+++ b/tests/test_late_reader.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from checkers import violations
 from magnoliaflow.common.codes import Code
@@ -131,6 +132,25 @@
     assert claim_table.claims[KEYS[0]].state is ClaimState.DISPATCHED
 
 
+@pytest.mark.parametrize("dispatched_at", ["trimmed", "retained"])
+def test_a_refuse_before_its_restate_loses_no_dispatched_claim(dispatched_at):
+    """The reader does not know the claim yet when it reads the Refuse."""
+    was_dispatched = dispatched_at == "trimmed"
+    claim_table = ClaimTable(window_s=WINDOW_S)
+    claim_table.restart(10)
+    claim_table.apply(10, Mark(9, START_TIME, START_TIME))
+    if not was_dispatched:
+        claim_table.apply(11, Dispatch(KEYS[0], "s", "o", 0, START_TIME))
+    claim_table.apply(
+        12, Refuse(KEYS[0], "s", int(Code.NOT_STARTED), START_TIME)
+    )
+    restate = Restate(
+        KEYS[0], "s", "o", 0, was_dispatched, "a", "p", b"", 9, START_TIME
+    )
+    assert claim_table.apply(13, restate) is Verdict.APPLIED
+    assert claim_table.claims[KEYS[0]].state is ClaimState.DISPATCHED
+
+
 def test_expired_key_is_refused_by_every_reader():
     """The age of a key is relative to the times in the log's records."""
     claim_table = ClaimTable(window_s=WINDOW_S)
