--- a/tests/test_log_restored.py
+++ b/tests/test_log_restored.py
@@ -1,8 +1,10 @@
 """The product's own log comes back from a copy of some seconds ago."""
 
+from dataclasses import replace
 from itertools import product
 from json import dumps
 
+from conftest import world_factory
 import pytest
 
 from checkers import violations
@@ -13,6 +15,7 @@
 from magnoliaflow.core.state import CLAIM_STREAM
 
 SEEDS = (1, 2, 3)
+SIZES = (37, 78)
 LOST_S = 3.0
 AWAY_S = 1.0
 SETTLE_S = 25.0
@@ -73,6 +76,26 @@
     world.after(4.0, lambda: setattr(world.log, "late_probability", 0.0))
 
 
+@pytest.fixture
+def make_large_world(cfg):
+    """Return a function that starts a world with many gateways."""
+
+    def make(hosts, seed):
+        known = cfg.entry_hosts
+        entry_hosts = tuple(
+            replace(
+                known[number % len(known)],
+                name=f"entry-{number + 1}",
+                address=f"127.0.0.{number + 1}",
+            )
+            for number in range(hosts)
+        )
+        large_cfg = replace(cfg, entry_hosts=entry_hosts)
+        return world_factory(large_cfg)(seed, nodes=hosts)
+
+    return make
+
+
 FAULTS = (
     keep_all,
     restart_one,
@@ -214,6 +237,30 @@
     assert entries == {"lost"}
 
 
+@pytest.mark.parametrize("hosts", SIZES)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_many_gateways_neither_run_twice_nor_revert(
+    make_large_world, hosts, fault
+):
+    world = make_large_world(hosts, 1)
+    world.publish("p", SPEC, base=0, change_id="c0")
+    before = [world.call("voucher-booking", key=f"v{n}") for n in range(12)]
+    assert world.settle()
+    fault(world)
+    go_back(world)
+    for call in before:
+        world.call("voucher-booking", raw_key=call.key, prompt=call.prompt)
+        world.call("voucher-booking", key=f"n{call.name}")
+        world.run(0.25)
+    written = len(world.log.streams[CLAIM_STREAM])
+    world.run(SETTLE_S)
+    assert set(world.executions().values()) == {1}
+    assert versions(world, "p") == [1] * hosts
+    assert violations(world) == []
+    added = len(world.log.streams[CLAIM_STREAM]) - written
+    assert added < 20 * len(world.calls)
+
+
 def test_gateways_serve_new_claims_soon_after(make_world):
     world = make_world(1)
     go_back(world)
