Build a Restate in one place, and drop an unused function

Reading the change as a newcomer: claimtakeover and logrestore built the same record, is_confirmed was called nowhere, and a process that starts on a log that went back earlier logged STORE_RESTORED though it had lost nothing. test_log_restored (4 gateways) and test_layers pass.

--- a/src/magnoliaflow/serving/claimtakeover.py
+++ b/src/magnoliaflow/serving/claimtakeover.py
@@ -103,21 +103,22 @@
     if successor_of(state, claim.key) != state.identity:
         return
     claim.stated_at = state.wall
-    append(
-        state,
-        CLAIM_STREAM,
-        Restate(
-            claim.key,
-            claim.submission,
-            claim.owner,
-            claim.epoch,
-            claim.state is ClaimState.DISPATCHED,
-            claim.account,
-            claim.profile,
-            claim.body,
-            state.claims.applied,
-            state.wall,
-        ),
+    append(state, CLAIM_STREAM, make_restate(state, claim))
+
+
+def make_restate(state: GatewayState, claim: Claim) -> Restate:
+    """Return the record that restates a claim as this process knows it."""
+    return Restate(
+        claim.key,
+        claim.submission,
+        claim.owner,
+        claim.epoch,
+        claim.state in (ClaimState.DISPATCHED, ClaimState.CLOSED),
+        claim.account,
+        claim.profile,
+        claim.body,
+        state.claims.applied,
+        state.wall,
     )
 
 
--- a/src/magnoliaflow/serving/logrestore.py
+++ b/src/magnoliaflow/serving/logrestore.py
@@ -9,18 +9,14 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-from typing import Any
 
-from magnoliaflow.cluster.positions import era_of
 from magnoliaflow.cluster.profiles import ProfileTable
 from magnoliaflow.common.codes import Code
 from magnoliaflow.common.eventlog import LogEvent
-from magnoliaflow.common.records import Mark
 from magnoliaflow.common.records import Outcome
 from magnoliaflow.common.records import ProfileSnapshot
 from magnoliaflow.common.records import RecordBody
 from magnoliaflow.common.records import Refuse
-from magnoliaflow.common.records import Restate
 from magnoliaflow.core.inputs import StreamRestored
 from magnoliaflow.core.state import CLAIM_STREAM
 from magnoliaflow.core.state import GatewayState
@@ -29,6 +25,7 @@
 from magnoliaflow.core.state import StreamRestore
 from magnoliaflow.core.systems import handles
 from magnoliaflow.core.systems import system
+from magnoliaflow.serving.claimtakeover import make_restate
 from magnoliaflow.serving.logstreams import append
 from magnoliaflow.serving.membership import successor_of
 from magnoliaflow.work.claims import Claim
@@ -71,13 +68,6 @@
     cursor = state.cursors[restored.stream]
     if restored.era <= cursor.era:
         return
-    state.log(
-        LogEvent.STORE_RESTORED,
-        stream=restored.stream,
-        era=restored.era,
-        previous=cursor.era,
-        next_offset=cursor.next_offset,
-    )
     known_offset = cursor.next_offset
     if cursor.restore is not None:
         known_offset = max(known_offset, cursor.restore.known_offset)
@@ -85,6 +75,13 @@
             state.pending_appends.drop(record_id)
     if known_offset:
         state.metrics.log_restores.inc()
+        state.log(
+            LogEvent.STORE_RESTORED,
+            stream=restored.stream,
+            era=restored.era,
+            previous=cursor.era,
+            next_offset=cursor.next_offset,
+        )
     state.metrics.log_era.set(restored.era)
     cursor.era = restored.era
     cursor.next_offset = 0
@@ -99,11 +96,6 @@
     )
 
 
-def is_confirmed(era: int, body: Any) -> bool:
-    """Return whether a record tells that its writer has settled in an era."""
-    return isinstance(body, Mark) and era_of(body.as_of) == era
-
-
 @system(65)
 def write_lost_records(state: GatewayState) -> None:
     """Write again what streams have lost, and end what is settled."""
@@ -225,19 +217,3 @@
             claim.result,
             state.wall,
         )
-
-
-def make_restate(state: GatewayState, claim: Claim) -> Restate:
-    """Return the record that restates a claim as this process knows it."""
-    return Restate(
-        claim.key,
-        claim.submission,
-        claim.owner,
-        claim.epoch,
-        claim.state in (ClaimState.DISPATCHED, ClaimState.CLOSED),
-        claim.account,
-        claim.profile,
-        claim.body,
-        state.claims.applied,
-        state.wall,
-    )
