--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,7 +26,7 @@
 # Every other field is that of a sound entry; nobody listens at the address.
 FOREIGN_ENTRY = (
     b'{"service": "desk-app", "address": "127.0.0.1:9", "zone": "z1",'
-    b' "version": 1, "slots": NaN, "state": "ready",'
+    b' "version": "v1", "slots": NaN, "state": "ready",'
     b' "coldRemainingMs": 0, "sequence": 1}'
 )
 
--- a/review/harness/engines.py
+++ b/review/harness/engines.py
@@ -69,7 +69,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "z1",
-            "version": 1,
+            "version": "v1",
             "slots": 64,
             "state": "ready",
             "coldRemainingMs": 0,
