Read TROUBLE and write the record in each case of the review

Each script also exits with 2 when it cannot be built or is ended, and no process outlives one that restarts its hosts.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,7 @@
 """An unusable entry of another writer among the engines' entries."""
 
+from os import environ
+from pathlib import Path
 import sys
 from threading import Event
 from threading import Thread
@@ -9,10 +11,11 @@
 from harness.clients import Client
 from harness.engines import Engine
 from harness.runner import cut_requests
-from harness.runner import has_trouble
 from harness.runner import run_case
 from harness.runner import write_record
 
+TROUBLE = environ.get("TROUBLE", "1") != "0"
+RECORD = Path(__file__).with_name("record.txt")
 CLIENTS_PER_HOST = 8
 WARM_UP_S = 6.0
 AFTER_S = 24.0
@@ -64,7 +67,7 @@
             threads.append(thread)
     sleep(WARM_UP_S)
     written_at = monotonic()
-    if has_trouble():
+    if TROUBLE:
         deployment.store.put("keyed.servers", "other-7", FOREIGN_ENTRY)
     sleep(AFTER_S)
     stopped.set()
@@ -76,7 +79,8 @@
 def judge(deployment, record, written_at):
     """Write the record and return whether the rule was broken."""
     runs = deployment.runs()
-    lost = [sent for sent in cut_requests(record, runs) if sent.kept]
+    cut = [sent for sent in cut_requests(record, runs) if sent.kept]
+    lost = [sent for sent in cut if not sent.status]
     ending_hosts = [
         host for host in deployment.hosts if len(host.ends) > MAX_ENDS
     ]
@@ -84,7 +88,7 @@
         sent for sent in record.sent if sent.sent_at > written_at + SETTLE_S
     ]
     served = sum(sent.status == 200 for sent in after)
-    lines = [f"entry of another writer: {has_trouble()}"]
+    lines = [f"entry of another writer: {TROUBLE}"]
     for host in deployment.hosts:
         ends = ", ".join(
             f"{at - written_at:.2f} s (exit code {code})"
@@ -94,14 +98,16 @@
     lines += [
         f"sent more than {SETTLE_S:g} s after the entry: {len(after)},"
         f" answered with 200: {served}",
-        "passed on from a kept channel that was then closed without a whole"
-        f" answer: {len(lost)}",
+        "passed on from a kept channel that was then closed without any"
+        f" answer: {len(lost)}, in the middle of one:"
+        f" {len(cut) - len(lost)}",
     ]
-    marks = {sent.request_id: "LOST" for sent in lost}
-    write_record(__file__, lines, record, runs, written_at, marks)
+    marks = {sent.request_id: "CUT" for sent in cut}
+    marks.update((sent.request_id, "LOST") for sent in lost)
+    write_record(RECORD, lines, record, runs, written_at, marks)
     print("\n".join(lines))
     return len(lost) > MAX_LOST or len(ending_hosts) > 1
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, judge))
+    sys.exit(run_case(play, judge, RECORD))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,8 @@
 from http.client import HTTPConnection
 from http.client import HTTPException
 from json import loads
+from os import environ
+from pathlib import Path
 from random import Random
 from signal import SIGTERM
 import sys
@@ -15,10 +17,11 @@
 from harness.clients import HOST
 from harness.engines import Engine
 from harness.runner import cut_requests
-from harness.runner import has_trouble
 from harness.runner import run_case
 from harness.runner import write_record
 
+TROUBLE = environ.get("TROUBLE", "1") != "0"
+RECORD = Path(__file__).with_name("record.txt")
 CLIENTS = 40
 WARM_UP_S = 5.0
 GAP_S = 1.3
@@ -119,7 +122,7 @@
     sleep(WARM_UP_S)
     terms = {}
     for host in deployment.hosts:
-        if has_trouble():
+        if TROUBLE:
             host.signal(SIGTERM)
             terms[host.ports["frontend"]] = monotonic()
         sleep(GAP_S)
@@ -170,10 +173,10 @@
         f" of these lost: {len(lost)}"
     )
     marks = {sent.request_id: "LOST" for sent in lost}
-    write_record(__file__, lines, record, runs, start, marks)
+    write_record(RECORD, lines, record, runs, start, marks)
     print("\n".join(lines))
     return bool(lost)
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(play, judge))
+    sys.exit(run_case(play, judge, RECORD))
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -159,7 +159,8 @@
         ]
         self.path.write_text("\n".join(lines) + BOUNDS)
         self.process = self._launch()
-        Thread(target=self._supervise, daemon=True).start()
+        self.supervisor = Thread(target=self._supervise, daemon=True)
+        self.supervisor.start()
 
     @property
     def peer_address(self):
@@ -191,13 +192,13 @@
             if not self.expected_end:
                 self.ends.append((monotonic(), code))
             self.expected_end = False
-            sleep(RESTART_DELAY_S)
+            if self.closing.wait(RESTART_DELAY_S):
+                return
             text = self.path.read_text()
             self.path.write_text(
                 text.replace("isBootstrap=true", "isBootstrap=false")
             )
-            if not self.closing.is_set():
-                self.process = self._launch()
+            self.process = self._launch()
 
     def signal(self, number):
         """Send a signal to the process."""
@@ -218,9 +219,11 @@
                 return False
 
     def close(self):
-        """Kill the process."""
+        """Kill the process, and one that was started meanwhile."""
         self.closing.set()
         self.process.send_signal(SIGKILL)
+        self.supervisor.join()
+        self.process.send_signal(SIGKILL)
         self.process.wait()
 
 
--- a/review/harness/runner.py
+++ b/review/harness/runner.py
@@ -1,7 +1,7 @@
 """Runs a case and writes its record."""
 
-from os import environ
-from pathlib import Path
+from signal import alarm
+from signal import SIGALRM
 from signal import signal
 from signal import SIGTERM
 import sys
@@ -12,33 +12,40 @@
 from harness.deployment import Deployment
 
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+# A script may take 120 s; the rest is for its end.
+MAX_LENGTH_S = 105
 HOST_NAMES = ("edge-a-1", "edge-b-1")
 
 
-def has_trouble():
-    """Return whether the case is played with its disruption."""
-    return environ.get("TROUBLE", "1") != "0"
-
-
 def _stop(number, frame):
     sys.exit(NOT_RUN)
 
 
-def run_case(play, judge):
+def run_case(play, judge, path):
     """Play and judge a case; return the exit code of its script.
 
     ``play`` takes the deployment and the record of the clients; ``judge``
-    also takes what it returned, and returns whether the rule was broken.
+    also takes what it returned, writes the record at ``path``, and returns
+    whether the rule was broken.
     """
     signal(SIGTERM, _stop)
+    signal(SIGALRM, _stop)
+    alarm(MAX_LENGTH_S)
+    path.write_text("the case has not come to its end\n")
+    try:
+        return _play_and_judge(play, judge)
+    except Exception as exc:
+        traceback.print_exc()
+        path.write_text(f"the case could not run: {exc!r}\n")
+        return NOT_RUN
+
+
+def _play_and_judge(play, judge):
     record = Record()
     deployment = Deployment(HOST_NAMES)
     try:
         played = play(deployment, record)
         return BROKEN if judge(deployment, record, played) else HELD
-    except Exception:
-        traceback.print_exc()
-        return NOT_RUN
     finally:
         deployment.close()
 
@@ -52,12 +59,12 @@
     ]
 
 
-def write_record(script, lines, record, runs, start, marks):
-    """Write ``lines`` and every request to the record beside a script.
+def write_record(path, lines, record, runs, start, marks):
+    """Write ``lines`` and every request to the record at a path.
 
     ``marks`` are words by request id; times are counted from ``start``.
     """
-    with (Path(script).parent / "record.txt").open("w") as out:
+    with path.open("w") as out:
         for line in lines:
             print(line, file=out)
         print("\nmark id path port sent ended status outcome | runs", file=out)
