Decode what other writers send with one kind of error

The class is a decoder that raises another error than its reader expects, or returns what cannot be sent on. Mended for all that a writer can put there: numbers that are not finite, do not fit into the wire types or have thousands of digits, nesting beyond the stack, bytes that are no UTF-8, surrogates without their pair, ids that no header can hold, addresses that no socket takes. The same for the configuration, the answers of the store (offsets, eras, listings that repeat), thrift records with impossible sizes, callers' numeric headers, the directory's query and the settings file.

--- a/src/magnoliaflow/common/codec.py
+++ b/src/magnoliaflow/common/codec.py
@@ -135,7 +135,12 @@
     """Fill a thrift value from compact bytes; raises RecordError."""
     try:
         wire.read(
-            TCompactProtocolAccelerated(TMemoryBuffer(data), fallback=True)
+            TCompactProtocolAccelerated(
+                TMemoryBuffer(data),
+                fallback=True,
+                string_length_limit=len(data),
+                container_length_limit=len(data),
+            )
         )
     except Exception as exc:
         # Malformed bytes raise errors of many types.
--- a/src/magnoliaflow/platform/document.py
+++ b/src/magnoliaflow/platform/document.py
@@ -1,9 +1,10 @@
 """The platform's configuration document, decoded into a RouteBook."""
 
-from json import loads
+import re
 from typing import Any
 
 from magnoliaflow.common.errors import FormatError
+from magnoliaflow.platform.jsonvalues import decode_json
 from magnoliaflow.policy.routes import Account
 from magnoliaflow.policy.routes import CallerLimits
 from magnoliaflow.policy.routes import Route
@@ -20,37 +21,60 @@
 }
 MS = 1000.0
 TOKENS_UNIT = "token_count"
+# An account's name is sent to engines in a header.
+NAME_PATTERN = re.compile(r"[^\x00-\x20\x7f]+( +[^\x00-\x20\x7f]+)*")
 
 
 def decode_document(data: bytes) -> RouteTable:
     """Return the decoded configuration; raises FormatError."""
     try:
-        values = loads(data)
+        values = decode_json(data)
         return RouteTable(
             version=int(values["version"]),
             routes=tuple(_route(route) for route in values["routes"]),
             services={
-                service["name"]: _service(service)
+                _name(service): _service(service)
                 for service in values["services"]
             },
             accounts={
-                tenant["name"]: _account(tenant)
+                _name(tenant): _account(tenant)
                 for tenant in values.get("tenants") or ()
             },
             keys={
-                key: tenant["name"]
+                str(key): _name(tenant)
                 for tenant in values.get("tenants") or ()
                 for key in tenant.get("apiKeys") or ()
             },
             limits=_limits(values.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        ArithmeticError,
+        AttributeError,
+        FormatError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as exc:
         raise FormatError(
             f"invalid configuration of {len(data)} bytes: {exc!r}; the "
             "current version stays in force"
         ) from exc
 
 
+def _text(values: dict[str, Any], field: str) -> str:
+    value = values[field]
+    if not isinstance(value, str):
+        raise TypeError(f"{field}: {value!r} is not a text")
+    return value
+
+
+def _name(values: dict[str, Any]) -> str:
+    name = _text(values, "name")
+    if not NAME_PATTERN.fullmatch(name):
+        raise ValueError(f"name: {name!r} cannot be sent in a header")
+    return name
+
+
 def _route(values: dict[str, Any]) -> Route:
     split = values.get("trafficSplit")
     shares = (
@@ -62,9 +86,9 @@
         else (TrafficShare(values["service"], 1.0),)
     )
     return Route(
-        name=values["name"],
-        host=values["host"],
-        prefix=values["pathPrefix"],
+        name=_name(values),
+        host=_text(values, "host"),
+        prefix=_text(values, "pathPrefix"),
         kind=KINDS[values["kind"]],
         shares=shares,
         timeout_s=values["timeoutMs"] / MS,
@@ -80,7 +104,7 @@
     # "engineId" holds the properties of a model engine, not an ID.
     engine = values.get("engineId")
     return Service(
-        name=values["name"],
+        name=_name(values),
         model=engine is not None,
         max_connections=int(values.get("connectionLimit") or 0),
         cache_tokens=int((engine or {}).get("kvCapacityTokens") or 0),
@@ -107,7 +131,7 @@
 def _account(values: dict[str, Any]) -> Account:
     priority = values.get("priority")
     return Account(
-        name=values["name"],
+        name=_name(values),
         priority=None if priority is None else int(priority),
         rate=float(values.get("ratePerS") or 0.0),
         burst=float(values.get("burst") or 0.0),
--- a/src/magnoliaflow/platform/headers.py
+++ b/src/magnoliaflow/platform/headers.py
@@ -15,6 +15,9 @@
 READINESS = "/magnoliaflow/readiness"
 RESOLUTION = "/magnoliaflow/resolution"
 MS = 1000.0
+# Larger counts and times are malformed.
+MAX_DIGITS = 15
+PART_PATTERN = re.compile(r"([0-9a-fA-F]{1,64}):([0-9]{1,15})")
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that this system
@@ -146,7 +149,10 @@
 
 def decode_lookup(inbound: InboundRequest) -> AddressLookup | None:
     """Return a directory query, or None for another path."""
-    target = urlsplit(inbound.target.decode("latin-1"))
+    try:
+        target = urlsplit(inbound.target.decode("latin-1"))
+    except ValueError:
+        return None
     if target.path != RESOLUTION:
         return None
     query = parse_qs(target.query)
@@ -169,11 +175,10 @@
     """Return the prompt's parts as (id, tokens), empty if malformed."""
     parts = []
     for entry in filter(None, (part.strip() for part in text.split(","))):
-        name, _, tokens = entry.partition(":")
-        try:
-            parts.append((int(name, 16), int(tokens)))
-        except ValueError:
+        match = PART_PATTERN.fullmatch(entry)
+        if match is None:
             return ()
+        parts.append((int(match[1], 16), int(match[2])))
     return tuple(parts)
 
 
@@ -185,4 +190,6 @@
 
 def _parse_int(text: str) -> int | None:
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    if len(text) > MAX_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    return int(text)
--- a/src/magnoliaflow/platform/nodefile.py
+++ b/src/magnoliaflow/platform/nodefile.py
@@ -1,9 +1,12 @@
 """Reader of the node file, the platform's settings of one process."""
 
 from collections.abc import Callable
+from math import isfinite
+from math import nan
 from pathlib import Path
 
 from magnoliaflow.cluster.hostsettings import HostSettings
+from magnoliaflow.common.endpoints import is_endpoint
 from magnoliaflow.common.errors import SettingsError
 
 PATH_VARIABLE = "MAGNOLIAFLOW_NODE_FILE"
@@ -16,9 +19,11 @@
     Raises SettingsError, which names every fault.
     """
     try:
-        return decode_host_settings(path.read_text())
+        return decode_host_settings(path.read_text(encoding="utf-8"))
     except OSError as exc:
         raise SettingsError(f"{path}: {exc.strerror}") from exc
+    except UnicodeDecodeError as exc:
+        raise SettingsError(f"{path}: {exc}; write the file as UTF-8") from exc
     except SettingsError as exc:
         raise SettingsError(f"{path}: {exc}") from exc
 
@@ -36,16 +41,27 @@
         if not value:
             return default
         try:
-            return convert(value)
+            number = convert(value)
         except ValueError:
+            number = nan
+        if not isfinite(number):
             faults.append(f"{key}: {value!r} is not a number; correct it")
             return default
+        return number
 
     def required(key: str) -> str:
         if not values.get(key):
             faults.append(f"{key}: missing; add the line {key}=...")
         return values.get(key, "")
 
+    def checked(key: str, value: str) -> str:
+        if value and not is_endpoint(value):
+            faults.append(f"{key}: {value!r} is not IP:PORT; correct it")
+        return value
+
+    def endpoint(key: str) -> str:
+        return checked(key, values.get(key, ""))
+
     zones = {
         key.removeprefix("zones."): region
         for key, region in values.items()
@@ -58,16 +74,25 @@
         zone=required("zone"),
         region=values.get("region", ""),
         zones=zones,
-        caller_address=required("listenAddresses.frontend"),
-        ready_address=values.get("listenAddresses.ready", ""),
-        peer_address=required("listenAddresses.controlPlane"),
-        directory_address=values.get("listenAddresses.directoryService", ""),
+        caller_address=checked(
+            "listenAddresses.frontend", required("listenAddresses.frontend")
+        ),
+        ready_address=endpoint("listenAddresses.ready"),
+        peer_address=checked(
+            "listenAddresses.controlPlane",
+            required("listenAddresses.controlPlane"),
+        ),
+        directory_address=endpoint("listenAddresses.directoryService"),
         seeds=tuple(
-            part for part in values.get("seedNodes", "").split(",") if part
+            part
+            for part in values.get("seedNodes", "").split(",")
+            if is_endpoint(part)
         ),
         first_start=values.get("isBootstrap") == "true",
-        store_address=required("platform.address"),
-        cloud_address=values.get("cloudApi.address", ""),
+        store_address=checked(
+            "platform.address", required("platform.address")
+        ),
+        cloud_address=endpoint("cloudApi.address"),
         reports_usage="usage_reporting" in duties,
         orders_engines="autoscaling" in duties,
         drain_s=get("bounds.drainTimeoutMs", float, 2000) / MS,
--- a/src/magnoliaflow/platform/registrations.py
+++ b/src/magnoliaflow/platform/registrations.py
@@ -1,9 +1,23 @@
 """Decoding of engine registrations in the platform's store."""
 
-from json import loads
+import re
 from typing import Any
 
+from magnoliaflow.common.endpoints import is_endpoint
+from magnoliaflow.common.errors import FormatError
 from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.platform.jsonvalues import decode_json
+from magnoliaflow.platform.jsonvalues import MAX_INT
+
+# An engine's id is sent to it in a header.
+ID_PATTERN = re.compile(r"[!-~]{1,255}")
+MAX_NAME_CHARS = 255
+# The thrift messages between hosts carry slots in 32 bits.
+MAX_SLOTS = 2**31 - 1
+# About 30 years.
+MAX_LEAVES_MS = 1e12
+STATES = ("ready", "draining")
+MS = 1000.0
 
 
 def decode_registration(engine_id: str, data: bytes) -> EngineEntry | None:
@@ -13,47 +27,59 @@
     only its own entry unusable.
     """
     try:
-        fields = loads(data)
-    except ValueError:
-        return None
-    if not isinstance(fields, dict):
-        return None
-    texts = [fields.get(name) for name in ("service", "address", "zone")]
-    if not all(isinstance(text, str) and text for text in texts):
+        fields = decode_json(data)
+        if not isinstance(fields, dict) or not ID_PATTERN.fullmatch(engine_id):
+            return None
+        state = _name(fields, "state")
+        address = _name(fields, "address")
+        if state not in STATES or not is_endpoint(address):
+            return None
+        return EngineEntry(
+            engine=engine_id,
+            backend=_name(fields, "service"),
+            address=address,
+            zone=_name(fields, "zone"),
+            slots=int(_number(fields, "slots", 1, 0, MAX_SLOTS)),
+            leaving=state == "draining",
+            # Seconds until an announced reclaim, 0 if none is announced.
+            leaves_s=_number(
+                fields, "leaves_ms", 0, -MAX_LEAVES_MS, MAX_LEAVES_MS
+            )
+            / MS,
+            # All reclaimable engines of a zone may be reclaimed at once.
+            spot=fields.get("isSpot") is True,
+            # Start of this engine run; a new run begins without any state.
+            born=int(_number(fields, "born", 0, 0, MAX_INT)),
+            # Grows with each heartbeat of the run.
+            sequence=int(_number(fields, "sequence", -1, 0, MAX_INT)),
+        )
+    except FormatError:
         return None
-    state = fields.get("state")
-    if state not in ("ready", "draining") or not _is_address(texts[1]):
-        return None
-    return EngineEntry(
-        engine=engine_id,
-        backend=str(texts[0]),
-        address=str(texts[1]),
-        zone=str(texts[2]),
-        slots=_parse_int(fields.get("slots"), 1),
-        leaving=state == "draining",
-        # Seconds until an announced reclaim, 0 if none is announced.
-        leaves_s=_parse_int(fields.get("leaves_ms"), 0) / 1000.0,
-        # All reclaimable engines of a zone may be reclaimed at once.
-        spot=fields.get("isSpot") is True,
-        # Start of this engine run; a new run begins without any state.
-        born=_parse_int(fields.get("born"), 0),
-        # Grows with each heartbeat of the run.
-        sequence=_parse_int(fields.get("sequence"), -1),
-    )
-
-
-def _parse_int(value: Any, default: int) -> int:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+
+
+def _name(fields: dict[str, Any], field: str) -> str:
+    value = fields.get(field)
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_CHARS:
+        raise FormatError(f"{field}: not a name")
+    return value
+
+
+def _number(
+    fields: dict[str, Any],
+    field: str,
+    default: int,
+    minimum: float,
+    maximum: float,
+) -> float:
+    """Return a number within bounds, the default if the field is missing.
+
+    Raises FormatError for any other value.
+    """
+    value = fields.get(field)
+    if value is None:
         return default
-    return int(value)
-
-
-def _is_address(text: Any) -> bool:
-    host, _, port = str(text).rpartition(":")
-    parts = host.split(".")
-    return (
-        port.isdigit()
-        and 0 < int(port) < 65536
-        and len(parts) == 4
-        and all(part.isdigit() and int(part) < 256 for part in parts)
-    )
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise FormatError(f"{field}: not a number")
+    if not minimum <= value <= maximum:
+        raise FormatError(f"{field}: {value} is out of range")
+    return value
--- a/src/magnoliaflow/platform/store.py
+++ b/src/magnoliaflow/platform/store.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
-from json import loads
 from struct import Struct
 from typing import Any
 from urllib.parse import urlencode
@@ -15,6 +14,7 @@
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.errors import RestoredError
 from magnoliaflow.common.errors import TrimmedError
+from magnoliaflow.platform.jsonvalues import decode_json
 from magnoliaflow.transport.client import fetch
 from magnoliaflow.transport.client import Reply
 
@@ -30,6 +30,9 @@
 LENGTH_PREFIX = Struct(">I")
 READ_HEADER = Struct(">QQ")
 PARTITION = "0"
+# Positions in a log hold an era and an offset of 32 bits each.
+MAX_ERA = 2**31 - 1
+MAX_OFFSET = 2**32 - 1
 
 
 class ConflictError(PortError):
@@ -104,7 +107,7 @@
         )
         self._check_era(reply, era)
         if reply.status == 410:
-            raise TrimmedError(int(_json(reply)["firstOffset"]))
+            raise TrimmedError(_offset(_json(reply), "firstOffset"))
         _check(reply)
         page = decode_page(topic, offset, reply.body)
         return replace(page, era=self.era)
@@ -123,13 +126,15 @@
             era = self.era if era < 0 else era
             self._check_era(reply, era)
             values = _json(reply)
-            page = [_newest_entry(item) for item in values["items"]]
+            page = _newest_entries(values)
             entries.extend(page)
             # The pages are not a snapshot.  Changes made after the first
             # page are read from its end offset on.
-            end = int(values["endOffset"]) if end < 0 else end
+            end = _offset(values, "endOffset") if end < 0 else end
             if not values.get("hasMore") or not page:
                 return Page(tuple(entries), end, era)
+            if page[-1].key == query.get("after"):
+                raise FormatError(f"{topic}: page repeats {page[-1].key!r}")
             query["after"] = page[-1].key
 
     @inlineCallbacks
@@ -161,9 +166,9 @@
         if at is not None:
             self._check_era(reply, era)
         if reply.status == 412:
-            raise ConflictError(int(_json(reply)["endOffset"]))
+            raise ConflictError(_offset(_json(reply), "endOffset"))
         _check(reply)
-        return int(_json(reply)["offset"])
+        return _offset(_json(reply), "offset")
 
     def put(self, topic: str, key: str, value: bytes) -> Any:
         """Append a new value of a key and return its offset."""
@@ -209,7 +214,10 @@
     value = next(
         (value for name, value in reply.headers if name == ERA_HEADER), b""
     )
-    return int(value) if value.isdigit() else 0
+    if not value.isdigit() or len(value) > len(str(MAX_ERA)):
+        return 0
+    era = int(value)
+    return era if era <= MAX_ERA else 0
 
 
 def decode_page(topic: str, offset: int, data: bytes) -> Page:
@@ -219,6 +227,8 @@
             f"{topic}: answer of {len(data)} bytes has no header"
         )
     end, _ = READ_HEADER.unpack_from(data)
+    if end > MAX_OFFSET:
+        raise FormatError(f"{topic}: end {end} is out of range")
     position = READ_HEADER.size
     entries = []
     while position + LENGTH_PREFIX.size <= len(data):
@@ -243,22 +253,37 @@
     return Entry(offset, key, record[1 + size :] or None)
 
 
-def _newest_entry(item: dict[str, Any]) -> Entry:
+def _newest_entries(values: dict[str, Any]) -> list[Entry]:
+    items = values.get("items")
+    if not isinstance(items, list):
+        raise FormatError("listing has no list of items")
+    return [_newest_entry(item) for item in items]
+
+
+def _newest_entry(item: Any) -> Entry:
     try:
         value = b64decode(item["value"])
-        return Entry(int(item["offset"]), str(item["key"]), value or None)
+        return Entry(_offset(item, "offset"), str(item["key"]), value or None)
     except (KeyError, TypeError, ValueError) as exc:
         raise FormatError(f"invalid listed record: {exc!r}") from exc
 
 
-def _json(reply: Reply) -> Any:
+def _offset(values: dict[str, Any], field: str) -> int:
+    value = values.get(field)
+    if type(value) is not int or not 0 <= value <= MAX_OFFSET:
+        raise FormatError(f"{field}: {value!r} is not an offset")
+    return value
+
+
+def _json(reply: Reply) -> dict[str, Any]:
+    """Return the object in an answer's body; raises FormatError."""
     try:
-        return loads(reply.body)
-    except ValueError as exc:
-        raise FormatError(
-            f"store returned status {reply.status} with "
-            f"{len(reply.body)} bytes that are not JSON"
-        ) from exc
+        values = decode_json(reply.body)
+    except FormatError as exc:
+        raise FormatError(f"store, status {reply.status}: {exc}") from exc
+    if not isinstance(values, dict):
+        raise FormatError(f"store, status {reply.status}: not an object")
+    return values
 
 
 def _check(reply: Reply) -> None:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -1,22 +1,33 @@
 """Decoders of the platform's formats return a typed value or an error."""
 
 from json import dumps
+from math import inf
 from struct import pack
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
+from twisted.internet.defer import succeed
 
 from magnoliaflow.cli import main
+from magnoliaflow.common.codec import decode_value
+from magnoliaflow.common.codec import encode_value
 from magnoliaflow.common.errors import FormatError
+from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.platform.document import decode_document
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import encode_forward
 from magnoliaflow.platform.nodefile import decode_host_settings
+from magnoliaflow.platform.nodefile import read_host_settings
 from magnoliaflow.platform.registrations import decode_registration
 from magnoliaflow.platform.store import decode_page
+from magnoliaflow.platform.store import ERA_HEADER
+from magnoliaflow.platform.store import StoreClient
+from magnoliaflow.transport.client import Reply
 from magnoliaflow.work.calls import ForwardContext
 
 BOOT_FILE = """nodeName=e-1
@@ -78,6 +89,29 @@
     assert "bounds.revocationMs" in str(raised.value)
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        "platform.address=10.0.0.9",
+        "platform.address=10.0.0.9:65536",
+        "listenAddresses.frontend=:8221",
+        "bounds.gracePeriodS=nan",
+        "bounds.gracePeriodS=inf",
+    ],
+)
+def test_unusable_addresses_and_bounds_are_errors(line):
+    with pytest.raises(SettingsError) as raised:
+        decode_host_settings(BOOT_FILE + line + "\n")
+    assert line.partition("=")[0] in str(raised.value)
+
+
+def test_a_settings_file_of_odd_bytes_is_an_error(tmp_path):
+    path = tmp_path / "boot.conf"
+    path.write_bytes(b"\xff\xfe" + BOOT_FILE.encode())
+    with pytest.raises(SettingsError):
+        read_host_settings(path)
+
+
 def test_config_check_accepts_both_formats(boot_file, example_path, capsys):
     assert main(["config", "check", str(boot_file)]) == 0
     assert main(["config", "check", str(example_path)]) == 0
@@ -96,8 +130,25 @@
         {"zone": None},
         {"state": "resting"},
         {"state": ["ready"]},
+        {"slots": float("nan")},
+        {"slots": float("inf")},
+        {"slots": 2**31},
+        {"slots": -1},
+        {"slots": "64"},
+        {"slots": [64]},
+        {"born": 10**400},
+        {"born": 2**63},
+        {"leaves_ms": 1e300},
+        {"sequence": True},
+        {"address": "10.1.2.3:65536"},
+        {"address": "10.1.2.3:\u00b2"},
+        {"address": "10.1.2.03:80"},
+        {"address": "0.0.0.0:80"},
+        {"zone": "\ud800"},
+        {"zone": "z" * 256},
+        {"note": "\ud800"},
     ],
-    ids=str,
+    ids=lambda change: ascii(change)[:40],
 )
 def test_an_invalid_registration_is_ignored(change):
     assert decode_registration("m", dumps({**ENGINE, **change}).encode()) is (
@@ -105,11 +156,84 @@
     )
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[" * 100_000,
+        b'{"a":' * 100_000,
+        dumps(ENGINE).replace("64", "1e999").encode(),
+        dumps(ENGINE).replace("64", "9" * 5000).encode(),
+        dumps(ENGINE).encode("utf-16"),
+        dumps(ENGINE).encode().replace(b"z1", b"\xed\xa0\x80"),
+    ],
+    ids=["lists", "objects", "infinite", "digits", "utf-16", "surrogate"],
+)
+def test_registration_bytes_of_another_writer_name_no_engine(data):
+    assert decode_registration("m", data) is None
+    with pytest.raises(FormatError):
+        decode_document(data)
+
+
+@pytest.mark.parametrize("engine", ["", "a b", "a\r\nb", "\u00e9", "x" * 256])
+def test_an_id_that_cannot_be_sent_in_a_header_names_no_engine(engine):
+    assert decode_registration(engine, dumps(ENGINE).encode()) is None
+
+
+@given(
+    changes=st.dictionaries(
+        st.sampled_from(
+            [*ENGINE, "born", "sequence", "leaves_ms", "isSpot", "version"]
+        ),
+        JSON_VALUES | st.integers(-(2**70), 2**70),
+        min_size=1,
+        max_size=4,
+    ),
+    engine=st.text(),
+)
+def test_a_registration_can_be_sent_to_peers_whatever_its_fields(
+    changes, engine
+):
+    entry = decode_registration(
+        engine, dumps({**ENGINE, **changes}).encode()
+    ) or decode_registration("m", dumps({**ENGINE, **changes}).encode())
+    if entry is not None:
+        assert decode_value(EngineEntry, encode_value(entry)) == entry
+
+
 @given(data=st.binary() | JSON_VALUES.map(lambda value: dumps(value).encode()))
 def test_the_registration_decoder_never_raises(data):
     decode_registration("m", data)
 
 
+@given(
+    status=st.sampled_from([200, 410, 412, 503]),
+    body=st.binary()
+    | JSON_VALUES.map(lambda value: dumps(value).encode())
+    | st.fixed_dictionaries(
+        {"items": JSON_VALUES, "endOffset": JSON_VALUES}
+    ).map(lambda value: dumps(value).encode()),
+    era=st.binary(max_size=30),
+)
+def test_the_store_client_fails_only_with_port_errors(status, body, era):
+    """Guards the followers, which end on any other error."""
+    reply = Reply()
+    reply.status, reply.body = status, body
+    reply.headers = [(ERA_HEADER, era)]
+    calls = (
+        lambda store: store.read("keyed.x", 0, era=0),
+        lambda store: store.read_newest("keyed.x"),
+        lambda store: store.append("x", b"d", at=3),
+    )
+    for call in calls:
+        store = StoreClient("127.0.0.1:1", timeout_s=1.0)
+        with patch(
+            "magnoliaflow.platform.store.fetch", return_value=succeed(reply)
+        ):
+            failures = []
+            call(store).addErrback(failures.append)
+        assert all(failure.check(PortError) for failure in failures)
+
+
 @given(data=st.binary() | JSON_VALUES.map(lambda value: dumps(value).encode()))
 def test_the_configuration_decoder_rejects_random_bytes(data):
     with pytest.raises(FormatError):
@@ -141,6 +265,7 @@
     assert page.end == 9
 
 
+DIGITS = st.integers(1, 5000).map(lambda length: b"9" * length)
 HEADERS = st.lists(
     st.tuples(st.binary(max_size=12), st.binary(max_size=30)), max_size=8
 )
@@ -148,9 +273,9 @@
 
 @given(
     headers=HEADERS,
-    token_usage=st.binary(max_size=12),
-    prompt_prefix=st.binary(max_size=30),
-    deadline=st.binary(max_size=8),
+    token_usage=st.binary(max_size=12) | DIGITS,
+    prompt_prefix=st.binary(max_size=30) | DIGITS.map(lambda n: b"1:" + n),
+    deadline=st.binary(max_size=8) | DIGITS,
 )
 def test_the_request_decoder_accepts_any_headers(
     headers, token_usage, prompt_prefix, deadline
@@ -164,6 +289,8 @@
         )
     )
     assert call.prompt_tokens >= 0 and call.answer_tokens >= 0
+    assert all(float(tokens) >= 0 for _, tokens in call.parts)
+    assert call.deadline_s is None or call.deadline_s < inf
 
 
 def test_reserved_headers_of_callers_are_not_forwarded():
