Keep followers and ticks going after an unexpected error

An error of any type in a follower, in one entry that it applies, or in one part of a tick ended the entry process and with it every request there. Records of hosts whose addresses cannot be called are skipped.

--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -1,5 +1,6 @@
 """Entry daemon: listeners, followers, the tick loop and the drain."""
 
+from collections.abc import Callable
 from functools import partial
 from json import dumps
 from math import inf
@@ -24,6 +25,7 @@
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codec import decode_value
 from magnoliaflow.common.codec import encode_value
+from magnoliaflow.common.endpoints import is_endpoint
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.errors import RecordError
 from magnoliaflow.common.errors import SettingsError
@@ -269,18 +271,27 @@
             self.server_limits.max_body_bytes = limits.max_body_bytes
             self.server_limits.head_timeout_s = limits.head_timeout_s
             self.server_limits.idle_timeout_s = limits.idle_timeout_s
-        self.heartbeat_sender.tick(now)
-        self.report_sender.tick(now)
-        self.findings_sender.tick(now)
-        self._register(now)
-        self._discover_peers(now)
-        for _, _, function in ENTRY_SYSTEMS:
-            function(state)
-        self.duty_log.tick(now)
+        self._run("heartbeats", self.heartbeat_sender.tick, now)
+        self._run("reports", self.report_sender.tick, now)
+        self._run("findings", self.findings_sender.tick, now)
+        self._run("registration", self._register, now)
+        self._run("discovery", self._discover_peers, now)
+        for _, name, function in ENTRY_SYSTEMS:
+            self._run(name, function, state)
+        self._run("duty log", self.duty_log.tick, now)
         if self.host_settings.reports_usage:
-            self.usage_duty.tick(now)
+            self._run("usage duty", self.usage_duty.tick, now)
         if self.host_settings.orders_engines:
-            self.order_duty.tick(now)
+            self._run("order duty", self.order_duty.tick, now)
+
+    def _run(
+        self, place: str, function: Callable[[Any], Any], argument: Any
+    ) -> None:
+        """Run one part of a tick; an error in it does not stop the others."""
+        try:
+            function(argument)
+        except Exception as exc:
+            self.state.record_fault(place, exc)
 
     def _register(self, now: float) -> None:
         """Write this host's addresses to the store, in each of its eras."""
@@ -340,6 +351,15 @@
             except RecordError as exc:
                 self.state.log(LogEvent.RECORD_UNREADABLE, reason=str(exc))
                 continue
+            if not (
+                is_endpoint(fact.peer_address)
+                and is_endpoint(fact.caller_address)
+            ):
+                self.state.log(
+                    LogEvent.RECORD_UNREADABLE,
+                    reason=f"host {entry.key[:64]!r}: no IP:PORT address",
+                )
+                continue
             if fact.host != self.host_settings.host:
                 self.state.peer_addresses.setdefault(fact.peer_address, now)
                 self.state.view.meet(fact, now)
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -18,6 +18,7 @@
         "engines",
         "engines_ended",
         "engines_limited",
+        "faults",
         "first_byte",
         "in_flight",
         "lease_held",
@@ -78,6 +79,12 @@
             "Engines that name a limit of requests a second.",
             registry=registry,
         )
+        self.faults = Counter(
+            "magnoliaflow_entry_faults",
+            "Unexpected errors after which the process went on, by place.",
+            ["place"],
+            registry=registry,
+        )
         self.first_byte = Histogram(
             "magnoliaflow_entry_first_byte_seconds",
             "Time from a request to the first byte of its answer.",
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -104,6 +104,7 @@
             began = boot_time()
             try:
                 page = yield self._read()
+                self._take(page, began)
             except TrimmedError as exc:
                 log_trimmed(self.state, "configuration", exc)
                 self.offset = -1
@@ -118,16 +119,23 @@
                     MAX_RETRY_DELAY_S, self.retry_delay_s * 2
                 )
                 continue
+            except Exception as exc:
+                self.state.record_fault("configuration follower", exc)
+                yield _pause(self.state, MAX_RETRY_DELAY_S)
+                continue
             self.retry_delay_s = MIN_RETRY_DELAY_S
             record_store_success(self.state)
-            version = self._apply_page(page)
-            if self.offset < 0:
-                log_read_again(self.state, "configuration", page)
-                self.era = page.era
-                self.lacks_version = version < self._version_in_force()
-            elif version >= self._version_in_force():
-                self.lacks_version = False
-            self._advance(page, began)
+
+    def _take(self, page: Page, began: float) -> None:
+        """Apply a page and advance behind it."""
+        version = self._apply_page(page)
+        if self.offset < 0:
+            log_read_again(self.state, "configuration", page)
+            self.era = page.era
+            self.lacks_version = version < self._version_in_force()
+        elif version >= self._version_in_force():
+            self.lacks_version = False
+        self._advance(page, began)
 
     def _keeps_poll(self) -> bool:
         """Return whether this host always waits for the next version."""
@@ -236,6 +244,10 @@
                 yield _pause(self.state, retry_delay_s)
                 retry_delay_s = min(MAX_RETRY_DELAY_S, retry_delay_s * 2)
                 continue
+            except Exception as exc:
+                self.state.record_fault("engine follower", exc)
+                yield _pause(self.state, MAX_RETRY_DELAY_S)
+                continue
             retry_delay_s = MIN_RETRY_DELAY_S
             record_store_success(self.state)
             yield _pause(self.state, REGISTRY_READ_INTERVAL_S)
@@ -344,7 +356,11 @@
         *,
         alive: bool = False,
     ) -> None:
-        apply_registration(self.state, name, entry, offset, alive=alive)
+        """Apply an entry; the others of its page do not depend on it."""
+        try:
+            apply_registration(self.state, name, entry, offset, alive=alive)
+        except Exception as exc:
+            self.state.record_fault("engine entry", exc)
 
 
 def _pause(state: EntryState, delay_s: float) -> Any:
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -17,6 +17,7 @@
 from magnoliaflow.common.clocks import wall_time
 from magnoliaflow.common.eventlog import log_event
 from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.common.faults import FaultLog
 from magnoliaflow.common.lifecycle import LifeCycle
 from magnoliaflow.common.lifecycle import new_life_cycle
 from magnoliaflow.common.lifecycle import Phase
@@ -140,6 +141,7 @@
         "config_document",
         "crash_judge",
         "engine_limits",
+        "faults",
         "retry_budgets",
         "buffered_bytes",
         "calls",
@@ -194,6 +196,7 @@
         self.rng = rng
         self.logger = logger
         self.metrics = EntryMetrics()
+        self.faults = FaultLog(self._log_fault)
         self.lifecycle: LifeCycle = new_life_cycle()
         self.started_at = now
         self.clock_offset = wall_time() - now
@@ -388,6 +391,16 @@
         entry = self.registry.entries.get(name)
         return f"{name}/{0 if entry is None else entry.born}"
 
+    def record_fault(self, place: str, exc: BaseException) -> None:
+        """Count and log an error after which the process goes on."""
+        self.metrics.faults.labels(place).inc()
+        self.faults.record(place, exc)
+
+    def _log_fault(self, place: str, reason: str, count: int) -> None:
+        self.log(
+            LogEvent.SYSTEM_FAILED, place=place, reason=reason, count=count
+        )
+
     def log(self, event: LogEvent, **details: Any) -> None:
         """Write a numbered log event."""
         log_event(self.logger, event, **details)
