Take requests in a planned stop only if they can end in it

The cause is that a draining host looked at the time for which it listens, never at whether a request can still end. It now takes a request if its time limit ends before the drain does, and in the first 2.5 s also if the longest recent duration of its route, with a margin, fits; any other is refused as not run (3003) at once, with a Retry-After that is short while other hosts serve. So what is sent later than the rule excuses always has its answer.

The same class at the end of a drain, for each kind of work that it can still hold: requests without an answer get one (503 if not sent, else 502) instead of a closed connection, requests that are not read completely get 503, connections are closed only behind an answer that announced it, and the last counts go to the other hosts. Answers are flushed until 0.96 of the grace.

--- a/src/magnoliaflow/entry/calllog.py
+++ b/src/magnoliaflow/entry/calllog.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.codes import Code
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.entry.admission import Refusal
 from magnoliaflow.entry.state import EntryState
@@ -33,6 +34,9 @@
         if handler.first_byte_at
         else None
     )
+    if handler.code is Code.DONE:
+        took_s = now - handler.started_at
+        state.durations[route].record(took_s, now)
     state.metrics.answers.labels(route, str(handler.status)).inc()
     if first_s is not None:
         state.metrics.first_byte.labels(route).observe(first_s)
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -26,6 +26,7 @@
 from magnoliaflow.entry.attempts import Failure
 from magnoliaflow.entry.calllog import log_refusal
 from magnoliaflow.entry.calllog import record_end
+from magnoliaflow.entry.drain import check_drain
 from magnoliaflow.entry.findings import find_hold
 from magnoliaflow.entry.findings import hold_details
 from magnoliaflow.entry.findings import hold_retry_after
@@ -138,6 +139,13 @@
         if not self.resolve():
             return
         self._start_deadline_timer()
+        assert self.route is not None
+        refusal = check_drain(
+            self.state, self.route, self.deadline_at, self.started_at
+        )
+        if refusal is not None:
+            self._refuse_admission(refusal)
+            return
         if self.account is not None:
             charged = charge(self.state, self.account, self.call, boot_time())
             if isinstance(charged, Refusal):
@@ -559,6 +567,18 @@
         else:
             self.refuse(Code.DEADLINE_UNREACHABLE, None)
 
+    def on_drain_end(self) -> None:
+        """Answer at the end of this host's drain; abort a started answer."""
+        if self.done:
+            return
+        if self.attempt is not None:
+            self.may_have_run = self.may_have_run or self.attempt.sent
+            self.attempt.abandon()
+        if self.response_started:
+            self.abort_response("this host has stopped")
+        else:
+            self.refuse(Code.DRAINING, NO_ENGINE_RETRY_AFTER_S)
+
     def on_caller_gone(self) -> None:
         """Cancel the request of a caller that disconnected."""
         if not self.done:
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -40,6 +40,7 @@
 from magnoliaflow.entry import capshares
 from magnoliaflow.entry.directory import answer_directory
 from magnoliaflow.entry.directory import answer_readiness
+from magnoliaflow.entry.drain import Drain
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.duties import UsageDuty
 from magnoliaflow.entry.findings import FindingsSender
@@ -77,13 +78,6 @@
 # most half of a lease.
 CLOUD_TIMEOUT_S = 1.5
 IDENTITY_BYTES = 4
-# A draining host listens for three TTLs of the directory's answers, since
-# callers go on to use it for that long.
-DRAIN_LISTEN_S = 3.3
-# Share of the grace period after which remaining requests are aborted.
-MAX_DRAIN_SHARE = 0.92
-# How often a draining process checks whether it may stop.
-DRAIN_CHECK_INTERVAL_S = 0.1
 # Pending connections while the process is busy.
 LISTEN_BACKLOG = 1024
 # Interval of peer discovery through the store while no peer is known.
@@ -145,7 +139,6 @@
         self.is_registered = False
         self.registered_era = -1
         self.next_registration_at = 0.0
-        self.drain_started_at = 0.0
 
     def start(self) -> None:
         """Open the listeners and start the followers and the tick loop."""
@@ -383,37 +376,26 @@
         self.state.log(LogEvent.SETTINGS_RELOADED, fault="")
 
     def start_drain(self) -> None:
-        """Stop accepting callers, finish open requests, then stop."""
+        """Finish what callers have sent, then stop."""
         if self.state.phase >= Phase.DRAINING:
             return
         if self.state.phase is Phase.STARTING:
             self.state.lifecycle.ready()
         self.state.lifecycle.drain()
-        self.drain_started_at = boot_time()
-        self.caller_factory.drain()
-        self.heartbeat_sender.send_round(self.drain_started_at)
+        Drain(
+            self.state,
+            self.caller_factory,
+            self.listeners[0],
+            announce=self._announce,
+            stop=reactor.stop,
+        ).start()
+
+    def _announce(self, now: float) -> None:
+        """Send the other hosts this one's state and usage."""
+        self.heartbeat_sender.send_round(now)
         if self.state.uses_groups():
-            self.report_sender.send_round(self.drain_started_at)
-        self.state.log(
-            LogEvent.PROCESS_DRAINING, in_flight=len(self.state.calls)
-        )
-        self._check_drained()
-
-    def _check_drained(self) -> None:
-        """Stop when no connection is left or the drain takes too long."""
-        drained_s = boot_time() - self.drain_started_at
-        max_drain_s = self.host_settings.grace_s * MAX_DRAIN_SHARE
-        if drained_s >= min(DRAIN_LISTEN_S, max_drain_s):
-            self.listeners[0].stopListening()
-            for conn in list(self.caller_factory.connections):
-                conn.close_if_idle()
-            if not self.caller_factory.connections or drained_s >= max_drain_s:
-                self.state.log(
-                    LogEvent.PROCESS_STOPPED, in_flight=len(self.state.calls)
-                )
-                reactor.callLater(DRAIN_CHECK_INTERVAL_S, reactor.stop)
-                return
-        reactor.callLater(DRAIN_CHECK_INTERVAL_S, self._check_drained)
+            self.report_sender.send_round(now)
+            self.report_sender.send_usage(now)
 
 
 def run_entry(path: Path | None = None, metrics_port: int = 0) -> None:
--- a/src/magnoliaflow/entry/reports.py
+++ b/src/magnoliaflow/entry/reports.py
@@ -89,7 +89,7 @@
             self.send_round(now)
         if now >= self.next_usage_at:
             self.next_usage_at = now + USAGE_INTERVAL_S
-            self._send_usage(now)
+            self.send_usage(now)
 
     def _answer_requests(self, own_data: bytes | None, now: float) -> None:
         """Send views to the hosts that ask for one."""
@@ -240,7 +240,7 @@
             ),
         )
 
-    def _send_usage(self, now: float) -> None:
+    def send_usage(self, now: float) -> None:
         """Send usage counts to the lease holder, and to the publisher.
 
         The publisher keeps copies, so that the counts of a host that ended
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -31,6 +31,8 @@
 from magnoliaflow.policy.caps import Demand
 from magnoliaflow.policy.crashes import CrashJudge
 from magnoliaflow.policy.crashes import Hold
+from magnoliaflow.policy.drains import DrainWindow
+from magnoliaflow.policy.drains import LongestDuration
 from magnoliaflow.policy.enginelimits import EngineLimits
 from magnoliaflow.policy.prefixes import PrefixIndex
 from magnoliaflow.policy.routes import RouteTable
@@ -141,6 +143,8 @@
         "config_document",
         "crash_judge",
         "engine_limits",
+        "drain_window",
+        "durations",
         "faults",
         "retry_budgets",
         "buffered_bytes",
@@ -226,6 +230,10 @@
         self.view_sums = Sums()
         self.clock_samples: dict[str, tuple[float, float]] = {}
         self.buffered_bytes = 0
+        self.drain_window: DrainWindow | None = None
+        self.durations: dict[str, LongestDuration] = defaultdict(
+            LongestDuration
+        )
         self.probed_engines: set[str] = set()
         self.crash_judge = CrashJudge()
         self.engine_limits = EngineLimits()
--- a/src/magnoliaflow/transport/server.py
+++ b/src/magnoliaflow/transport/server.py
@@ -194,9 +194,6 @@
         self.body_parts = []
         self.body_size = 0
         self.reading = False
-        if self.conn.our_state is h11.MUST_CLOSE or self.closes_after_answer():
-            self.transport.loseConnection()
-            return
         if self.conn.our_state is not h11.DONE:
             self.transport.loseConnection()
             return
@@ -212,6 +209,11 @@
         if self.current is None and not self.reading:
             self.transport.loseConnection()
 
+    def reject_incomplete(self, status: int) -> None:
+        """Reject a request that has not been read completely."""
+        if self.current is None and self.reading:
+            self._reject(status)
+
     def _resume_reading(self) -> None:
         if self.current is None and self.conn.trailing_data[0]:
             self.dataReceived(b"")
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -150,8 +150,14 @@
             "keyed.servers", name, dumps({**entry, **overrides}).encode()
         )
 
-    def start(self, name, seeds=(), *, cloud="", links=None, log=None):
-        """Start an entry process, wait until it is ready, return its ports."""
+    def start(
+        self, name, seeds=(), *, cloud="", links=None, log=None, lines=()
+    ):
+        """Start an entry process, wait until it is ready, return its ports.
+
+        ``lines`` are added to its settings.
+        """
+        extra_lines = lines
         store = (links or {}).get("store", self.store.address)
         ports = dict(
             zip(
@@ -173,6 +179,7 @@
             f"seedNodes={','.join(seeds)}",
             "bounds.quotaTolerance=0",
             "bounds.retryBudgetExtra=200",
+            *extra_lines,
         ]
         path = self.folder / f"{name}.conf"
         path.write_text("\n".join(lines))
