Leave half a second of the grace period for the process's exit

Shares of the grace period leave too little of a short one for the last messages and the exit, and the checks came up to 0.1 s late. The drain now ends 0.65 s, and the process stops 0.5 s before the grace period does, checked at these moments.

--- a/src/magnoliaflow/entry/drain.py
+++ b/src/magnoliaflow/entry/drain.py
@@ -99,7 +99,9 @@
         if self._is_listening(now) or (
             self.factory.connections and now < window.stops_at
         ):
-            reactor.callLater(CHECK_INTERVAL_S, self._check)
+            edges = (window.ends_at - now, window.stops_at - now)
+            delay_s = min(edge for edge in edges if edge > 0)
+            reactor.callLater(min(CHECK_INTERVAL_S, delay_s), self._check)
             return
         self.announce(now)
         self.state.log(
--- a/src/magnoliaflow/policy/drains.py
+++ b/src/magnoliaflow/policy/drains.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 from math import inf
 
-# A stop has to end before the platform kills the process.  Requests that run
-# at the first share of the grace period are ended with an answer; up to the
-# second one answers are still written to callers.
-END_SHARE = 0.92
-FLUSH_SHARE = 0.96
+# A stop has to end before the platform kills the process: the last messages
+# and the exit of the interpreter take up to EXIT_S of the grace period.
+# Requests that still run are ended FLUSH_S earlier, with an answer.
+EXIT_S = 0.5
+FLUSH_S = 0.15
 # Requests are taken by their expected duration for this long after the start
 # of a drain, later only if their time limit ends before the drain does.
 EXPECTED_TAKE_S = 2.5
@@ -62,7 +62,8 @@
     @classmethod
     def begin(cls, now: float, grace_s: float) -> "DrainWindow":
         """Return the window of a drain with a grace period."""
-        return cls(now, now + grace_s * END_SHARE, now + grace_s * FLUSH_SHARE)
+        stops_s = max(grace_s / 2, grace_s - EXIT_S)
+        return cls(now, now + max(0.0, stops_s - FLUSH_S), now + stops_s)
 
     def takes(self, now: float, deadline_at: float, longest_s: float) -> bool:
         """Return whether a request is expected to end before the drain does.
