Start and stay, whatever a process finds at its start

- Signals that arrived before the reactor ran ended the process.
They are received before all other imports now and passed on when handlers exist.
A stop that arrives first ends the process with 0.
About 20 ms in which the interpreter itself starts are not covered.
- A port that was taken raised within the reactor: the process neither ended nor got ready, also once the port was free.
Ports are tried until they are free (events 105, 106); the host is not ready before, except without its metrics port.
Our connections no longer hold a port that the kernel gave them against a listener of a neighbour (SO_REUSEADDR; seen with a listener that failed with EADDRINUSE without it).
- A settings file that was read while it was written ended the process at its start, and was ignored at a reload.
It is read again for 1.5 s.

--- a/src/magnoliaflow/cluster/peers.py
+++ b/src/magnoliaflow/cluster/peers.py
@@ -21,6 +21,7 @@
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import View
+from magnoliaflow.transport.client import release_local_port
 from magnoliaflow.wire import Peer
 
 REPLY_TIMEOUT_S = 1.0
@@ -64,9 +65,15 @@
     endpoint = TCP4ClientEndpoint(
         reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
     )
-    return connectProtocol(
+    connected = connectProtocol(
         endpoint, ThriftClientProtocol(Peer.Client, PROTOCOL)
     )
+    return connected.addCallback(_release_port)
+
+
+def _release_port(conn: Any) -> Any:
+    release_local_port(conn.transport.getHandle())
+    return conn
 
 
 class PeerLink:
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -19,6 +19,8 @@
     PROCESS_STOPPED = 102
     SYSTEM_FAILED = 103
     SETTINGS_RELOADED = 104
+    PORT_HELD = 105
+    PORT_OPENED = 106
     PEER_ALIVE = 200
     PEER_DEAD = 201
     HOST_NOTICED = 202
@@ -69,6 +71,8 @@
     LogEvent.PROCESS_STOPPED: "A daemon has ended; nothing was in progress.",
     LogEvent.SYSTEM_FAILED: "A fault in the daemon; report it as a defect.",
     LogEvent.SETTINGS_RELOADED: "The settings were read again.",
+    LogEvent.PORT_HELD: "A port is taken; it is tried until it is free.",
+    LogEvent.PORT_OPENED: "A port that was taken is open now.",
     LogEvent.PEER_ALIVE: "A peer process was heard for the first time.",
     LogEvent.PEER_DEAD: "A peer was silent beyond the limit or replaced.",
     LogEvent.HOST_NOTICED: "A host is to be taken back.",
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -8,11 +8,8 @@
 from os import urandom
 from pathlib import Path
 from random import Random
-from signal import SIGHUP
-from signal import SIGINT
-from signal import signal
-from signal import SIGTERM
 import sys
+from time import sleep
 from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST
@@ -51,9 +48,11 @@
 from magnoliaflow.entry.heartbeats import handle_message
 from magnoliaflow.entry.heartbeats import HeartbeatSender
 from magnoliaflow.entry.limits import limit_details
+from magnoliaflow.entry.listeners import Listeners
 from magnoliaflow.entry import maintenance
 from magnoliaflow.entry.orders import OrderDuty
 from magnoliaflow.entry.reports import ReportSender
+from magnoliaflow.entry.signals import SIGNALS
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.storeera import store_details
@@ -78,8 +77,9 @@
 # most half of a lease.
 CLOUD_TIMEOUT_S = 1.5
 IDENTITY_BYTES = 4
-# Pending connections while the process is busy.
-LISTEN_BACKLOG = 1024
+# The settings file may be read while the platform writes it.
+SETTINGS_RETRY_S = 0.5
+SETTINGS_ATTEMPTS = 4
 # Interval of peer discovery through the store while no peer is known.
 DISCOVERY_INTERVAL_S = 5.0
 FIRST_DISCOVERY_INTERVAL_S = 1.0
@@ -133,7 +133,7 @@
             self.server_limits,
             on_rejected=self.handle_rejected,
         )
-        self.listeners: list[Any] = []
+        self.listeners = Listeners(self.state)
         self.ticker = LoopingCall(self.tick)
         self.next_discovery_at = 0.0
         self.is_registered = False
@@ -145,12 +145,17 @@
         host_settings = self.host_settings
         default_limits = ServerLimits()
         state = self.state
-        self._listen(host_settings.caller_address, self.caller_factory)
-        self._listen(
-            host_settings.peer_address, peer_factory(self.handle_message)
+        self.listeners.open(
+            "callers", host_settings.caller_address, self.caller_factory
+        )
+        self.listeners.open(
+            "peers",
+            host_settings.peer_address,
+            peer_factory(self.handle_message),
         )
         if host_settings.directory_address:
-            self._listen(
+            self.listeners.open(
+                "directory",
                 host_settings.directory_address,
                 ServerFactory(
                     lambda inbound: answer_directory(state, inbound),
@@ -158,7 +163,8 @@
                 ),
             )
         if host_settings.ready_address:
-            self._listen(
+            self.listeners.open(
+                "readiness",
                 host_settings.ready_address,
                 ServerFactory(
                     lambda inbound: answer_readiness(state, inbound),
@@ -178,19 +184,13 @@
             caller_address=host_settings.caller_address,
         )
 
-    def _listen(self, address: str, factory: Any) -> None:
-        host, _, port = address.rpartition(":")
-        self.listeners.append(
-            reactor.listenTCP(
-                int(port), factory, backlog=LISTEN_BACKLOG, interface=host
-            )
-        )
-
     def _listen_metrics(self) -> None:
         host = self.host_settings.peer_address.rpartition(":")[0]
-        self._listen(
+        self.listeners.open(
+            "metrics",
             f"{host}:{self.metrics_port}",
             ServerFactory(self.answer_metrics, ServerLimits()),
+            required=False,
         )
 
     def answer_metrics(self, inbound: InboundRequest) -> None:
@@ -362,12 +362,17 @@
         self.next_discovery_at = min(self.next_discovery_at, boot_time() + 1.0)
         self.state.log(LogEvent.LOG_DOWN, reason=failure.getErrorMessage())
 
-    def reload(self) -> None:
-        """Reload the settings; an invalid file changes nothing."""
+    def reload(self, attempts: int = SETTINGS_ATTEMPTS) -> None:
+        """Reload the settings; an invalid file changes nothing.
+
+        It is read again a few times.
+        """
         try:
             host_settings = read_host_settings(self.path)
         except SettingsError as exc:
             self.state.log(LogEvent.SETTINGS_RELOADED, fault=str(exc))
+            if attempts > 1:
+                reactor.callLater(SETTINGS_RETRY_S, self.reload, attempts - 1)
             return
         self.host_settings = host_settings
         self.state.host_settings = host_settings
@@ -385,7 +390,7 @@
         Drain(
             self.state,
             self.caller_factory,
-            self.listeners[0],
+            close_listener=partial(self.listeners.close, "callers"),
             announce=self._announce,
             stop=reactor.stop,
         ).start()
@@ -411,16 +416,29 @@
                 "settings file"
             )
         path = Path(name)
-    process = EntryProcess(read_host_settings(path), path, metrics_port)
+    SIGNALS.install()
+    process = EntryProcess(_await_settings(path), path, metrics_port)
     reactor.callWhenRunning(process.start)
+    reactor.callWhenRunning(
+        SIGNALS.attach,
+        on_stop=partial(reactor.callFromThread, process.start_drain),
+        on_reload=partial(reactor.callFromThread, process.reload),
+    )
+    if SIGNALS.stop_requested():
+        process.state.log(LogEvent.PROCESS_STOPPED, in_flight=0)
+        return
+    reactor.run(installSignalHandlers=False)
 
-    def on_stop(*args: Any) -> None:
-        reactor.callFromThread(process.start_drain)
 
-    def on_reload(*args: Any) -> None:
-        reactor.callFromThread(process.reload)
+def _await_settings(path: Path) -> HostSettings:
+    """Return the settings; a file that is invalid is read again for a time.
 
-    reactor.callWhenRunning(signal, SIGTERM, on_stop)
-    reactor.callWhenRunning(signal, SIGINT, on_stop)
-    reactor.callWhenRunning(signal, SIGHUP, on_reload)
-    reactor.run(installSignalHandlers=False)
+    Raises SettingsError if it stays invalid.
+    """
+    for _ in range(SETTINGS_ATTEMPTS - 1):
+        try:
+            return read_host_settings(path)
+        except SettingsError as exc:
+            print(f"{exc}; reading it again", file=sys.stderr)
+            sleep(SETTINGS_RETRY_S)
+    return read_host_settings(path)
--- a/src/magnoliaflow/entry/drain.py
+++ b/src/magnoliaflow/entry/drain.py
@@ -1,7 +1,6 @@
 """The planned stop of an entry process."""
 
 from collections.abc import Callable
-from typing import Any
 
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codes import Code
@@ -53,23 +52,24 @@
 class Drain:
     """Finishes the work of a process and then calls ``stop``.
 
-    ``announce`` tells the other hosts what this one has done so far.
+    ``close_listener`` ends the acceptance of new connections, ``announce``
+    tells the other hosts what this one has done so far.
     """
 
-    __slots__ = ("announce", "factory", "listener", "state", "stop")
+    __slots__ = ("announce", "close_listener", "factory", "state", "stop")
 
     def __init__(
         self,
         state: EntryState,
         factory: ServerFactory,
-        listener: Any,
         *,
+        close_listener: Callable[[], None],
         announce: Callable[[float], None],
         stop: Callable[[], None],
     ) -> None:
         self.state = state
         self.factory = factory
-        self.listener = listener
+        self.close_listener = close_listener
         self.announce = announce
         self.stop = stop
 
@@ -91,7 +91,7 @@
         window = self.state.drain_window
         assert window is not None
         if now >= min(window.started_at + LISTEN_S, window.ends_at):
-            self.listener.stopListening()
+            self.close_listener()
             for conn in list(self.factory.connections):
                 conn.close_if_idle()
         if now >= window.ends_at:
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -170,6 +170,7 @@
         "next_rate_update_at",
         "rate_limits",
         "peer_addresses",
+        "ports_held",
         "registry",
         "rng",
         "host_settings",
@@ -230,6 +231,7 @@
         self.view_sums = Sums()
         self.clock_samples: dict[str, tuple[float, float]] = {}
         self.buffered_bytes = 0
+        self.ports_held: set[str] = set()
         self.drain_window: DrainWindow | None = None
         self.durations: dict[str, LongestDuration] = defaultdict(
             LongestDuration
@@ -282,6 +284,7 @@
         return (
             self.phase is Phase.SERVING
             and self.route_table is not None
+            and not self.ports_held
             and self.is_config_fresh(now)
         )
 
--- a/src/magnoliaflow/transport/client.py
+++ b/src/magnoliaflow/transport/client.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from socket import IPPROTO_TCP
 from socket import SO_KEEPALIVE
+from socket import SO_REUSEADDR
 from socket import SOL_SOCKET
 from socket import TCP_KEEPCNT
 from socket import TCP_KEEPIDLE
@@ -186,11 +187,17 @@
         )
 
 
+def release_local_port(sock: Any) -> None:
+    """Let a listener use the port that the kernel gave to a connection."""
+    sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+
+
 def set_socket_limits(transport: Any) -> None:
     """Let the kernel abort a connection whose peer stops responding."""
     transport.setTcpNoDelay(True)
     sock = transport.getHandle()
     sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    release_local_port(sock)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
     sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
