Install the signal handlers before any other import of the program

What remains is the start of the interpreter itself.

The callers of tools/stops.py do not reuse a connection that they know to be closed.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -1,10 +1,13 @@
 """Run the entry process from a source checkout."""
 
-from pathlib import Path
+from os.path import abspath
+from os.path import dirname
+from os.path import join
 import sys
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+sys.path.insert(0, join(dirname(dirname(abspath(__file__))), "src"))
 
+# First of all: a signal ends the process until its handler is installed.
 from magnoliaflow.entry.signals import SIGNALS  # noqa: E402
 
 SIGNALS.install()
--- a/tools/stops.py
+++ b/tools/stops.py
@@ -249,7 +249,9 @@
     async def send(self, row):
         """Send one request; return its status and Retry-After."""
         await self.resolve()
-        if self.conn is not None and self.peer not in self.addresses:
+        if self.conn is not None and (
+            self.peer not in self.addresses or self.conn[0].at_eof()
+        ):
             self.drop()
         kept = self.conn is not None
         if not kept:
