Bound the work and memory that bytes without end take

What callers saw: one engine that sends events of 8 bytes as fast as its socket takes them delayed every other request of its host to 1.1 s (p50; 24 streams, and 1.2 s with one); bodies in chunks of a byte took over 40 times their size; answers that callers do not read were bounded by nothing.

Work on one connection was bounded only by what a read of its socket gave, and the bound on memory ended where an answer was complete, and hit whichever request came last. A turn now does at most 64 units of work on a connection and one that goes on needing more is read more slowly; bodies, incomplete events and unread answers share 64 MB a host, of which the largest is given up; bodies are one array each; large answers are written as callers read.

The test of the bound on a host's memory now also asks that the largest holder, not the newest, is given up.

--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -33,10 +33,8 @@
 # Failures in a row, refused connections aside, before an engine is avoided:
 # healthy engines lose or corrupt single answers too.
 TOLERATED_FAILURES = 2
-# An answer that is not a stream is buffered until it is complete; the bounds
-# are for one answer and for all on a host.
+# An answer that is not a stream is buffered until it is complete.
 MAX_BODY_BYTES = 16 * 1024 * 1024
-MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 # A connection that took longer was opened before a suspension of the process:
 # its request states a remaining time that is no longer true.
 MAX_OPEN_DELAY_S = 2 * CONNECT_TIMEOUT_S
@@ -69,7 +67,6 @@
         "handler",
         "sent",
         "is_sound",
-        "body_size",
         "splitter",
         "uncached",
         "usage_counted",
@@ -82,8 +79,7 @@
         self.expected_s = first_token_s(engine, uncached, boot_time())
         self.exchange: Exchange | None = None
         self.head: EngineResponseHead | None = None
-        self.body: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         self.splitter: EventSplitter | None = None
         self.started_at = boot_time()
         self.throttled = False
@@ -116,7 +112,7 @@
         """Read from the engine no faster than the caller reads."""
         if not self.throttled and self.exchange is not None:
             self.throttled = True
-            inbound.read_from(self.exchange.transport)
+            inbound.read_from(self.exchange)
 
     def on_open(self) -> None:
         """Count the send; the request is written in this reactor iteration."""
@@ -172,43 +168,60 @@
         if streams and 200 <= status < 300:
             self.splitter = EventSplitter()
 
-    def on_data(self, data: bytes) -> None:
-        """Forward complete events; buffer any other body."""
+    def on_data(self, data: bytes) -> int:
+        """Forward complete events and return their number.
+
+        Any other body is buffered.
+        """
         if self.ended:
-            return
+            return 0
         if self.splitter is None:
             self._buffer(data)
-            return
+            return 0
         try:
             events = self.splitter.feed(data)
         except EventTooLargeError as exc:
             self._fail(Failure.MAY_HAVE_RUN, str(exc), engine_fault=True)
-            return
-        for event in events:
-            self._record_first_token()
-            self.event_count += 1
-            if not self.is_sound and self.written_s() >= SOUND_AFTER_S:
-                self._record_sound(self.first_event_at)
-            if not self.handler.forward_event(self, event):
-                self._fail(Failure.MAY_HAVE_RUN, "gap in the event ids")
-                return
+            return 0
+        self._hold(self.splitter.size)
+        if not events or self.ended:
+            return 0
+        self._record_first_token()
+        self.event_count += len(events)
+        if not self.is_sound and self.written_s() >= SOUND_AFTER_S:
+            self._record_sound(self.first_event_at)
+        if not self.handler.forward_events(self, events):
+            self._fail(Failure.MAY_HAVE_RUN, "gap in the event ids")
+        return len(events)
 
     def _buffer(self, data: bytes) -> None:
         """Keep a part of a body within the bounds of this host's memory."""
-        state = self.handler.state
-        self.body_size += len(data)
-        state.buffered_bytes += len(data)
-        if (
-            self.body_size > MAX_BODY_BYTES
-            or state.buffered_bytes > MAX_BUFFERED_BYTES
-        ):
+        if len(self.body) + len(data) > MAX_BODY_BYTES:
             self._fail(
                 Failure.MAY_HAVE_RUN,
                 "answer body exceeds the size limit",
                 engine_fault=True,
             )
             return
-        self.body.append(data)
+        self.body += data
+        self._hold(len(self.body))
+
+    def _hold(self, size: int) -> None:
+        """Count buffered bytes, for which an attempt may be evicted."""
+        budget = self.handler.state.buffers
+        if size:
+            budget.hold(self, size)
+        else:
+            budget.release(self)
+
+    def evict(self) -> None:
+        """Give up an answer that takes too much of this host's memory."""
+        if not self.ended:
+            self._fail(
+                Failure.MAY_HAVE_RUN,
+                "buffered answers exceed this host's limit",
+                engine_fault=True,
+            )
 
     def on_end(self) -> None:
         """Finish a complete answer."""
@@ -235,7 +248,8 @@
         else:
             self.engine.failures = 0
             self._record_sound(self.opened_at)
-        self.handler.forward_answer(self, self.head, b"".join(self.body))
+        body, self.body = bytes(self.body), bytearray()
+        self.handler.forward_answer(self, self.head, body)
 
     def on_failure(self, reason: str, *, sent: bool) -> None:
         """Handle a broken connection."""
@@ -255,6 +269,7 @@
         if self.ended:
             return
         self._release_engine()
+        self.body = bytearray()
         if self.exchange is not None:
             self.exchange.cancel()
 
@@ -313,7 +328,9 @@
         if self.ended:
             return
         self.ended = True
-        self.handler.state.buffered_bytes -= self.body_size
+        self.handler.state.buffers.release(self)
+        if self.splitter is not None:
+            self.splitter.clear()
         self.engine.record_ended()
         if not self.prompt_read:
             self.engine.record_prompt_read(self.uncached)
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -465,25 +465,36 @@
             return
         self.fail_unserved()
 
-    def forward_event(self, attempt: Attempt, event: Event) -> bool:
-        """Forward an event to the caller; return False on a gap."""
+    def forward_events(self, attempt: Attempt, events: list[Event]) -> bool:
+        """Forward events to the caller at once; return False on a gap."""
         if self.done or attempt is not self.attempt:
             return False
-        if event.event_id >= 0 and self.last_event >= 0:
-            if event.event_id <= self.last_event:
-                return True
-            if event.event_id > self.last_event + 1 and self.response_started:
-                return False
+        blocks: list[bytes] = []
+        for event in events:
+            if event.event_id >= 0 and self.last_event >= 0:
+                if event.event_id <= self.last_event:
+                    continue
+                started = self.response_started or blocks
+                if event.event_id > self.last_event + 1 and started:
+                    self._send_blocks(attempt, blocks)
+                    return False
+            if event.event_id >= 0:
+                self.last_event = event.event_id
+            blocks.append(event.data)
+        self._send_blocks(attempt, blocks)
+        return True
+
+    def _send_blocks(self, attempt: Attempt, blocks: list[bytes]) -> None:
+        """Send events to the caller, behind the head of the answer."""
+        if not blocks:
+            return
         if not self.response_started:
             assert attempt.head is not None
             self.response_started = True
             self.first_byte_at = boot_time()
             self.inbound.begin(attempt.head.status, attempt.head.headers)
         attempt.throttle_by(self.inbound)
-        if event.event_id >= 0:
-            self.last_event = event.event_id
-        self.inbound.send(event.data)
-        return True
+        self.inbound.send(b"".join(blocks))
 
     def finish_stream(self, attempt: Attempt) -> None:
         """Finish a stream that its engine completed."""
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -132,6 +132,7 @@
             self.handle_call,
             self.server_limits,
             on_rejected=self.handle_rejected,
+            buffers=self.state.buffers,
         )
         self.listeners = Listeners(self.state)
         self.ticker = LoopingCall(self.tick)
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -39,6 +39,7 @@
 from magnoliaflow.policy.routing import CostWeights
 from magnoliaflow.policy.routing import RoutingState
 from magnoliaflow.policy.usage import UsageCounter
+from magnoliaflow.transport.memory import BufferBudget
 
 # Heartbeat interval of a small deployment.  It grows with the number of hosts,
 # so that the messages a second of each host stay bounded.
@@ -73,6 +74,8 @@
 MAX_CLOCK_SAMPLE_AGE_S = 1.0
 # Hosts up to which all exchange heartbeats; more form groups.
 MESH_HOSTS = 8
+# Bodies, incomplete events and answers that callers have not read yet.
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 # Capacity of an engine's prefix cache unless the configuration sets it.
 DEFAULT_CACHE_TOKENS = 300_000
 
@@ -147,7 +150,7 @@
         "durations",
         "faults",
         "retry_budgets",
-        "buffered_bytes",
+        "buffers",
         "calls",
         "caps",
         "clock_offset",
@@ -230,7 +233,7 @@
         )
         self.view_sums = Sums()
         self.clock_samples: dict[str, tuple[float, float]] = {}
-        self.buffered_bytes = 0
+        self.buffers = BufferBudget(MAX_BUFFERED_BYTES)
         self.ports_held: set[str] = set()
         self.drain_window: DrainWindow | None = None
         self.durations: dict[str, LongestDuration] = defaultdict(
--- a/src/magnoliaflow/policy/eventstream.py
+++ b/src/magnoliaflow/policy/eventstream.py
@@ -1,11 +1,15 @@
 """Splits a server-sent event stream (text/event-stream) into events."""
 
 from dataclasses import dataclass
+import re
 
 # Largest event that is buffered; events hold a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
 # Bytes of the longest separator of events, less one.
 SEPARATOR_OVERLAP = 3
+BOUNDARY = re.compile(rb"\n\n|\r\n\r\n")
+# Ids with more digits are taken for none.
+MAX_ID_DIGITS = 18
 
 
 class EventTooLargeError(ValueError):
@@ -36,11 +40,21 @@
         self._pending = bytearray()
         self._searched = 0
 
+    @property
+    def size(self) -> int:
+        """Return the number of bytes of the incomplete event."""
+        return len(self._pending)
+
     @property
     def buffer(self) -> bytes:
         """Return the bytes of the incomplete event."""
         return bytes(self._pending)
 
+    def clear(self) -> None:
+        """Drop the incomplete event."""
+        self._pending = bytearray()
+        self._searched = 0
+
     def feed(self, data: bytes) -> list[Event]:
         """Add received bytes and return the events that they complete.
 
@@ -48,13 +62,10 @@
         """
         self._pending += data
         events: list[Event] = []
-        start, search_from = 0, self._searched
-        while True:
-            end, width = _find_boundary(self._pending, search_from)
-            if end < 0:
-                break
-            block = bytes(self._pending[start : end + width])
-            start = search_from = end + width
+        start = 0
+        for match in BOUNDARY.finditer(self._pending, self._searched):
+            block = bytes(self._pending[start : match.end()])
+            start = match.end()
             events.append(Event(block, _event_id(block)))
         del self._pending[:start]
         if len(self._pending) > MAX_EVENT_BYTES:
@@ -67,19 +78,14 @@
         return events
 
 
-def _find_boundary(data: bytearray, start: int) -> tuple[int, int]:
-    """Return offset and length of the first blank line, or (-1, 0)."""
-    matches = [
-        (position, len(separator))
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (position := data.find(separator, start)) >= 0
-    ]
-    return min(matches, default=(-1, 0))
-
-
 def _event_id(block: bytes) -> int:
     for line in block.splitlines():
         name, _, value = line.partition(b":")
-        if name.strip() == b"id" and value.strip().isdigit():
-            return int(value)
+        digits = value.strip()
+        if (
+            name.strip() == b"id"
+            and digits.isdigit()
+            and len(digits) <= MAX_ID_DIGITS
+        ):
+            return int(digits)
     return -1
--- a/src/magnoliaflow/transport/client.py
+++ b/src/magnoliaflow/transport/client.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections import deque
 from socket import IPPROTO_TCP
 from socket import SO_KEEPALIVE
 from socket import SO_REUSEADDR
@@ -37,9 +38,19 @@
 KEEPALIVE_PROBES = 2
 # Limits on the memory that one answer may use.
 MAX_HEAD_BYTES = 65536
-MAX_REPLY_BYTES = 64 * 1024 * 1024
+MAX_REPLY_BYTES = 8 * 1024 * 1024
 # Interim (1xx) responses before an answer; a faulty peer may go on with them.
 MAX_INTERIM_RESPONSES = 8
+# Work on one connection, in units of one parsed h11 event, about 15 us.  Other
+# connections are read between two turns; a connection that goes on to need
+# more than WORK_PER_S is read more slowly.
+MAX_WORK_PER_TURN = 64
+WORK_PER_S = 640
+MAX_WORK_CREDIT = 128
+SLICE_BYTES = 1024
+SLICE_WORK = 0.03
+# Work of one part that the listener finds in a slice, such as a stream event.
+PART_WORK = 0.167
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -53,8 +64,8 @@
     def on_head(self, status: int, headers: Headers) -> None:
         """Handle the status and headers of the answer."""
 
-    def on_data(self, data: bytes) -> None:
-        """Handle a chunk of the answer's body."""
+    def on_data(self, data: bytes) -> int:
+        """Handle a chunk of the answer's body; return its number of parts."""
 
     def on_end(self) -> None:
         """Handle the end of a complete answer."""
@@ -84,6 +95,11 @@
         self.finished = False
         self.interim_responses = 0
         self.connector: Any = None
+        self.slices: deque[bytes] = deque()
+        self.pauses: set[str] = set()
+        self.turn_pending = False
+        self.work_credit = float(MAX_WORK_CREDIT)
+        self.credited_at = 0.0
 
     def connectionMade(self) -> None:
         """Send the whole request."""
@@ -107,9 +123,21 @@
             return
         try:
             self.conn.receive_data(data)
-            self._process_events()
         except h11.RemoteProtocolError as exc:
             self._fail(f"malformed answer: {exc}")
+            return
+        self._take_turn()
+
+    def pauseProducing(self) -> None:
+        """Stop reading while the receiver of the answer does not read."""
+        self._pause("receiver")
+
+    def resumeProducing(self) -> None:
+        """Read on for the receiver of the answer."""
+        self._resume("receiver")
+
+    def stopProducing(self) -> None:
+        """Do nothing: the owner of the exchange cancels it."""
 
     def connectionLost(self, reason: Any = None) -> None:
         """Complete an answer delimited by the connection's end, or fail."""
@@ -119,13 +147,8 @@
             self._fail("connection reset")
             return
         self.closed_by_peer = True
-        try:
-            self.conn.receive_data(b"")
-            self._process_events()
-        except h11.RemoteProtocolError:
-            pass
-        if not self.finished:
-            self._fail("connection closed before the answer was complete")
+        if not self.turn_pending:
+            self._end_input()
 
     def cancel(self) -> None:
         """Abort the connection; no callback follows."""
@@ -137,11 +160,84 @@
         elif self.connector is not None:
             self.connector.stopConnecting()
 
-    def _process_events(self) -> None:
-        while not self.finished:
+    def _take_turn(self) -> None:
+        """Process received bytes; leave the rest to a later turn."""
+        now = reactor.seconds()
+        self.work_credit = min(
+            MAX_WORK_CREDIT,
+            self.work_credit + (now - self.credited_at) * WORK_PER_S,
+        )
+        self.credited_at = now
+        try:
+            is_unfinished = self._process_events()
+        except h11.RemoteProtocolError as exc:
+            self._fail(f"malformed answer: {exc}")
+            return
+        self.turn_pending = is_unfinished or self.work_credit < 0
+        if self.turn_pending:
+            self._pause("turn")
+            delay_s = max(0.0, -self.work_credit / WORK_PER_S)
+            reactor.callLater(delay_s, self._take_next_turn)
+
+    def _take_next_turn(self) -> None:
+        if self.finished:
+            return
+        self._take_turn()
+        if self.turn_pending or self.finished:
+            return
+        if self.closed_by_peer:
+            self._end_input()
+        else:
+            self._resume("turn")
+
+    def _end_input(self) -> None:
+        """Complete an answer that ends with its connection, or fail."""
+        try:
+            self.conn.receive_data(b"")
+            while self._process_events():
+                continue
+        except h11.RemoteProtocolError:
+            pass
+        if not self.finished:
+            self._fail("connection closed before the answer was complete")
+
+    def _pause(self, cause: str) -> None:
+        if not self.pauses and not self.closed_by_peer:
+            self.transport.pauseProducing()
+        self.pauses.add(cause)
+
+    def _resume(self, cause: str) -> None:
+        self.pauses.discard(cause)
+        if not self.pauses and not self.closed_by_peer and not self.finished:
+            self.transport.resumeProducing()
+
+    def _next_event(self) -> Any:
+        """Return the next event; a large part of a body comes in slices."""
+        if not self.slices:
             event = self.conn.next_event()
+            if not isinstance(event, h11.Data):
+                return event
+            data = bytes(event.data)
+            if len(data) <= SLICE_BYTES:
+                return event
+            self.slices.extend(
+                data[start : start + SLICE_BYTES]
+                for start in range(0, len(data), SLICE_BYTES)
+            )
+        # A slice of a large part is cheaper than an event of its own.
+        self.work_credit += 1 - SLICE_WORK
+        return h11.Data(data=self.slices.popleft())
+
+    def _process_events(self) -> bool:
+        """Pass events on; return whether some are left for a later turn."""
+        least_credit = self.work_credit - MAX_WORK_PER_TURN
+        while not self.finished:
+            if self.work_credit <= least_credit:
+                return True
+            event = self._next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                return False
+            self.work_credit -= 1
             if isinstance(event, h11.Response):
                 self.listener.on_head(event.status_code, list(event.headers))
             elif isinstance(event, h11.InformationalResponse):
@@ -149,14 +245,16 @@
                 if self.interim_responses > MAX_INTERIM_RESPONSES:
                     self._fail("too many interim responses")
             elif isinstance(event, h11.Data):
-                self.listener.on_data(bytes(event.data))
+                parts = self.listener.on_data(bytes(event.data))
+                self.work_credit -= parts * PART_WORK
             elif isinstance(event, h11.EndOfMessage):
                 self.finished = True
                 self.transport.abortConnection()
                 self.listener.on_end()
-                return
+                return False
             elif isinstance(event, h11.ConnectionClosed):
-                return
+                return False
+        return False
 
     def _fail(self, reason: str) -> None:
         self.finished = True
@@ -234,7 +332,7 @@
 class _Collector:
     """Exchange listener that collects the answer for ``fetch``."""
 
-    __slots__ = ("cancel", "fut", "may_send", "parts", "reply", "size")
+    __slots__ = ("body", "cancel", "fut", "may_send", "reply")
 
     def __init__(
         self,
@@ -246,8 +344,7 @@
         self.cancel = cancel
         self.may_send = may_send
         self.reply = Reply()
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
 
     def on_open(self) -> None:
         """Check once more whether the call may be sent.
@@ -263,20 +360,20 @@
         self.reply.status = status
         self.reply.headers = headers
 
-    def on_data(self, data: bytes) -> None:
+    def on_data(self, data: bytes) -> int:
         """Store a chunk; an answer beyond the size limit fails."""
-        self.size += len(data)
-        if self.size > MAX_REPLY_BYTES:
+        if len(self.body) + len(data) > MAX_REPLY_BYTES:
             self.cancel()
             self.on_failure(
                 f"answer exceeds {MAX_REPLY_BYTES} bytes", sent=True
             )
-            return
-        self.parts.append(data)
+            return 0
+        self.body += data
+        return 0
 
     def on_end(self) -> None:
         """Fire the Deferred with the complete answer."""
-        self.reply.body = b"".join(self.parts)
+        self.reply.body = bytes(self.body)
         self.fut.callback(self.reply)
 
     def on_failure(self, reason: str, *, sent: bool) -> None:
--- a/src/magnoliaflow/transport/server.py
+++ b/src/magnoliaflow/transport/server.py
@@ -9,6 +9,7 @@
 
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.transport.client import Headers
+from magnoliaflow.transport.memory import BufferBudget
 
 REASON_PHRASES = {
     200: b"OK",
@@ -23,6 +24,10 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+# An answer is handed to the transport in parts of this size.
+WRITE_BYTES = 64 * 1024
+# Bodies that a server without a budget of its own may buffer.
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -70,13 +75,16 @@
         self.on_disconnect: Callable[[], None] = lambda: None
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer."""
+        """Send a complete answer, a large one as its caller reads it."""
         if self.answered or self.closed:
             return
         if self.method == b"HEAD":
             body = b""
         length = (b"Content-Length", str(len(body)).encode())
         self.begin(status, [*headers, length])
+        if len(body) > WRITE_BYTES:
+            BodyWriter(self, body).start()
+            return
         if body:
             self.send(body)
         self.finish()
@@ -133,6 +141,42 @@
         self.on_disconnect()
 
 
+class BodyWriter:
+    """Pull producer that writes a body in slices, as its caller reads."""
+
+    __slots__ = ("body", "inbound", "position")
+
+    def __init__(self, inbound: InboundRequest, body: bytes) -> None:
+        self.inbound = inbound
+        self.body = body
+        self.position = 0
+
+    def start(self) -> None:
+        """Hold the body and write its first slice."""
+        self.inbound.conn.factory.buffers.hold(self, len(self.body))
+        if not self.inbound.closed:
+            self.inbound.conn.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Write the next slice once the last one is sent."""
+        data = self.body[self.position : self.position + WRITE_BYTES]
+        self.position += len(data)
+        self.inbound.send(data)
+        if self.position >= len(self.body):
+            self.inbound.finish()
+            self.stopProducing()
+
+    def stopProducing(self) -> None:
+        """Drop the body: it is written, or its caller is gone."""
+        self.body = b""
+        self.inbound.conn.factory.buffers.release(self)
+
+    def evict(self) -> None:
+        """Abort the answer to a caller that reads too slowly."""
+        self.inbound.abort()
+        self.stopProducing()
+
+
 Handler = Callable[[InboundRequest], None]
 
 
@@ -149,10 +193,10 @@
         )
         self.current: InboundRequest | None = None
         self.incoming: Any = None
-        self.body_parts: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
         self.timer: Any = None
         self.reading = False
+        self.is_rejected = False
 
     def connectionMade(self) -> None:
         """Start to wait for a request."""
@@ -164,6 +208,7 @@
         """Notify the request in progress that its caller disconnected."""
         self._cancel_timer()
         self.factory.connections.discard(self)
+        self.factory.buffers.release(self)
         if self.current is not None:
             self.current.notify_disconnect()
 
@@ -173,6 +218,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes; a malformed request closes the connection."""
+        if self.is_rejected:
+            return
         if self.current is None and not self.reading:
             self.reading = True
             self._start_timer(self.factory.limits.head_timeout_s)
@@ -191,8 +238,6 @@
     def request_done(self) -> None:
         """Wait for the next request after an answer, or close."""
         self.current = None
-        self.body_parts = []
-        self.body_size = 0
         self.reading = False
         if self.conn.our_state is not h11.DONE:
             self.transport.loseConnection()
@@ -242,22 +287,32 @@
             if self.conn.they_are_waiting_for_100_continue:
                 self.transport.write(CONTINUE_RESPONSE)
         elif isinstance(event, h11.Data):
-            self.body_size += len(event.data)
-            if self.body_size > self.factory.limits.max_body_bytes:
+            size = len(self.body) + len(event.data)
+            if size > self.factory.limits.max_body_bytes:
                 self._reject(413)
                 return False
-            self.body_parts.append(bytes(event.data))
+            self.body += event.data
+            self.factory.buffers.hold(self, size)
+            return not self.is_rejected
         elif isinstance(event, h11.EndOfMessage):
             self._cancel_timer()
             inbound = self.incoming
-            inbound.body = b"".join(self.body_parts)
+            inbound.body = bytes(self.body)
+            self.body = bytearray()
+            self.factory.buffers.release(self)
             self.current = inbound
             self.factory.handler(inbound)
             return False
         return True
 
+    def evict(self) -> None:
+        """Reject a request whose body takes too much of this host's memory."""
+        self.body = bytearray()
+        self._reject(503)
+
     def _reject(self, status: int) -> None:
         """Reject a request with a status and close the connection."""
+        self.is_rejected = True
         self.factory.on_rejected(status)
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = h11.Response(
@@ -314,7 +369,9 @@
         limits: ServerLimits,
         *,
         on_rejected: Callable[[int], None] = lambda status: None,
+        buffers: BufferBudget | None = None,
     ) -> None:
+        self.buffers = buffers or BufferBudget(MAX_BUFFERED_BYTES)
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,11 +2,17 @@
 
 from itertools import repeat
 from time import process_time
+import tracemalloc
 
 from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from magnoliaflow.common.errors import NotSentError
 from magnoliaflow.common.errors import PortError
@@ -31,6 +37,7 @@
     def __init__(self):
         self.aborted = False
         self.written = b""
+        self.paused = False
 
     def write(self, data):
         """Record written bytes."""
@@ -40,6 +47,14 @@
         """Record the abort."""
         self.aborted = True
 
+    def pauseProducing(self):
+        """Record that reading is paused."""
+        self.paused = True
+
+    def resumeProducing(self):
+        """Record that reading goes on."""
+        self.paused = False
+
     def setTcpNoDelay(self, enabled):
         """Accept the option."""
 
@@ -171,3 +186,140 @@
     results, exchange, transport = start_fetch(may_send=lambda: True)
     assert transport.written.startswith(b"GET / HTTP/1.1")
     assert results == [] and isinstance(exchange, Exchange)
+
+
+class Collector:
+    """Listener that keeps the parts of a body and counts events in them."""
+
+    def __init__(self):
+        self.body = b""
+        self.ends = []
+
+    def on_open(self):
+        """Do nothing."""
+
+    def on_head(self, status, headers):
+        """Do nothing."""
+
+    def on_data(self, data):
+        """Keep a part."""
+        self.body += data
+        return data.count(b"\n\n")
+
+    def on_end(self):
+        """Record the end."""
+        self.ends.append("whole")
+
+    def on_failure(self, reason, *, sent):
+        """Record the failure."""
+        self.ends.append(reason)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Return the clock that exchanges use."""
+    clock = Clock()
+    monkeypatch.setattr(client, "reactor", clock)
+    return clock
+
+
+@pytest.fixture
+def open_exchange(clock):
+    """Return a function that opens an exchange without a network."""
+
+    def start():
+        exchange = Exchange(b"GET", b"/", [(b"Host", b"x")], b"")
+        exchange.listener = Collector()
+        exchange.makeConnection(StubTransport())
+        return exchange
+
+    return start
+
+
+def chunked(body, size):
+    parts = (body[at : at + size] for at in range(0, len(body), size))
+    return HEAD + b"".join(
+        b"%x\r\n%s\r\n" % (len(part), part) for part in parts
+    )
+
+
+@pytest.mark.parametrize("size", [1, 9000])
+def test_one_turn_of_the_reactor_does_a_bounded_amount_of_work(
+    open_exchange, clock, size
+):
+    """Guards against one engine that delays all other requests."""
+    exchange = open_exchange()
+    body = b"d\n\n" * 3000
+    exchange.dataReceived(chunked(body, size))
+    done = exchange.listener.body
+    assert exchange.transport.paused
+    assert done.count(b"\n\n") * client.PART_WORK < 3 * (
+        client.MAX_WORK_PER_TURN
+    )
+    clock.pump([0.1] * 200)
+    assert exchange.listener.body == body
+    assert not exchange.transport.paused
+
+
+def test_a_connection_that_goes_on_needs_no_more_than_its_share(
+    open_exchange, clock
+):
+    exchange = open_exchange()
+    exchange.dataReceived(HEAD)
+    seconds = 5
+    for _ in range(seconds * 100):
+        if not exchange.transport.paused:
+            exchange.dataReceived(b"1\r\nd\r\n" * 1000)
+        clock.advance(0.01)
+    assert len(exchange.listener.body) <= (
+        client.WORK_PER_S * (seconds + 1) + 2 * client.MAX_WORK_CREDIT
+    )
+
+
+def test_a_receiver_that_does_not_read_keeps_the_exchange_paused(
+    open_exchange, clock
+):
+    exchange = open_exchange()
+    exchange.pauseProducing()
+    exchange.dataReceived(chunked(b"d" * 1000, 1))
+    clock.pump([0.1] * 100)
+    assert exchange.transport.paused
+    exchange.resumeProducing()
+    assert not exchange.transport.paused
+
+
+@given(
+    body=st.binary(max_size=20_000),
+    size=st.integers(1, 9000),
+    read=st.integers(1, 9000),
+    ended=st.booleans(),
+)
+@settings(suppress_health_check=[HealthCheck.function_scoped_fixture])
+def test_an_answer_is_whole_however_it_arrives(
+    open_exchange, clock, body, size, read, ended
+):
+    exchange = open_exchange()
+    data = chunked(body, size) + (b"0\r\n\r\n" if ended else b"")
+    for at in range(0, len(data), read):
+        while exchange.transport.paused:
+            clock.advance(0.1)
+        exchange.dataReceived(data[at : at + read])
+    exchange.connectionLost(Failure(ConnectionDone()))
+    clock.pump([0.1] * 500)
+    assert exchange.listener.body == body
+    assert len(exchange.listener.ends) == 1
+    assert (exchange.listener.ends == ["whole"]) is ended
+
+
+def test_a_body_in_many_small_parts_takes_little_more_than_its_bytes(
+    open_exchange, clock
+):
+    """Guards against 40 bytes of overhead for each byte of a body."""
+    results = []
+    collector = client._Collector(results, lambda: None, lambda: True)
+    tracemalloc.start()
+    for _ in range(200_000):
+        collector.on_data(b"d")
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert size < 2 * 200_000
--- a/tests/test_entry_attempts.py
+++ b/tests/test_entry_attempts.py
@@ -9,7 +9,6 @@
 from magnoliaflow.common.settings import BackendServer
 from magnoliaflow.entry.attempts import Attempt
 from magnoliaflow.entry.attempts import Failure
-from magnoliaflow.entry.attempts import MAX_BUFFERED_BYTES
 from magnoliaflow.entry.attempts import MAX_OPEN_DELAY_S
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.nodefile import decode_host_settings
@@ -104,7 +103,11 @@
     """A host has less memory than one large answer for each request."""
     state = attempt.handler.state
     attempt.on_open()
-    state.buffered_bytes = MAX_BUFFERED_BYTES - 10
-    attempt._buffer(b"x" * 11)
+    sound = Attempt(StubHandler(state), attempt.engine, 10)
+    sound.on_open()
+    sound._buffer(b"x" * 800)
+    attempt._buffer(b"x" * 1000)
+    state.buffers.limit_bytes = 1801
+    sound._buffer(b"x" * 2)
     assert attempt.handler.failures == [Failure.MAY_HAVE_RUN]
-    assert state.buffered_bytes == MAX_BUFFERED_BYTES - 10
+    assert sound.handler.failures == [] and state.buffers.total == 802
