Grant a restarted process no part of an account's burst at its start

Read, and shown by a test: a new process took 0.4 of the burst, divided by the number of seeds and not of hosts, since it knew no others yet, and a full share of the rate until its first report. Restarts of 37 hosts in series thus granted 4.9 bursts anew. A process that is not part of a first start now begins with a debt of 0.4 of its share of the burst, until its first report (0.25 s) or less.

That this was the users' case is only suspected.

--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -14,6 +14,7 @@
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.policy.caps import Cap
 from magnoliaflow.policy.caps import INITIAL_FILL
+from magnoliaflow.policy.caps import LARGE_REQUEST_SHARE
 from magnoliaflow.policy.engines import new_engine
 from magnoliaflow.policy.routes import Account
 from magnoliaflow.policy.routes import RouteTable
@@ -33,12 +34,15 @@
     ):
         return False
     now = boot_time()
+    is_restart = (
+        state.route_table is None and not state.host_settings.first_start
+    )
     state.route_table = route_table
     state.config_document = data
     state.config_applied_at = now
     accounts = route_table.accounts.values()
     state.caps = {
-        account.name: _updated_cap(state, account, now)
+        account.name: _updated_cap(state, account, now, is_restart=is_restart)
         for account in accounts
         if account.rate > 0
     }
@@ -53,15 +57,29 @@
     return True
 
 
-def _updated_cap(state: EntryState, account: Account, now: float) -> Cap:
-    """Return an account's cap with the level of the previous one."""
+def _updated_cap(
+    state: EntryState, account: Account, now: float, *, is_restart: bool
+) -> Cap:
+    """Return an account's cap with the level of the previous one.
+
+    With ``is_restart``, other processes may have used up all of the cap, and
+    nothing is granted before some time has passed.
+    """
     limit = account_limit(state, account)
     previous = state.caps.get(account.name)
     if previous is None:
         hosts = max(state.host_count(), len(state.host_settings.seeds))
-        level = limit.burst * INITIAL_FILL / hosts
+        capacity = limit.burst / hosts
+        allowance = capacity * (
+            -LARGE_REQUEST_SHARE if is_restart else INITIAL_FILL
+        )
         return Cap(
-            limit.rate, limit.burst, level, allowance=level, updated_at=now
+            limit.rate,
+            limit.burst,
+            max(0.0, allowance),
+            share=1.0 / hosts,
+            allowance=allowance,
+            updated_at=now,
         )
     previous.refill(now)
     return replace(previous, rate=limit.rate, burst=limit.burst)
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -1,5 +1,6 @@
 """Usage caps over hosts that report their usage to each other."""
 
+from logging import getLogger
 from random import Random
 
 from hypothesis import given
@@ -7,10 +8,15 @@
 from hypothesis import strategies as st
 import pytest
 
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.updates import apply_config
+from magnoliaflow.platform.nodefile import decode_host_settings
 from magnoliaflow.policy.caps import Cap
 from magnoliaflow.policy.caps import Demand
 from magnoliaflow.policy.caps import granted_limit
 from magnoliaflow.policy.caps import host_share
+from magnoliaflow.policy.routes import Account
+from magnoliaflow.policy.routes import RouteTable
 
 RATE = 30_000.0
 BURST = 69_000.0
@@ -320,3 +326,45 @@
     granted, _ = simulate(fleet, requests)
     bound = (rate * WINDOW_S + burst) * (1 + OVERAGE) + TOLERANCE
     assert max_window_amount(granted) < bound
+
+
+@pytest.fixture
+def start_host():
+    """Return a function that makes the state of a process that starts."""
+
+    def start(number, *, first_start):
+        state = EntryState(
+            decode_host_settings(
+                f"nodeName=e-{number}\nzone=a\n"
+                "listenAddresses.frontend=10.0.0.1:1\n"
+                "listenAddresses.controlPlane=10.0.0.1:2\n"
+                "platform.address=10.0.0.9:3\n"
+                "seedNodes=10.0.0.1:2,10.0.0.2:2,10.0.0.3:2\n"
+                f"isBootstrap={str(first_start).lower()}\n"
+            ),
+            identity=f"e-{number}-a",
+            rng=Random(number),
+            logger=getLogger("caps"),
+        )
+        account = Account("a", None, RATE, BURST, False, 1)
+        apply_config(state, RouteTable(1, accounts={"a": account}), b"")
+        return state
+
+    return start
+
+
+@pytest.mark.parametrize("hosts", [4, 10, 37])
+def test_restarts_in_series_grant_no_burst_anew(start_host, hosts):
+    """Guards against an account that gets a part of its burst a restart."""
+    granted = 0.0
+    for number in range(hosts):
+        cap = start_host(number, first_start=False).caps["a"]
+        now = cap.updated_at
+        while cap.take(1000.0, now) <= 0:
+            granted += 1000.0
+    assert granted <= OVERAGE / 2 * (RATE * WINDOW_S + BURST)
+
+
+def test_a_first_start_grants_a_part_of_the_burst(start_host):
+    cap = start_host(1, first_start=True).caps["a"]
+    assert cap.take(1000.0, cap.updated_at) <= 0
