--- a/src/magnoliaflow/cluster/peers.py
+++ b/src/magnoliaflow/cluster/peers.py
@@ -21,7 +21,7 @@
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import View
-from magnoliaflow.transport.client import release_local_port
+from magnoliaflow.common.sockets import release_local_port
 from magnoliaflow.wire import Peer
 
 REPLY_TIMEOUT_S = 1.0
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -72,6 +72,8 @@
 CLOCK_TOLERANCE_S = 0.1
 # A message that may be older says nothing about its sender's clock.
 MAX_CLOCK_SAMPLE_AGE_S = 1.0
+# Age that hosts report for what they have not read yet.
+UNKNOWN_AGE_S = 1e6
 # Hosts up to which all exchange heartbeats; more form groups.
 MESH_HOSTS = 8
 # Bodies, incomplete events and answers that callers have not read yet.
@@ -288,6 +290,7 @@
             self.phase is Phase.SERVING
             and self.route_table is not None
             and not self.ports_held
+            and now - self.registry_confirmed_at < UNKNOWN_AGE_S
             and self.is_config_fresh(now)
         )
 
--- a/src/magnoliaflow/transport/client.py
+++ b/src/magnoliaflow/transport/client.py
@@ -8,7 +8,6 @@
 from collections import deque
 from socket import IPPROTO_TCP
 from socket import SO_KEEPALIVE
-from socket import SO_REUSEADDR
 from socket import SOL_SOCKET
 from socket import TCP_KEEPCNT
 from socket import TCP_KEEPIDLE
@@ -26,6 +25,7 @@
 from magnoliaflow.common.errors import NotSentError
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.sockets import release_local_port
 
 # A connection is aborted when sent data stays unacknowledged for this long.
 # Twice the longest round trip between regions would suffice; the rest covers
@@ -285,11 +285,6 @@
         )
 
 
-def release_local_port(sock: Any) -> None:
-    """Let a listener use the port that the kernel gave to a connection."""
-    sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-
-
 def set_socket_limits(transport: Any) -> None:
     """Let the kernel abort a connection whose peer stops responding."""
     transport.setTcpNoDelay(True)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -14,7 +14,7 @@
 from entrysite import free_ports
 from entrysite import send_request
 from entrysite import wait_until
-from magnoliaflow.transport.client import release_local_port
+from magnoliaflow.common.sockets import release_local_port
 
 PORT_NAMES = ("frontend", "ready", "controlPlane", "directoryService")
 # The interpreter has begun to run the program by then.
