--- a/tools/stops.py
+++ b/tools/stops.py
@@ -330,7 +330,6 @@
         self.log = (rig.folder / f"{self.name}.log").open("ab")
         self.process = None
         self.terms = []
-        self.told = False
 
     def start(self, seeds):
         """Write the settings and start the process."""
@@ -351,7 +350,6 @@
         ]
         path = self.rig.folder / f"{self.name}.conf"
         path.write_text("\n".join(lines))
-        self.told = False
         self.process = Popen(
             [
                 *(executable, str(self.rig.root / "deploy/entry.py")),
@@ -388,7 +386,6 @@
         if self.process.poll() is not None:
             self.rig.fault(f"{self.name} ended with {self.process.poll()}")
             return
-        self.told = True
         self.process.send_signal(SIGTERM)
         term_at = monotonic()
         self.terms.append(term_at)
