Log each body that is dropped for the limit on a host's memory

An answer or request that was given up because all bodies together exceed the limit had no line of its own (an answer that its caller does not read, none at all). Event 634 names the kind and the bytes; its test in tests/test_buffer_budget.py failed before.

--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -57,6 +57,7 @@
     CALL_ENDED = 631
     CALL_REJECTED = 632
     CALL_REFUSED = 633
+    BODY_DROPPED = 634
     PART_HELD = 640
     PART_RELEASED = 641
     ENGINE_LIMITED = 642
@@ -109,6 +110,7 @@
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
     LogEvent.CALL_REFUSED: "A request was not admitted: cap, pace or held.",
+    LogEvent.BODY_DROPPED: "A large body was dropped: the limit is reached.",
     LogEvent.PART_HELD: "A part of prompts is held back: engines ended.",
     LogEvent.PART_RELEASED: "A part of prompts is no longer held back.",
     LogEvent.ENGINE_LIMITED: "An engine named a limit of requests a second.",
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -235,7 +235,9 @@
         )
         self.view_sums = Sums()
         self.clock_samples: dict[str, tuple[float, float]] = {}
-        self.buffers = BufferBudget(MAX_BUFFERED_BYTES)
+        self.buffers = BufferBudget(
+            MAX_BUFFERED_BYTES, on_evicted=self._log_eviction
+        )
         self.ports_held: set[str] = set()
         self.drain_window: DrainWindow | None = None
         self.durations: dict[str, LongestDuration] = defaultdict(
@@ -413,6 +415,9 @@
         self.metrics.faults.labels(place).inc()
         self.faults.record(place, exc)
 
+    def _log_eviction(self, kind: str, size: int) -> None:
+        self.log(LogEvent.BODY_DROPPED, kind=kind, bytes=size)
+
     def _log_fault(self, place: str, reason: str, count: int) -> None:
         self.log(
             LogEvent.SYSTEM_FAILED, place=place, reason=reason, count=count
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -1,5 +1,6 @@
 """Bound on the memory that buffered bodies of all connections take."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 
@@ -15,7 +16,8 @@
 
     When all hold more than the limit, the largest holders are evicted:
     a peer that sends without end, or does not read, loses its own work and
-    not that of others.
+    not that of others.  ``on_evicted`` is called with the kind of the holder
+    and its bytes.
 
     >>> class Holder:
     ...     def evict(self): budget.release(self); print("evicted")
@@ -26,13 +28,18 @@
     20
     """
 
-    __slots__ = ("evicted", "held", "limit_bytes", "total")
+    __slots__ = ("held", "limit_bytes", "on_evicted", "total")
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(
+        self,
+        limit_bytes: int,
+        *,
+        on_evicted: Callable[[str, int], None] = lambda kind, size: None,
+    ) -> None:
         self.limit_bytes = limit_bytes
+        self.on_evicted = on_evicted
         self.held: dict[BufferHolder, int] = {}
         self.total = 0
-        self.evicted = 0
 
     def hold(self, holder: BufferHolder, size: int) -> None:
         """Set the bytes of a holder; evict while there are too many."""
@@ -40,7 +47,7 @@
         self.held[holder] = size
         while self.total > self.limit_bytes and self.held:
             largest = max(self.held, key=self.held.__getitem__)
-            self.evicted += 1
+            self.on_evicted(type(largest).__name__, self.held[largest])
             largest.evict()
             self.release(largest)
 
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -54,6 +54,16 @@
             assert not holder.is_evicted
 
 
+def test_an_eviction_is_reported_with_its_bytes():
+    reports = []
+    budget = BufferBudget(
+        LIMIT, on_evicted=lambda kind, size: reports.append((kind, size))
+    )
+    budget.hold(Holder(budget), 900)
+    budget.hold(Holder(budget), 200)
+    assert reports == [("Holder", 900)]
+
+
 @pytest.fixture
 def site(tmp_path):
     """Return a deployment of one host that takes bodies of 4 MB."""
