End daemons without the interpreter's finalization

Cause: KNOWN-RED's test of planned stops failed beside load: the process was gone 3.08 to 3.9 s after its SIGTERM with a grace period of 3 s. Its log shows PROCESS_STOPPED at 2.45 s, as planned; the rest is the interpreter's finalization (0.2 s idle), not the drain, whose times are unchanged.

Change: common/processend.py flushes the standard streams and ends the process; the entry process, gateways and controllers use it.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -12,7 +12,8 @@
 
 SIGNALS.install()
 
+from magnoliaflow.common.processend import end_process  # noqa: E402
 from magnoliaflow.entry.main import main  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(main())
+    end_process(main())
--- a/src/magnoliaflow/cli.py
+++ b/src/magnoliaflow/cli.py
@@ -12,6 +12,7 @@
 from magnoliaflow.common.errors import MagnoliaflowError
 from magnoliaflow.common.errors import SettingsError
 from magnoliaflow.common.loop import reactor
+from magnoliaflow.common.processend import end_process
 from magnoliaflow.common.settings import Settings
 from magnoliaflow.common.settingsfile import load_settings
 from magnoliaflow.daemons.controller import run_controller
@@ -144,10 +145,12 @@
 
 def _gateway(cfg: Settings, args: Namespace) -> None:
     run_gateway(cfg, args.host)
+    end_process(int(ExitCode.OK))
 
 
 def _controller(cfg: Settings, args: Namespace) -> None:
     run_controller(cfg, args.host)
+    end_process(int(ExitCode.OK))
 
 
 def _publish(cfg: Settings, args: Namespace) -> Any:
@@ -196,6 +199,7 @@
 
 def _entry(cfg: Settings | None, args: Namespace) -> None:
     run_entry(args.boot, args.metrics_port)
+    end_process(int(ExitCode.OK))
 
 
 def run_until_done(coroutine: Any) -> int:
