Check a configuration before it is sent

Cause: config check read settings files only, and stopped at the first fault of a YAML file. What an operator sends to the store was checked by the store alone, which accepts entries that never match and limits that contradict each other.

Exit codes 0, 1, 2. Nothing is sent. A YAML file's faults are all named.

Not checked: engines' versions, which stand in no configuration; how long a service takes; floors, which no configuration holds.

--- a/src/magnoliaflow/cli.py
+++ b/src/magnoliaflow/cli.py
@@ -15,6 +15,9 @@
 from magnoliaflow.common.processend import end_process
 from magnoliaflow.common.settings import Settings
 from magnoliaflow.common.settingsfile import load_settings
+from magnoliaflow.configcommand import check_file
+from magnoliaflow.configcommand import compare_file
+from magnoliaflow.configcommand import compare_live
 from magnoliaflow.daemons.controller import run_controller
 from magnoliaflow.daemons.gateway import run_gateway
 from magnoliaflow.entry.daemon import run_entry
@@ -28,7 +31,6 @@
 from magnoliaflow.operate import profile_history
 from magnoliaflow.operate import publish_file
 from magnoliaflow.operate import show_status
-from magnoliaflow.platform.nodefile import read_host_settings
 
 Action = Callable[..., Any]
 
@@ -67,22 +69,53 @@
     )
     config = commands.add_parser("config", help="inspect settings files")
     config_commands = config.add_subparsers(dest="action", required=True)
+    _add_check_command(config_commands)
+    entry = _add_command(
+        commands, "entry", "serve callers on the users' platform", _entry
+    )
+    add_options(entry)
+    entry.set_defaults(needs_settings=False)
+    return parser
+
+
+def _add_check_command(commands: Any) -> None:
     check = _add_command(
-        config_commands, "check", "check a settings file", _check
+        commands,
+        "check",
+        "check a file before it is used or sent; exit code 1 if something "
+        "was found",
+        _check,
     )
     check.add_argument(
         "file",
         type=Path,
         nargs="?",
-        help="YAML settings file, or a host's platform settings file",
+        help="configuration (JSON), YAML settings file, or a host's platform "
+        "settings file",
     )
-    check.set_defaults(needs_settings=False)
-    entry = _add_command(
-        commands, "entry", "serve callers on the users' platform", _entry
+    source = check.add_mutually_exclusive_group()
+    source.add_argument(
+        "--against",
+        type=Path,
+        metavar="FILE",
+        help="configuration in force: show what differs",
     )
-    add_options(entry)
-    entry.set_defaults(needs_settings=False)
-    return parser
+    source.add_argument(
+        "--live",
+        metavar="IP:PORT",
+        help="address of the store: show what differs from the configuration "
+        "in force there",
+    )
+    check.add_argument(
+        "--host",
+        type=Path,
+        metavar="FILE",
+        help="a host's settings, to check the configuration with its bounds",
+    )
+    check.add_argument(
+        "--json", action="store_true", help="print the findings as JSON"
+    )
+    check.set_defaults(needs_settings=False)
 
 
 def _add_command(
@@ -185,16 +218,14 @@
     return explain_request(cfg, args.request_id)
 
 
-def _check(cfg: Settings | None, args: Namespace) -> None:
+def _check(cfg: Settings | None, args: Namespace) -> Any:
     path = args.file or args.settings
-    if path.suffix in (".yaml", ".yml"):
-        print(
-            f"{path}: settings of {load_settings(path).deployment} are valid"
-        )
-        return
-    print(
-        f"{path}: settings of host {read_host_settings(path).host} are valid"
-    )
+    options = {"host": args.host, "as_json": args.json}
+    if args.live:
+        return compare_live(path, args.live, **options)
+    if args.against:
+        return compare_file(path, args.against, **options)
+    return check_file(path, **options)
 
 
 def _entry(cfg: Settings | None, args: Namespace) -> None:
@@ -240,4 +271,6 @@
     except MagnoliaflowError as exc:
         print(exc, file=sys.stderr)
         return int(ExitCode.FAILED)
-    return int(ExitCode.OK) if result is None else run_until_done(result)
+    if result is None or isinstance(result, ExitCode):
+        return int(result or ExitCode.OK)
+    return run_until_done(result)
--- a/src/magnoliaflow/common/settingsfile.py
+++ b/src/magnoliaflow/common/settingsfile.py
@@ -138,8 +138,8 @@
 def load_settings(path: Path) -> Settings:
     """Return the settings in a YAML file.
 
-    Raises SettingsError with one line that contains the file, the key path,
-    the value found and what is allowed.
+    Raises SettingsError with one line that contains the file and, for each
+    fault, the key path, the value found and what is allowed.
     """
     try:
         values = safe_load(path.read_text())
@@ -152,7 +152,8 @@
         VALIDATOR.iter_errors(values), key=lambda error: error.json_path
     )
     if errors:
-        raise SettingsError(f"{path}: {_describe_error(errors[0])}")
+        faults = "; ".join(map(_describe_error, errors))
+        raise SettingsError(f"{path}: {faults}")
     settings = _build(values, path.parent)
     _check_consistency(settings, path)
     return settings
--- a/src/magnoliaflow/platform/document.py
+++ b/src/magnoliaflow/platform/document.py
@@ -21,6 +21,15 @@
 }
 MS = 1000.0
 TOKENS_UNIT = "token_count"
+# What decoding a malformed document raises.
+DOCUMENT_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    FormatError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 # An account's name is sent to engines in a header.
 NAME_PATTERN = re.compile(r"[^\x00-\x20\x7f]+( +[^\x00-\x20\x7f]+)*")
 
@@ -31,13 +40,13 @@
         values = decode_json(data)
         return RouteTable(
             version=int(values["version"]),
-            routes=tuple(_route(route) for route in values["routes"]),
+            routes=tuple(decode_route(route) for route in values["routes"]),
             services={
-                _name(service): _service(service)
+                _name(service): decode_service(service)
                 for service in values["services"]
             },
             accounts={
-                _name(tenant): _account(tenant)
+                _name(tenant): decode_account(tenant)
                 for tenant in values.get("tenants") or ()
             },
             keys={
@@ -45,16 +54,9 @@
                 for tenant in values.get("tenants") or ()
                 for key in tenant.get("apiKeys") or ()
             },
-            limits=_limits(values.get("limits") or {}),
+            limits=decode_limits(values.get("limits") or {}),
         )
-    except (
-        ArithmeticError,
-        AttributeError,
-        FormatError,
-        LookupError,
-        TypeError,
-        ValueError,
-    ) as exc:
+    except DOCUMENT_ERRORS as exc:
         raise FormatError(
             f"invalid configuration of {len(data)} bytes: {exc!r}; the "
             "current version stays in force"
@@ -75,7 +77,8 @@
     return name
 
 
-def _route(values: dict[str, Any]) -> Route:
+def decode_route(values: dict[str, Any]) -> Route:
+    """Return a route; raises one of DOCUMENT_ERRORS."""
     split = values.get("trafficSplit")
     shares = (
         tuple(
@@ -100,7 +103,8 @@
     )
 
 
-def _service(values: dict[str, Any]) -> Service:
+def decode_service(values: dict[str, Any]) -> Service:
+    """Return a service; raises one of DOCUMENT_ERRORS."""
     # "engineId" holds the properties of a model engine, not an ID.
     engine = values.get("engineId")
     return Service(
@@ -128,7 +132,8 @@
     )
 
 
-def _account(values: dict[str, Any]) -> Account:
+def decode_account(values: dict[str, Any]) -> Account:
+    """Return a client account; raises one of DOCUMENT_ERRORS."""
     priority = values.get("priority")
     return Account(
         name=_name(values),
@@ -141,7 +146,8 @@
     )
 
 
-def _limits(values: dict[str, Any]) -> CallerLimits:
+def decode_limits(values: dict[str, Any]) -> CallerLimits:
+    """Return the limits on callers; raises one of DOCUMENT_ERRORS."""
     defaults = CallerLimits()
     return CallerLimits(
         max_head_bytes=int(
