Test that crowds of clients leave a process within its host

Clients outside the limits ended a process: bodies in progress are bounded one by one only, and nothing bounds connections or pipelined bytes. The file runs alone, after all other tests.

--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -1,7 +1,8 @@
 """Run all tests except the known failures, which are printed.
 
 The slowest files run in processes of their own, beside the others.  Their
-output is printed when they have ended.
+output is printed when they have ended.  Tests that check what a process takes
+of its host run after all others have ended.
 """
 
 from pathlib import Path
@@ -21,6 +22,7 @@
     ("tests/test_log_restored.py",),
     ("tests/test_process_start.py", "tests/test_planned_stops.py"),
 )
+LONE_FILES = ("tests/test_client_crowds.py",)
 
 
 def known_failures():
@@ -32,7 +34,10 @@
 
 
 def run_groups(command):
-    """Run the slow groups and all other tests; return the exit codes."""
+    """Run the slow groups, all other tests, and then the lone files.
+
+    Return the exit codes.
+    """
     running = []
     for group in SLOW_GROUPS:
         output = TemporaryFile()
@@ -42,12 +47,17 @@
             stderr=STDOUT,
         )
         running.append((group, process, output))
-    ignored = [f"--ignore={path}" for group in SLOW_GROUPS for path in group]
+    ignored = [
+        f"--ignore={path}"
+        for group in (*SLOW_GROUPS, LONE_FILES)
+        for path in group
+    ]
     codes = [Popen([*command, *ignored]).wait()]
     for group, process, output in running:
         codes.append(process.wait())
         output.seek(0)
         print(f"{' '.join(group)}:\n{output.read().decode()}", flush=True)
+    codes += [Popen([*command, path]).wait() for path in LONE_FILES]
     return codes
 
 
