--- a/src/magnoliaflow/cluster/hostsettings.py
+++ b/src/magnoliaflow/cluster/hostsettings.py
@@ -2,13 +2,17 @@
 
 from dataclasses import dataclass
 
+from magnoliaflow.policy.callermemory import CALLER_DESCRIPTOR_SHARE
+from magnoliaflow.policy.callermemory import CALLER_MEMORY_SHARE
+
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
     """Names, addresses (``IP:PORT``) and bounds, with times in seconds.
 
     ``first_start`` tells whether the whole deployment starts for the first
-    time.
+    time.  ``memory_mb`` and ``descriptors`` are 0 if they are not stated; the
+    shares of them are what is for callers.
     """
 
     host: str
@@ -39,3 +43,7 @@
     usage_window_s: float
     usage_delay_s: float
     directory_ttl_s: float
+    memory_mb: float = 0.0
+    descriptors: float = 0.0
+    caller_memory_share: float = CALLER_MEMORY_SHARE
+    caller_descriptor_share: float = CALLER_DESCRIPTOR_SHARE
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -58,6 +58,7 @@
     CALL_REJECTED = 632
     CALL_REFUSED = 633
     BODY_DROPPED = 634
+    CONNECTION_CLOSED = 639
     PART_HELD = 640
     PART_RELEASED = 641
     ENGINE_LIMITED = 642
@@ -111,6 +112,7 @@
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
     LogEvent.CALL_REFUSED: "A request was not admitted: cap, pace or held.",
     LogEvent.BODY_DROPPED: "A large body was dropped: the limit is reached.",
+    LogEvent.CONNECTION_CLOSED: "A connection was closed: too many are open.",
     LogEvent.PART_HELD: "A part of prompts is held back: engines ended.",
     LogEvent.PART_RELEASED: "A part of prompts is no longer held back.",
     LogEvent.ENGINE_LIMITED: "An engine named a limit of requests a second.",
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -19,7 +19,7 @@
 from magnoliaflow.transport.client import Exchange
 from magnoliaflow.transport.client import Headers
 from magnoliaflow.transport.client import open_exchange
-from magnoliaflow.transport.server import InboundRequest
+from magnoliaflow.transport.inbound import InboundRequest
 from magnoliaflow.work.calls import Call
 from magnoliaflow.work.calls import EngineResponseHead
 from magnoliaflow.work.calls import ForwardContext
@@ -220,7 +220,6 @@
             self._fail(
                 Failure.MAY_HAVE_RUN,
                 "buffered answers exceed this host's limit",
-                engine_fault=True,
             )
 
     def on_end(self) -> None:
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -47,7 +47,7 @@
 from magnoliaflow.policy.routing import choose
 from magnoliaflow.policy.routing import find_policy
 from magnoliaflow.policy.routing import RoutingRequest
-from magnoliaflow.transport.server import InboundRequest
+from magnoliaflow.transport.inbound import InboundRequest
 from magnoliaflow.work.calls import Call
 from magnoliaflow.work.calls import EngineResponseHead
 from magnoliaflow.work.calls import ForwardContext
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -58,12 +58,14 @@
 from magnoliaflow.entry.storeera import store_details
 from magnoliaflow.entry.systems import ENTRY_SYSTEMS
 from magnoliaflow.platform.cloud import CloudClient
+from magnoliaflow.platform.headers import credential
 from magnoliaflow.platform.headers import json_answer_headers
 from magnoliaflow.platform.nodefile import PATH_VARIABLE
 from magnoliaflow.platform.nodefile import read_host_settings
 from magnoliaflow.platform.store import HOSTS_TOPIC
 from magnoliaflow.platform.store import StoreClient
-from magnoliaflow.transport.server import InboundRequest
+from magnoliaflow.policy.callermemory import caller_connections
+from magnoliaflow.transport.inbound import InboundRequest
 from magnoliaflow.transport.server import ServerFactory
 from magnoliaflow.transport.server import ServerLimits
 
@@ -133,6 +135,17 @@
             self.server_limits,
             on_rejected=self.handle_rejected,
             buffers=self.state.buffers,
+            max_connections=caller_connections(
+                host_settings.descriptors,
+                host_settings.caller_descriptor_share,
+            ),
+            name_account=self.name_account,
+            on_crowded=self.state.caller_log.record_crowding,
+        )
+        metrics = self.state.metrics
+        metrics.caller_bytes.set_function(lambda: self.state.buffers.total)
+        metrics.caller_connections.set_function(
+            lambda: len(self.caller_factory.open)
         )
         self.listeners = Listeners(self.state)
         self.ticker = LoopingCall(self.tick)
@@ -228,6 +241,13 @@
         """Handle a peer's message."""
         handle_message(self.state, sender, message)
 
+    def name_account(self, inbound: InboundRequest) -> str:
+        """Return the account whose key a request names, '' if none."""
+        route_table = self.state.route_table
+        if route_table is None:
+            return ""
+        return route_table.keys.get(credential(inbound), "")
+
     def handle_rejected(self, status: int) -> None:
         """Count and log input that is not a valid request."""
         self.state.metrics.refusals.labels(f"HTTP_{status}").inc()
--- a/src/magnoliaflow/entry/directory.py
+++ b/src/magnoliaflow/entry/directory.py
@@ -8,7 +8,7 @@
 from magnoliaflow.platform.headers import json_answer_headers
 from magnoliaflow.policy.addresses import choose_addresses
 from magnoliaflow.policy.addresses import ServingHost
-from magnoliaflow.transport.server import InboundRequest
+from magnoliaflow.transport.inbound import InboundRequest
 
 # TTL of an answer: short, since callers also go on using a failed host for
 # this long.
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -14,6 +14,9 @@
     __slots__ = (
         "answers",
         "broken_answers",
+        "caller_bytes",
+        "caller_connections",
+        "callers_closed",
         "config_age",
         "engines",
         "engines_ended",
@@ -122,6 +125,22 @@
             "Times that the store came back without confirmed records.",
             registry=registry,
         )
+        self.caller_bytes = Gauge(
+            "magnoliaflow_entry_caller_bytes",
+            "Bytes held for callers.",
+            registry=registry,
+        )
+        self.caller_connections = Gauge(
+            "magnoliaflow_entry_caller_connections",
+            "Open connections of callers.",
+            registry=registry,
+        )
+        self.callers_closed = Counter(
+            "magnoliaflow_entry_callers_closed",
+            "Callers that lost their work to a limit, by the limit.",
+            ["limit"],
+            registry=registry,
+        )
         self.store_errors = Counter(
             "magnoliaflow_entry_store_errors",
             "Failed calls to the platform's store.",
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -24,8 +24,10 @@
 from magnoliaflow.common.messages import Beat
 from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.tables import Table
+from magnoliaflow.entry.callerlog import CallerLog
 from magnoliaflow.entry.entrymetrics import EntryMetrics
 from magnoliaflow.policy.budget import RetryBudget
+from magnoliaflow.policy.callermemory import caller_bytes
 from magnoliaflow.policy.caps import Bucket
 from magnoliaflow.policy.caps import Cap
 from magnoliaflow.policy.caps import Demand
@@ -76,8 +78,6 @@
 UNKNOWN_AGE_S = 1e6
 # Hosts up to which all exchange heartbeats; more form groups.
 MESH_HOSTS = 8
-# Bodies, incomplete events and answers that callers have not read yet.
-MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 # Capacity of an engine's prefix cache unless the configuration sets it.
 DEFAULT_CACHE_TOKENS = 300_000
 
@@ -153,6 +153,7 @@
         "faults",
         "retry_budgets",
         "buffers",
+        "caller_log",
         "calls",
         "caps",
         "clock_offset",
@@ -235,8 +236,12 @@
         )
         self.view_sums = Sums()
         self.clock_samples: dict[str, tuple[float, float]] = {}
+        self.caller_log = CallerLog(self)
         self.buffers = BufferBudget(
-            MAX_BUFFERED_BYTES, on_evicted=self._log_eviction
+            caller_bytes(
+                host_settings.memory_mb, host_settings.caller_memory_share
+            ),
+            on_evicted=self.caller_log.record_eviction,
         )
         self.ports_held: set[str] = set()
         self.drain_window: DrainWindow | None = None
@@ -415,9 +420,6 @@
         self.metrics.faults.labels(place).inc()
         self.faults.record(place, exc)
 
-    def _log_eviction(self, kind: str, size: int) -> None:
-        self.log(LogEvent.BODY_DROPPED, kind=kind, bytes=size)
-
     def _log_fault(self, place: str, reason: str, count: int) -> None:
         self.log(
             LogEvent.SYSTEM_FAILED, place=place, reason=reason, count=count
--- a/src/magnoliaflow/platform/headers.py
+++ b/src/magnoliaflow/platform/headers.py
@@ -6,7 +6,7 @@
 from urllib.parse import urlsplit
 
 from magnoliaflow.transport.client import Headers
-from magnoliaflow.transport.server import InboundRequest
+from magnoliaflow.transport.inbound import InboundRequest
 from magnoliaflow.work.calls import AddressLookup
 from magnoliaflow.work.calls import Call
 from magnoliaflow.work.calls import EngineResponseHead
@@ -96,6 +96,14 @@
     )
 
 
+def credential(inbound: InboundRequest) -> str:
+    """Return the key in a request's head, '' without one."""
+    for name, value in inbound.headers:
+        if name == b"x-credential":
+            return value.decode("latin-1").strip()
+    return ""
+
+
 def encode_forward(call: Call, forward: ForwardContext) -> Headers:
     """Return the headers of a request forwarded to an engine."""
     headers = [
--- a/src/magnoliaflow/platform/nodefile.py
+++ b/src/magnoliaflow/platform/nodefile.py
@@ -8,6 +8,8 @@
 from magnoliaflow.cluster.hostsettings import HostSettings
 from magnoliaflow.common.endpoints import is_endpoint
 from magnoliaflow.common.errors import SettingsError
+from magnoliaflow.policy.callermemory import CALLER_DESCRIPTOR_SHARE
+from magnoliaflow.policy.callermemory import CALLER_MEMORY_SHARE
 
 PATH_VARIABLE = "MAGNOLIAFLOW_NODE_FILE"
 MS = 1000.0
@@ -110,6 +112,14 @@
         usage_window_s=get("bounds.usageWindowS", float, 5),
         usage_delay_s=get("bounds.usageDelayS", float, 10),
         directory_ttl_s=get("bounds.ttl_max_s", float, 5),
+        memory_mb=get("limits.memoryMb", float, 0),
+        descriptors=get("limits.fileDescriptors", float, 0),
+        caller_memory_share=get(
+            "callers.memoryShare", float, CALLER_MEMORY_SHARE
+        ),
+        caller_descriptor_share=get(
+            "callers.descriptorShare", float, CALLER_DESCRIPTOR_SHARE
+        ),
     )
     if faults:
         raise SettingsError("; ".join(faults))
--- /dev/null
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -0,0 +1,198 @@
+"""Whose bytes are dropped when callers fill a host's memory.
+
+Answers a crowd of callers that send much, stop short of the end and stay
+open, or do not read their answers.  The holder with the least progress per
+held byte goes first, so that a slow caller outlives one that has stopped.
+"""
+
+from collections.abc import Hashable
+from collections.abc import Iterable
+from collections import defaultdict
+from dataclasses import dataclass
+from math import exp
+from math import inf
+
+MB = 1024 * 1024
+# Share of a host's memory for what it holds for its callers; the process
+# itself and the bytes in the kernel need the rest.
+CALLER_MEMORY_SHARE = 1 / 6
+# Memory of a host whose settings do not state it.
+DEFAULT_MEMORY_MB = 384.0
+# Two bodies of the usual limit, so that one body always fits.
+MIN_CALLER_BYTES = 8 * MB
+# Descriptors that the platform reserves for files, and the share of the rest
+# for callers; the engines, the peers and the store need the remainder.
+FILE_DESCRIPTORS = 200
+CALLER_DESCRIPTOR_SHARE = 0.6
+DEFAULT_DESCRIPTORS = 6000
+MIN_CONNECTIONS = 16
+# Share of the limit over which new bodies wait unread.
+WAIT_SHARE = 0.75
+# Share of the limit over which one address or one account loses its own work
+# before others do.
+FAIR_SHARE = 0.5
+# Time constant of the decay of progress.
+PROGRESS_S = 2.0
+# A holder without progress for this long makes room for those that wait.
+STALLED_S = 1.0
+
+
+def caller_bytes(memory_mb: float, share: float = CALLER_MEMORY_SHARE) -> int:
+    """Return the bytes that a host may hold for its callers.
+
+    >>> caller_bytes(96) // MB, caller_bytes(12) // MB, caller_bytes(0) // MB
+    (16, 8, 64)
+    """
+    memory_mb = memory_mb or DEFAULT_MEMORY_MB
+    return max(MIN_CALLER_BYTES, int(memory_mb * share * MB))
+
+
+def caller_connections(
+    descriptors: float, share: float = CALLER_DESCRIPTOR_SHARE
+) -> int:
+    """Return the number of callers' connections that may be open.
+
+    >>> caller_connections(400), caller_connections(0), caller_connections(9)
+    (120, 3480, 16)
+    """
+    sockets = (descriptors or DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS
+    return max(MIN_CONNECTIONS, int(sockets * share))
+
+
+@dataclass(slots=True)
+class Share:
+    """Bytes of one holder, and its decaying sum of moved bytes.
+
+    ``keys`` name its caller's address and account.  ``fixed`` bytes belong
+    to a request that an engine may run; they are not dropped.  A ``waiting``
+    holder is not read and cannot progress; it goes after all others.
+    """
+
+    size: int
+    keys: tuple[str, ...]
+    moved: float
+    moved_at: float
+    fixed: bool = False
+    waiting: bool = False
+
+    def move(self, count: int, now: float) -> None:
+        """Count bytes as progress."""
+        self.moved = self.progress(now) + count
+        self.moved_at = now
+
+    def progress(self, now: float) -> float:
+        """Return the decayed sum of moved bytes."""
+        return self.moved * exp((self.moved_at - now) / PROGRESS_S)
+
+
+class CallerMemory:
+    """Account of the bytes that a host holds for its callers.
+
+    Updates take constant time; a choice looks at every holder once.
+
+    >>> memory = CallerMemory(100)
+    >>> memory.put("stopped", 90, now=0.0); memory.put("slow", 15, now=9.0)
+    >>> memory.choose(memory.total - memory.limit_bytes, 9.0)
+    ['stopped']
+    """
+
+    __slots__ = ("by_key", "limit_bytes", "shares", "total")
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.shares: dict[Hashable, Share] = {}
+        self.by_key: dict[str, int] = defaultdict(int)
+        self.total = 0
+
+    def put(
+        self,
+        holder: Hashable,
+        size: int,
+        *,
+        now: float,
+        keys: tuple[str, ...] = (),
+        fixed: bool = False,
+        waiting: bool = False,
+    ) -> None:
+        """Set the bytes of a holder; growth counts as progress."""
+        share = self.shares.get(holder)
+        if share is None:
+            share = Share(0, keys, 0.0, now)
+            self.shares[holder] = share
+        grown = size - share.size
+        if grown > 0:
+            share.move(grown, now)
+        share.fixed = fixed
+        if share.waiting and not waiting:
+            share.moved_at = now
+        share.waiting = waiting
+        share.size = size
+        self._add(share, grown)
+
+    def touch(self, holder: Hashable, count: int, now: float) -> None:
+        """Count bytes as progress that do not change what is held."""
+        share = self.shares.get(holder)
+        if share is not None:
+            share.move(count, now)
+
+    def drop(self, holder: Hashable) -> None:
+        """Forget a holder."""
+        share = self.shares.pop(holder, None)
+        if share is not None:
+            self._add(share, -share.size)
+
+    def _add(self, share: Share, size: int) -> None:
+        self.total += size
+        for key in share.keys:
+            self.by_key[key] += size
+            if not self.by_key[key]:
+                del self.by_key[key]
+
+    def is_short(self) -> bool:
+        """Return whether new bodies have to wait."""
+        return self.total > self.limit_bytes * WAIT_SHARE
+
+    def choose(
+        self, excess: float, now: float, *, idle_s: float = -inf
+    ) -> list[Hashable]:
+        """Return the holders to evict, in order, to free ``excess`` bytes.
+
+        With ``idle_s``, only those that could progress and did not for so
+        many seconds are taken.
+        """
+        candidates = [
+            (holder, share)
+            for holder, share in self.shares.items()
+            if not share.fixed
+            and (idle_s == -inf or not share.waiting)
+            and now - share.moved_at >= idle_s
+        ]
+        greedy = self._greedy_key()
+        ordered = sorted(
+            candidates,
+            key=lambda row: (
+                greedy not in row[1].keys,
+                row[1].waiting,
+                row[1].progress(now) / max(1, row[1].size),
+                -row[1].size,
+            ),
+        )
+        return list(_take(ordered, excess))
+
+    def _greedy_key(self) -> str:
+        """Return the key that holds more than its share, '' if none does."""
+        key = max(self.by_key, key=self.by_key.__getitem__, default="")
+        if self.by_key.get(key, 0) > self.limit_bytes * FAIR_SHARE:
+            return key
+        return ""
+
+
+def _take(
+    rows: list[tuple[Hashable, Share]], excess: float
+) -> Iterable[Hashable]:
+    """Yield holders until their bytes reach the excess."""
+    for holder, share in rows:
+        if excess <= 0:
+            return
+        excess -= share.size
+        yield holder
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -1,23 +1,51 @@
 """Bound on the memory that buffered bodies of all connections take."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 from typing import Protocol
 
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.policy.callermemory import CallerMemory
+from magnoliaflow.policy.callermemory import STALLED_S
+from magnoliaflow.policy.callermemory import WAIT_SHARE
+
+# How often stalled holders are looked for while bodies wait.
+RECLAIM_INTERVAL_S = 0.5
+
 
 class BufferHolder(Protocol):
     """Something that holds buffered bytes and can be made to drop them."""
 
+    def __hash__(self) -> int:
+        """Return the hash of the holder itself."""
+
     def evict(self) -> None:
         """Drop the bytes and end the work that they belong to."""
 
 
+@dataclass(frozen=True, slots=True)
+class Eviction:
+    """Bytes that were dropped; ``keys`` name their caller.
+
+    ``idle_s`` is the time since the holder's last progress, ``held`` the
+    bytes of all holders.
+    """
+
+    kind: str
+    size: int
+    keys: tuple[str, ...]
+    idle_s: float
+    held: int
+
+
 class BufferBudget:
     """Buffered bytes by holder.
 
-    When all hold more than the limit, the largest holders are evicted:
-    a peer that sends without end, or does not read, loses its own work and
-    not that of others.  ``on_evicted`` is called with the kind of the holder
-    and its bytes.
+    When all hold more than the limit, those with the least progress are
+    evicted: a peer that sends without end, stops, or does not read, loses
+    its own work and not that of others.
 
     >>> class Holder:
     ...     def evict(self): budget.release(self); print("evicted")
@@ -28,29 +56,100 @@
     20
     """
 
-    __slots__ = ("held", "limit_bytes", "on_evicted", "total")
+    __slots__ = ("memory", "on_evicted", "reclaim_timer", "waiting")
 
     def __init__(
         self,
         limit_bytes: int,
         *,
-        on_evicted: Callable[[str, int], None] = lambda kind, size: None,
+        on_evicted: Callable[[Eviction], None] = lambda eviction: None,
     ) -> None:
-        self.limit_bytes = limit_bytes
+        self.memory = CallerMemory(limit_bytes)
         self.on_evicted = on_evicted
-        self.held: dict[BufferHolder, int] = {}
-        self.total = 0
+        self.waiting: dict[Any, Callable[[], None]] = {}
+        self.reclaim_timer: Any = None
+
+    @property
+    def total(self) -> int:
+        """Return the bytes of all holders."""
+        return self.memory.total
+
+    def is_short(self) -> bool:
+        """Return whether new bodies have to wait."""
+        return self.memory.is_short()
 
-    def hold(self, holder: BufferHolder, size: int) -> None:
+    def hold(
+        self,
+        holder: BufferHolder,
+        size: int,
+        *,
+        keys: tuple[str, ...] = (),
+        fixed: bool = False,
+        waiting: bool = False,
+    ) -> None:
         """Set the bytes of a holder; evict while there are too many."""
-        self.total += size - self.held.get(holder, 0)
-        self.held[holder] = size
-        while self.total > self.limit_bytes and self.held:
-            largest = max(self.held, key=self.held.__getitem__)
-            self.on_evicted(type(largest).__name__, self.held[largest])
-            largest.evict()
-            self.release(largest)
+        now = boot_time()
+        self.memory.put(
+            holder, size, now=now, keys=keys, fixed=fixed, waiting=waiting
+        )
+        excess = self.memory.total - self.memory.limit_bytes
+        if excess > 0:
+            self._evict(self.memory.choose(excess, now), now)
+
+    def touch(self, holder: BufferHolder, count: int) -> None:
+        """Count bytes as progress of a holder."""
+        self.memory.touch(holder, count, boot_time())
 
     def release(self, holder: BufferHolder) -> None:
         """Forget a holder."""
-        self.total -= self.held.pop(holder, 0)
+        self.memory.drop(holder)
+        if self.waiting and not self.memory.is_short():
+            reactor.callLater(0, self._resume)
+
+    def wait(self, holder: BufferHolder, resume: Callable[[], None]) -> None:
+        """Call ``resume`` once there is room for a new body."""
+        self.waiting[holder] = resume
+        if self.reclaim_timer is None:
+            self.reclaim_timer = reactor.callLater(
+                RECLAIM_INTERVAL_S, self._reclaim
+            )
+
+    def stop_waiting(self, holder: BufferHolder) -> None:
+        """Forget a holder that waits."""
+        self.waiting.pop(holder, None)
+
+    def _resume(self) -> None:
+        """Let waiting bodies be read, the oldest first."""
+        while self.waiting and not self.memory.is_short():
+            self.waiting.pop(next(iter(self.waiting)))()
+
+    def _reclaim(self) -> None:
+        """Evict stalled holders while bodies wait for room."""
+        self.reclaim_timer = None
+        now = boot_time()
+        excess = self.memory.total - self.memory.limit_bytes * WAIT_SHARE
+        if self.waiting and excess > 0:
+            stalled = self.memory.choose(excess, now, idle_s=STALLED_S)
+            self._evict(stalled, now)
+        self._resume()
+        if self.waiting:
+            self.reclaim_timer = reactor.callLater(
+                RECLAIM_INTERVAL_S, self._reclaim
+            )
+
+    def _evict(self, holders: list[Any], now: float) -> None:
+        for holder in holders:
+            share = self.memory.shares.get(holder)
+            if share is None:
+                continue
+            self.on_evicted(
+                Eviction(
+                    type(holder).__name__,
+                    share.size,
+                    share.keys,
+                    now - share.moved_at,
+                    self.memory.total,
+                )
+            )
+            holder.evict()
+            self.release(holder)
--- a/src/magnoliaflow/transport/server.py
+++ b/src/magnoliaflow/transport/server.py
@@ -8,27 +8,32 @@
 from twisted.internet.protocol import Protocol
 
 from magnoliaflow.common.loop import reactor
+from magnoliaflow.policy.callermemory import caller_connections
 from magnoliaflow.transport.client import Headers
+from magnoliaflow.transport.connections import OpenConnections
+from magnoliaflow.transport.inbound import InboundRequest
+from magnoliaflow.transport.inbound import REASON_PHRASES
 from magnoliaflow.transport.memory import BufferBudget
 
-REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-# An answer is handed to the transport in parts of this size.
-WRITE_BYTES = 64 * 1024
 # Bodies that a server without a budget of its own may buffer.
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Events of one connection in one turn of the reactor, each about 15 us.
+MAX_EVENTS_PER_TURN = 32
+# Bytes behind a request in progress at which its connection is not read.
+MAX_PIPELINED_BYTES = 16 * 1024
+# Memory of an incomplete request beside its body: parser and objects.
+CONNECTION_BYTES = 32 * 1024
+# Unused part of a buffer that grows: one byte in eight.
+GROWTH_SHARE = 8
+# A body in progress is kept once, and once more until its engine has read it.
+RUNNING_COPIES = 2
+# A body up to this length does not wait for room.
+SMALL_BODY_BYTES = 16 * 1024
+# A rejected caller that still sends may read its answer for so long.
+LINGER_S = 0.5
+# Retry-After of a body for which there is no room.
+NO_ROOM_RETRY_AFTER = b"1"
 
 
 class ServerLimits:
@@ -48,140 +53,16 @@
         self.idle_timeout_s = 15.0
 
 
-class InboundRequest:
-    """A request read from a connection, with methods to answer it."""
-
-    __slots__ = (
-        "answered",
-        "answer_started",
-        "body",
-        "closed",
-        "conn",
-        "headers",
-        "method",
-        "on_disconnect",
-        "target",
-    )
-
-    def __init__(self, conn: "ServerConnection", event: h11.Request) -> None:
-        self.conn = conn
-        self.method = bytes(event.method)
-        self.target = bytes(event.target)
-        self.headers: Headers = list(event.headers)
-        self.body = b""
-        self.answer_started = False
-        self.answered = False
-        self.closed = False
-        self.on_disconnect: Callable[[], None] = lambda: None
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer, a large one as its caller reads it."""
-        if self.answered or self.closed:
-            return
-        if self.method == b"HEAD":
-            body = b""
-        length = (b"Content-Length", str(len(body)).encode())
-        self.begin(status, [*headers, length])
-        if len(body) > WRITE_BYTES:
-            BodyWriter(self, body).start()
-            return
-        if body:
-            self.send(body)
-        self.finish()
-
-    def begin(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer."""
-        if self.closed:
-            return
-        self.answer_started = True
-        if self.conn.closes_after_answer():
-            headers = [*headers, (b"Connection", b"close")]
-        self.conn.write(
-            h11.Response(
-                status_code=status,
-                headers=headers,
-                reason=REASON_PHRASES.get(status, b""),
-            )
-        )
-
-    def send(self, data: bytes) -> None:
-        """Send a chunk of the body."""
-        if not self.closed:
-            self.conn.write(h11.Data(data=data))
-
-    def read_from(self, source: Any) -> None:
-        """Pause a source, a transport, while the caller does not read."""
-        if self.closed:
-            return
-        transport = self.conn.transport
-        transport.unregisterProducer()
-        transport.registerProducer(source, True)
-
-    def finish(self) -> None:
-        """Complete the answer."""
-        if self.answered or self.closed:
-            return
-        self.answered = True
-        self.conn.transport.unregisterProducer()
-        self.conn.write(h11.EndOfMessage())
-        self.conn.request_done()
-
-    def abort(self) -> None:
-        """Abort the connection so that the answer cannot look complete."""
-        if self.answered or self.closed:
-            return
-        self.closed = True
-        self.conn.transport.abortConnection()
-
-    def notify_disconnect(self) -> None:
-        """Call ``on_disconnect`` unless the answer is complete."""
-        if self.answered or self.closed:
-            return
-        self.closed = True
-        self.on_disconnect()
-
-
-class BodyWriter:
-    """Pull producer that writes a body in slices, as its caller reads."""
-
-    __slots__ = ("body", "inbound", "position")
-
-    def __init__(self, inbound: InboundRequest, body: bytes) -> None:
-        self.inbound = inbound
-        self.body = body
-        self.position = 0
-
-    def start(self) -> None:
-        """Hold the body and write its first slice."""
-        self.inbound.conn.factory.buffers.hold(self, len(self.body))
-        if not self.inbound.closed:
-            self.inbound.conn.transport.registerProducer(self, False)
-
-    def resumeProducing(self) -> None:
-        """Write the next slice once the last one is sent."""
-        data = self.body[self.position : self.position + WRITE_BYTES]
-        self.position += len(data)
-        self.inbound.send(data)
-        if self.position >= len(self.body):
-            self.inbound.finish()
-            self.stopProducing()
-
-    def stopProducing(self) -> None:
-        """Drop the body: it is written, or its caller is gone."""
-        self.body = b""
-        self.inbound.conn.factory.buffers.release(self)
-
-    def evict(self) -> None:
-        """Abort the answer to a caller that reads too slowly."""
-        self.inbound.abort()
-        self.stopProducing()
-
-
 Handler = Callable[[InboundRequest], None]
 
 
 class ServerConnection(Protocol):
-    """A caller's connection; one request at a time."""
+    """A caller's connection; one request at a time.
+
+    ``pauses`` holds the causes for which it is not read: ``turn`` (others
+    are read first), ``memory`` (its body waits for room), ``pipeline``
+    (enough bytes behind the request in progress).
+    """
 
     transport: Any
 
@@ -197,17 +78,30 @@
         self.timer: Any = None
         self.reading = False
         self.is_rejected = False
+        self.is_lost = False
+        self.is_unread = False
+        self.has_moved = False
+        self.keys: tuple[str, ...] = ()
+        self.pauses: set[str] = set()
+        self.source: Any = None
+        self.unparsed = 0
 
     def connectionMade(self) -> None:
         """Start to wait for a request."""
         self.transport.setTcpNoDelay(True)
+        self.keys = (f"address {self.transport.getPeer().host}",)
         self.factory.connections.add(self)
+        self.transport.registerProducer(self, True)
         self._start_timer(self.factory.limits.idle_timeout_s)
+        self.factory.open.add(self)
 
     def connectionLost(self, reason: Any = None) -> None:
         """Notify the request in progress that its caller disconnected."""
+        self.is_lost = True
         self._cancel_timer()
         self.factory.connections.discard(self)
+        self.factory.open.discard(self)
+        self.factory.buffers.stop_waiting(self)
         self.factory.buffers.release(self)
         if self.current is not None:
             self.current.notify_disconnect()
@@ -220,14 +114,45 @@
         """Parse received bytes; a malformed request closes the connection."""
         if self.is_rejected:
             return
-        if self.current is None and not self.reading:
-            self.reading = True
-            self._start_timer(self.factory.limits.head_timeout_s)
+        self.has_moved = True
+        self.unparsed += len(data)
+        self._begin_reading()
         try:
             self.conn.receive_data(data)
-            self._process_events()
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint)
+            return
+        if self.current is None:
+            self._parse()
+        elif self.unparsed > MAX_PIPELINED_BYTES:
+            self._pause("pipeline")
+
+    def set_source(self, source: Any) -> None:
+        """Set what writes the answer; it is paused with the transport."""
+        self.source = source
+        self.transport.unregisterProducer()
+        self.transport.registerProducer(self, True)
+        if source is not None and self.is_unread:
+            source.pauseProducing()
+
+    def pauseProducing(self) -> None:
+        """Stop to answer a caller that does not read."""
+        self.is_unread = True
+        if self.source is not None:
+            self.source.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Go on to answer a caller that reads again."""
+        self.is_unread = False
+        if self.is_rejected or self.transport.disconnecting:
+            self.transport.unregisterProducer()
+        elif self.source is not None:
+            self.source.resumeProducing()
+        elif self.current is None:
+            self._resume_reading()
+
+    def stopProducing(self) -> None:
+        """Do nothing: the connection is lost."""
 
     def write(self, event: Any) -> None:
         """Send an h11 event of the answer."""
@@ -239,96 +164,245 @@
         """Wait for the next request after an answer, or close."""
         self.current = None
         self.reading = False
-        if self.conn.our_state is not h11.DONE:
-            self.transport.loseConnection()
-            return
-        if self.conn.their_state is not h11.DONE:
-            self.transport.loseConnection()
+        self.factory.buffers.release(self)
+        if (
+            self.conn.our_state is not h11.DONE
+            or self.conn.their_state is not h11.DONE
+        ):
+            self._close()
             return
         self.conn.start_next_cycle()
+        self.factory.open.set_idle(self)
         self._start_timer(self.factory.limits.idle_timeout_s)
         reactor.callLater(0, self._resume_reading)
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
         if self.current is None and not self.reading:
-            self.transport.loseConnection()
+            self._close()
 
     def reject_incomplete(self, status: int) -> None:
         """Reject a request that has not been read completely."""
         if self.current is None and self.reading:
             self._reject(status)
 
+    def make_room(self) -> None:
+        """Close the connection in favour of one that was opened later."""
+        if self.reading:
+            self._reject(503, linger=False)
+        else:
+            self._close()
+
+    def evict(self) -> None:
+        """Reject a request whose body takes too much of this host's memory."""
+        self.body = bytearray()
+        self._reject(503)
+
+    def _begin_reading(self) -> None:
+        if self.current is not None:
+            return
+        if not self.reading:
+            self.reading = True
+            self._start_timer(self.factory.limits.head_timeout_s)
+        self.factory.open.set_reading(self)
+
     def _resume_reading(self) -> None:
-        if self.current is None and self.conn.trailing_data[0]:
-            self.dataReceived(b"")
+        """Parse what has arrived behind the last request."""
+        if self.is_lost or self.is_rejected or self.current is not None:
+            return
+        if self.is_unread:
+            self._pause("pipeline")
+            return
+        if self.unparsed and not self.pauses & {"memory", "turn"}:
+            self._begin_reading()
+            self._parse()
+        if self.current is None:
+            self._resume("pipeline")
+
+    def _pause(self, cause: str) -> None:
+        if not self.pauses:
+            self.transport.pauseProducing()
+        self.pauses.add(cause)
+
+    def _resume(self, cause: str) -> None:
+        if cause not in self.pauses:
+            return
+        self.pauses.discard(cause)
+        if not (self.pauses or self.is_lost or self.transport.disconnecting):
+            self.transport.resumeProducing()
+
+    def _take_turn(self) -> None:
+        if self.is_lost or self.is_rejected:
+            return
+        self._resume("turn")
+        if "memory" not in self.pauses and self.current is None:
+            self._parse()
+
+    def _resume_body(self) -> None:
+        """Read a body for which there is room now."""
+        if self.is_lost or self.is_rejected:
+            return
+        self.has_moved = True
+        self._resume("memory")
+        self._expect_body()
+        if "turn" not in self.pauses:
+            self._parse()
+
+    def _parse(self) -> None:
+        """Handle the next events and account for what is left."""
+        try:
+            self._process_events()
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc.error_status_hint)
+            return
+        if self.current is None and self.reading and not self.is_rejected:
+            size = len(self.body)
+            self.factory.buffers.hold(
+                self,
+                size + size // GROWTH_SHARE + self.unparsed + CONNECTION_BYTES,
+                keys=self.keys,
+                waiting="memory" in self.pauses,
+            )
 
     def _process_events(self) -> None:
-        while self.current is None:
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self.current is not None:
+                return
             event = self.conn.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                if self.conn.their_state is h11.SEND_BODY:
+                    self.unparsed = 0
                 return
             if isinstance(event, h11.ConnectionClosed):
-                self.transport.loseConnection()
+                self._close()
                 return
             if not self._handle_event(event):
                 return
+        if self.current is None:
+            self._pause("turn")
+            reactor.callLater(0, self._take_turn)
 
     def _handle_event(self, event: Any) -> bool:
         """Handle one event of a request; return whether to continue."""
         if isinstance(event, h11.Request):
-            self.incoming = InboundRequest(self, event)
-            if _head_size(self.incoming) > self.factory.limits.max_head_bytes:
-                self._reject(431)
-                return False
-            if _has_conflicting_framing(self.incoming.headers):
-                self._reject(400)
-                return False
-            if self.conn.they_are_waiting_for_100_continue:
-                self.transport.write(CONTINUE_RESPONSE)
-        elif isinstance(event, h11.Data):
+            return self._handle_head(event)
+        if isinstance(event, h11.Data):
             size = len(self.body) + len(event.data)
             if size > self.factory.limits.max_body_bytes:
                 self._reject(413)
                 return False
             self.body += event.data
-            self.factory.buffers.hold(self, size)
-            return not self.is_rejected
         elif isinstance(event, h11.EndOfMessage):
-            self._cancel_timer()
-            inbound = self.incoming
-            inbound.body = bytes(self.body)
-            self.body = bytearray()
-            self.factory.buffers.release(self)
-            self.current = inbound
-            self.factory.handler(inbound)
+            self._handle_request()
             return False
         return True
 
-    def evict(self) -> None:
-        """Reject a request whose body takes too much of this host's memory."""
+    def _handle_head(self, event: h11.Request) -> bool:
+        self.incoming = InboundRequest(self, event)
+        limits = self.factory.limits
+        if _head_size(self.incoming) > limits.max_head_bytes:
+            self._reject(431)
+            return False
+        if _has_conflicting_framing(self.incoming.headers):
+            self._reject(400)
+            return False
+        length = _body_length(self.incoming.headers)
+        if length > limits.max_body_bytes and length >= 0:
+            self._reject(413)
+            return False
+        if not length:
+            return True
+        account = self.factory.name_account(self.incoming)
+        self.keys = self.keys[:1]
+        if account:
+            self.keys += (f"account {account}",)
+        self.factory.buffers.release(self)
+        self._start_timer(limits.idle_timeout_s)
+        small = 0 < length <= SMALL_BODY_BYTES
+        if not small and self.factory.buffers.is_short():
+            self._pause("memory")
+            self.factory.buffers.wait(self, self._resume_body)
+            return False
+        self._expect_body()
+        return True
+
+    def _expect_body(self) -> None:
+        if self.conn.they_are_waiting_for_100_continue:
+            self.transport.write(CONTINUE_RESPONSE)
+
+    def _handle_request(self) -> None:
+        """Hand a complete request to the handler."""
+        self._cancel_timer()
+        inbound = self.incoming
+        inbound.body = bytes(self.body)
         self.body = bytearray()
-        self._reject(503)
+        self.unparsed = len(self.conn.trailing_data[0])
+        self.current = inbound
+        self.factory.open.set_running(self)
+        if inbound.body:
+            self.factory.buffers.hold(
+                self,
+                len(inbound.body) * RUNNING_COPIES + CONNECTION_BYTES,
+                keys=self.keys,
+                fixed=True,
+            )
+        else:
+            self.factory.buffers.release(self)
+        self.factory.handler(inbound)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, *, linger: bool = True) -> None:
         """Reject a request with a status and close the connection."""
+        if self.is_rejected:
+            return
         self.is_rejected = True
+        self.body = bytearray()
+        self.factory.buffers.stop_waiting(self)
+        self.factory.buffers.release(self)
         self.factory.on_rejected(status)
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            if status == 503:
+                headers.append((b"Retry-After", NO_ROOM_RETRY_AFTER))
             head = h11.Response(
                 status_code=status,
-                headers=[
-                    (b"Content-Length", b"0"),
-                    (b"Connection", b"close"),
-                ],
+                headers=headers,
                 reason=REASON_PHRASES.get(status, b""),
             )
             self.write(head)
             self.write(h11.EndOfMessage())
+        # The rest of the input is not kept.
+        self.conn = h11.Connection(h11.SERVER)
+        self.unparsed = 0
+        if linger and self.factory.open.may_linger(self):
+            self._linger()
+        else:
+            self._close()
+
+    def _linger(self) -> None:
+        """Read on for a short time, so that a reset takes no answer away."""
+        self._cancel_timer()
+        self.pauses.clear()
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+        self.timer = reactor.callLater(
+            LINGER_S, self.transport.abortConnection
+        )
+
+    def _close(self) -> None:
+        """Close once the answer is sent, or when it is not read."""
+        if self.is_lost:
+            return
+        self._cancel_timer()
+        self.factory.open.set_running(self)
         self.transport.loseConnection()
+        self.timer = reactor.callLater(
+            self.factory.limits.idle_timeout_s, self.transport.abortConnection
+        )
 
     def _start_timer(self, delay_s: float) -> None:
         self._cancel_timer()
+        self.has_moved = False
         self.timer = reactor.callLater(delay_s, self._timed_out)
 
     def _cancel_timer(self) -> None:
@@ -338,10 +412,14 @@
 
     def _timed_out(self) -> None:
         self.timer = None
-        if self.reading:
+        if not self.reading:
+            self._close()
+        elif "memory" in self.pauses:
+            self._reject(503)
+        elif self.conn.their_state is h11.SEND_BODY and self.has_moved:
+            self._start_timer(self.factory.limits.idle_timeout_s)
+        else:
             self._reject(408)
-            return
-        self.transport.loseConnection()
 
 
 def _head_size(inbound: InboundRequest) -> int:
@@ -358,8 +436,21 @@
     return b"transfer-encoding" in names and b"content-length" in names
 
 
+def _body_length(headers: Headers) -> int:
+    """Return the length of the body, -1 if it comes in chunks."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+        if name == b"transfer-encoding":
+            return -1
+    return 0
+
+
 class ServerFactory(Factory):
-    """Factory for the connections of callers."""
+    """Factory for the connections of callers.
+
+    ``name_account`` returns the account of a request, '' if it names none.
+    """
 
     noisy = False
 
@@ -370,13 +461,20 @@
         *,
         on_rejected: Callable[[int], None] = lambda status: None,
         buffers: BufferBudget | None = None,
+        max_connections: int = 0,
+        name_account: Callable[[InboundRequest], str] = lambda inbound: "",
+        on_crowded: Callable[[str], None] = lambda address: None,
     ) -> None:
         self.buffers = buffers or BufferBudget(MAX_BUFFERED_BYTES)
         self.handler = handler
         self.limits = limits
         self.on_rejected = on_rejected
+        self.name_account = name_account
         self.draining = False
         self.connections: set[ServerConnection] = set()
+        self.open = OpenConnections(
+            max_connections or caller_connections(0), on_crowded
+        )
 
     def buildProtocol(self, addr: Any) -> ServerConnection:
         """Return the protocol of a new connection."""
--- a/tests/test_buffer_budget.py
+++ b/tests/test_buffer_budget.py
@@ -57,7 +57,7 @@
 def test_an_eviction_is_reported_with_its_bytes():
     reports = []
     budget = BufferBudget(
-        LIMIT, on_evicted=lambda kind, size: reports.append((kind, size))
+        LIMIT, on_evicted=lambda row: reports.append((row.kind, row.size))
     )
     budget.hold(Holder(budget), 900)
     budget.hold(Holder(budget), 200)
--- a/tests/test_entry_refusals.py
+++ b/tests/test_entry_refusals.py
@@ -10,7 +10,7 @@
 from magnoliaflow.entry.calls import CallHandler
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.nodefile import decode_host_settings
-from magnoliaflow.transport.server import InboundRequest
+from magnoliaflow.transport.inbound import InboundRequest
 
 BOOT_FILE = """nodeName=e-1
 zone=z1
