--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -20,6 +20,12 @@
 DEFAULT_MEMORY_MB = 384.0
 # Two bodies of the usual limit, so that one body always fits.
 MIN_CALLER_BYTES = 8 * MB
+# Memory of a connection that holds bytes beside these: parser and objects.
+CONNECTION_BYTES = 32 * 1024
+# Unused part of a buffer that grows: one byte in eight.
+GROWTH_PART = 8
+# A body in progress is kept once, and once more until its engine has read it.
+RUNNING_COPIES = 2
 # Descriptors that the platform reserves for files, and the share of the rest
 # for callers; the engines, the peers and the store need the remainder.
 FILE_DESCRIPTORS = 200
@@ -47,6 +53,22 @@
     return max(MIN_CALLER_BYTES, int(memory_mb * share * MB))
 
 
+def held_bytes(
+    *, incomplete: int, running: int, unparsed: int, unsent: int
+) -> int:
+    """Return the memory of a connection for the bytes that it holds.
+
+    ``incomplete`` and ``running`` are those of a body that is being read and
+    of one that an engine may read; 0 if the connection holds none.
+
+    >>> held_bytes(incomplete=800, running=0, unparsed=0, unsent=0)
+    33668
+    """
+    size = incomplete + incomplete // GROWTH_PART + running * RUNNING_COPIES
+    size += unparsed + unsent
+    return size + CONNECTION_BYTES if size else 0
+
+
 def caller_connections(
     descriptors: float, share: float = CALLER_DESCRIPTOR_SHARE
 ) -> int:
--- a/src/magnoliaflow/transport/inbound.py
+++ b/src/magnoliaflow/transport/inbound.py
@@ -21,10 +21,24 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+# Retry-After of a request for which there is no room.
+NO_ROOM_RETRY_AFTER = b"1"
 # An answer is handed to the transport in parts of this size.
 WRITE_BYTES = 64 * 1024
 
 
+def rejection(status: int) -> h11.Response:
+    """Return the head of an answer to input that is not handled."""
+    headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+    if status == 503:
+        headers.append((b"Retry-After", NO_ROOM_RETRY_AFTER))
+    return h11.Response(
+        status_code=status,
+        headers=headers,
+        reason=REASON_PHRASES.get(status, b""),
+    )
+
+
 class InboundRequest:
     """A request read from a connection, with methods to answer it."""
 
@@ -58,7 +72,7 @@
         if self.method == b"HEAD":
             body = b""
         self.body = b""
-        self.conn.factory.buffers.release(self.conn)
+        self.conn.account()
         length = (b"Content-Length", str(len(body)).encode())
         self.begin(status, [*headers, length])
         if len(body) > WRITE_BYTES:
--- /dev/null
+++ b/tests/test_caller_memory.py
@@ -0,0 +1,187 @@
+"""Decisions on callers' memory, and the reader of requests under noise."""
+
+from hypothesis import example
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from magnoliaflow.policy.callermemory import CallerMemory
+from magnoliaflow.transport import connection
+from magnoliaflow.transport import inbound
+from magnoliaflow.transport import memory
+from magnoliaflow.transport.server import ServerFactory
+from magnoliaflow.transport.server import ServerLimits
+
+LIMIT = 1000
+
+
+@pytest.fixture
+def account():
+    """Return an account with a limit of 1000 bytes."""
+    return CallerMemory(LIMIT)
+
+
+def test_a_slow_body_outlives_one_that_has_stopped(account):
+    account.put("stopped", 500, now=0.0)
+    for step in range(1, 100):
+        account.put("slow", 5 * step, now=step / 10)
+    assert account.choose(1, 9.9) == ["stopped"]
+    assert account.choose(1, 9.9, idle_s=1.0) == ["stopped"]
+
+
+def test_an_address_over_its_share_loses_its_own_work_first(account):
+    for number in range(6):
+        account.put(number, 100, now=number, keys=("address a",))
+    account.put("stopped", 90, now=0.0, keys=("address b",))
+    chosen = account.choose(600, 10.0)
+    assert set(chosen) == set(range(6))
+
+
+def test_requests_that_run_are_not_dropped_and_those_that_wait_last(account):
+    account.put("running", 800, now=0.0, fixed=True)
+    account.put("waiting", 100, now=0.0, waiting=True)
+    account.put("reading", 90, now=9.0)
+    assert account.choose(2000, 9.0) == ["reading", "waiting"]
+    assert account.choose(2000, 9.0, idle_s=1.0) == []
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 5), st.integers(0, 900), st.sampled_from("ab")
+        ),
+        max_size=40,
+    )
+)
+def test_the_account_is_the_sum_of_its_holders(steps):
+    account = CallerMemory(LIMIT)
+    for now, (holder, size, key) in enumerate(steps):
+        if size:
+            account.put(holder, size, now=now, keys=(key,))
+        else:
+            account.drop(holder)
+        sizes = [share.size for share in account.shares.values()]
+        assert account.total == sum(sizes) == sum(account.by_key.values())
+        excess = account.total - LIMIT
+        chosen = account.choose(excess, now)
+        freed = sum(account.shares[row].size for row in chosen)
+        assert freed >= excess and bool(chosen) == (excess > 0)
+
+
+class Transport(StringTransport):
+    """A transport that accepts what a socket does."""
+
+    def setTcpNoDelay(self, enabled):
+        """Do nothing."""
+
+    def loseWriteConnection(self):
+        """Do nothing: the connection is aborted later."""
+
+
+@pytest.fixture(scope="module")
+def open_connection():
+    """Return a function that opens a connection without a network."""
+    patch = pytest.MonkeyPatch()
+
+    def start():
+        clock = Clock()
+        for module in (connection, inbound, memory):
+            patch.setattr(module, "reactor", clock)
+        seen = []
+
+        def answer(request):
+            seen.append((request.target, request.body))
+            clock.callLater(0, request.respond, 200, [], b"done")
+
+        factory = ServerFactory(answer, ServerLimits())
+        conn = factory.buildProtocol(None)
+        conn.makeConnection(Transport())
+        return conn, clock, seen
+
+    yield start
+    patch.undo()
+
+
+def feed(conn, clock, data, size):
+    """Give bytes to a connection in pieces, as far as it reads."""
+    for at in range(0, len(data), size):
+        for _ in range(1000):
+            if conn.transport.producerState == "producing":
+                break
+            clock.advance(0.001)
+        if conn.transport.producerState != "producing":
+            return
+        conn.dataReceived(data[at : at + size])
+    clock.pump([0.001] * 200)
+
+
+def encode(target, body, chunk):
+    head = b"POST /%d HTTP/1.1\r\nHost: a\r\n" % target
+    if not chunk:
+        return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    parts = [body[at : at + chunk] for at in range(0, len(body), chunk)]
+    return b"".join(
+        [
+            head + b"Transfer-Encoding: chunked\r\n\r\n",
+            *(b"%x\r\n%s\r\n" % (len(part), part) for part in parts),
+            b"0\r\n\r\n",
+        ]
+    )
+
+
+@given(
+    st.lists(
+        st.tuples(st.binary(max_size=400), st.integers(0, 5)), max_size=6
+    ),
+    st.integers(1, 300),
+)
+@example([(b"", 0), (b"", 0), (b"a", 0)], 300)
+@example([(b"a" * 400, 1), (b"b", 0)], 300)
+@example([(b"", 0), (b"b" * 40, 1)], 39)
+def test_requests_are_read_whole_however_they_arrive(
+    open_connection, rows, size
+):
+    """A pipelined request is not taken for the end of the input."""
+    conn, clock, seen = open_connection()
+    data = b"".join(
+        encode(number, body, chunk)
+        for number, (body, chunk) in enumerate(rows)
+    )
+    feed(conn, clock, data, size)
+    assert seen == [
+        (b"/%d" % number, body) for number, (body, _) in enumerate(rows)
+    ]
+    assert conn.transport.value().count(b" 200 OK") == len(rows)
+    assert conn.factory.buffers.total == 0
+
+
+@given(
+    st.lists(
+        st.sampled_from(
+            [
+                b"POST /0 HTTP/1.1\r\nHost: a\r\n",
+                b"Transfer-Encoding: chunked\r\n",
+                b"Content-Length: 9\r\n",
+                b"Content-Length: 99999999999\r\n",
+                b"Expect: 100-continue\r\n",
+                b"\r\n",
+                b"1\r\nx\r\n",
+                b"0\r\n",
+                b"x" * 20_000,
+                b"\x00",
+            ]
+        ),
+        max_size=30,
+    ),
+    st.integers(1, 30_000),
+)
+@example([b"POST /0 HTTP/1.1\r\nHost: a\r\n", b"x" * 20_000], 30_000)
+def test_noise_leaves_nothing_behind(open_connection, parts, size):
+    conn, clock, _ = open_connection()
+    feed(conn, clock, b"".join(parts), size)
+    conn.connectionLost(None)
+    clock.pump([1.0] * 40)
+    assert conn.factory.buffers.total == 0
+    assert len(conn.factory.open) == 0 and not conn.factory.connections
