--- a/src/magnoliaflow/daemons/gateway.py
+++ b/src/magnoliaflow/daemons/gateway.py
@@ -28,12 +28,16 @@
 from magnoliaflow.core.state import GatewayState
 from magnoliaflow.daemons.gatewaycore import open_core
 from magnoliaflow.ingress.auth import Tokens
+from magnoliaflow.ingress.boundedsite import BoundedSite
 from magnoliaflow.ingress.callerapi import CallerApi
 from magnoliaflow.serving.shell import Shell
 
 EXIT_DELAY_S = 0.5
 ADAPTER_MODULES = (httpports,)
 IDENTITY_BYTES = 4
+# A body up to this many times the limit is read and gets a code; a connection
+# that sends more is closed.
+BODY_MARGIN = 2
 
 
 class Gateway:
@@ -62,7 +66,7 @@
         host = self.host
         self.ports = [
             _listen(host, host.peer_port, peer_factory(self.on_message)),
-            _listen(host, host.caller_port, Site(self.api.app.resource())),
+            _listen(host, host.caller_port, self._caller_site()),
             _listen(host, host.metrics_port, self._metrics_site()),
         ]
         self.shell.start()
@@ -93,6 +97,10 @@
         self.shell.stop()
         reactor.stop()
 
+    def _caller_site(self) -> Site:
+        limit = self.cfg.limits.body_bytes * BODY_MARGIN
+        return BoundedSite(self.api.app.resource(), limit)
+
     def _metrics_site(self) -> Site:
         root = Resource()
         registry = self.shell.core.state.metrics.registry
--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -22,6 +22,8 @@
 MIN_CALLER_BYTES = 8 * MB
 # Memory of a connection that holds bytes beside these: parser and objects.
 CONNECTION_BYTES = 32 * 1024
+# Fewer bytes of a connection are not counted.
+SMALL_BYTES = 4096
 # Unused part of a buffer that grows: one byte in eight.
 GROWTH_PART = 8
 # A body in progress is kept once, and once more until its engine has read it.
@@ -59,14 +61,17 @@
     """Return the memory of a connection for the bytes that it holds.
 
     ``incomplete`` and ``running`` are those of a body that is being read and
-    of one that an engine may read; 0 if the connection holds none.
+    of one that an engine may read, 0 if the connection holds none.  What is
+    small is bounded by the number of connections.
 
-    >>> held_bytes(incomplete=800, running=0, unparsed=0, unsent=0)
-    33668
+    >>> held_bytes(incomplete=8000, running=0, unparsed=0, unsent=0)
+    41768
+    >>> held_bytes(incomplete=0, running=800, unparsed=0, unsent=0)
+    0
     """
     size = incomplete + incomplete // GROWTH_PART + running * RUNNING_COPIES
     size += unparsed + unsent
-    return size + CONNECTION_BYTES if size else 0
+    return size + CONNECTION_BYTES if size > SMALL_BYTES else 0
 
 
 def caller_connections(
@@ -104,6 +109,8 @@
 
     def progress(self, now: float) -> float:
         """Return the decayed sum of moved bytes."""
+        if not self.moved:
+            return 0.0
         return self.moved * exp((self.moved_at - now) / PROGRESS_S)
 
 
--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -48,6 +48,7 @@
         self.reading = False
         self.is_rejected = False
         self.is_lost = False
+        self.is_held = False
         self.is_unread = False
         self.has_moved = False
         self.keys: tuple[str, ...] = ()
@@ -71,7 +72,7 @@
         self.factory.connections.discard(self)
         self.factory.open.discard(self)
         self.factory.buffers.stop_waiting(self)
-        self.factory.buffers.release(self)
+        self._release()
         if self.current is not None:
             self.current.notify_disconnect()
 
@@ -101,8 +102,6 @@
     def set_source(self, source: Any) -> None:
         """Set what writes the answer; it is paused with the transport."""
         self.source = source
-        self.transport.unregisterProducer()
-        self.transport.registerProducer(self, True)
         if source is not None and self.is_unread:
             source.pauseProducing()
 
@@ -178,6 +177,11 @@
         else:
             self._reject(503)
 
+    def _release(self) -> None:
+        if self.is_held:
+            self.is_held = False
+            self.factory.buffers.release(self)
+
     def account(self) -> None:
         """Set what this connection holds in the account of the host."""
         if self.is_lost or self.is_rejected:
@@ -189,8 +193,9 @@
             unsent=WRITE_BYTES if self.is_unread else 0,
         )
         if not size:
-            self.factory.buffers.release(self)
+            self._release()
             return
+        self.is_held = True
         self.factory.buffers.hold(
             self,
             size,
@@ -311,10 +316,9 @@
         if not length:
             return True
         account = self.factory.name_account(inbound)
-        self.keys = self.keys[:1]
-        if account:
-            self.keys += (f"account {account}",)
-        self.factory.buffers.release(self)
+        address = self.keys[0]
+        self.keys = (address, f"account {account}") if account else (address,)
+        self._release()
         self._start_timer(limits.idle_timeout_s)
         small = 0 < length <= SMALL_BODY_BYTES
         if not small and self.factory.buffers.is_short():
@@ -347,7 +351,7 @@
         self.is_rejected = True
         self.body = bytearray()
         self.factory.buffers.stop_waiting(self)
-        self.factory.buffers.release(self)
+        self._release()
         self.factory.on_rejected(status)
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.write(rejection(status))
--- a/src/magnoliaflow/transport/connections.py
+++ b/src/magnoliaflow/transport/connections.py
@@ -16,6 +16,7 @@
 
     __slots__ = (
         "idle",
+        "kinds",
         "limit",
         "lingering",
         "on_crowded",
@@ -26,6 +27,7 @@
     def __init__(self, limit: int, on_crowded: Callable[[str], None]) -> None:
         self.limit = limit
         self.on_crowded = on_crowded
+        self.kinds: dict[Any, dict[Any, None]] = {}
         self.idle: dict[Any, None] = {}
         self.reading: dict[Any, None] = {}
         self.running: dict[Any, None] = {}
@@ -33,20 +35,17 @@
 
     def __len__(self) -> int:
         """Return the number of open connections."""
-        return sum(
-            map(len, (self.idle, self.reading, self.running, self.lingering))
-        )
+        return len(self.kinds)
 
     def add(self, conn: Any) -> None:
         """Add a new connection; close another one if there are too many."""
-        if len(self) < self.limit:
-            self.idle[conn] = None
+        self.idle[conn] = None
+        self.kinds[conn] = self.idle
+        if len(self) <= self.limit:
             return
         kinds = (self.lingering, self.idle, self.reading)
-        victim = next((next(iter(kind)) for kind in kinds if kind), conn)
+        victim = next(next(iter(kind)) for kind in kinds if kind)
         self.on_crowded(victim.transport.getPeer().host)
-        if victim is not conn:
-            self.idle[conn] = None
         if victim is conn or victim in self.lingering:
             victim.transport.abortConnection()
         else:
@@ -54,29 +53,28 @@
 
     def set_idle(self, conn: Any) -> None:
         """Record that a connection waits for a request."""
-        self.discard(conn)
-        self.idle[conn] = None
+        self._move(conn, self.idle)
 
     def set_reading(self, conn: Any) -> None:
         """Record that a part of a request has arrived."""
-        self.idle.pop(conn, None)
-        self.reading.pop(conn, None)
-        self.reading[conn] = None
+        self._move(conn, self.reading)
 
     def set_running(self, conn: Any) -> None:
         """Record that a request is complete, or that its end is near."""
-        self.discard(conn)
-        self.running[conn] = None
+        self._move(conn, self.running)
 
     def may_linger(self, conn: Any) -> bool:
         """Return whether a rejected connection may stay open for a time."""
         if len(self.lingering) >= self.limit // LINGER_PART:
             return False
-        self.discard(conn)
-        self.lingering[conn] = None
+        self._move(conn, self.lingering)
         return True
 
     def discard(self, conn: Any) -> None:
         """Forget a connection."""
-        for kind in (self.idle, self.reading, self.running, self.lingering):
-            kind.pop(conn, None)
+        self.kinds.pop(conn, {}).pop(conn, None)
+
+    def _move(self, conn: Any, kind: dict[Any, None]) -> None:
+        self.kinds[conn].pop(conn)
+        self.kinds[conn] = kind
+        kind[conn] = None
--- a/src/magnoliaflow/transport/inbound.py
+++ b/src/magnoliaflow/transport/inbound.py
@@ -164,6 +164,9 @@
         self.inbound.conn.factory.buffers.touch(self, len(data))
         self.inbound.send(data)
         if self.position >= len(self.body):
+            conn = self.inbound.conn
+            conn.transport.unregisterProducer()
+            conn.transport.registerProducer(conn, True)
             self.inbound.finish()
             self.stopProducing()
 
