--- a/src/magnoliaflow/ingress/boundedsite.py
+++ b/src/magnoliaflow/ingress/boundedsite.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-from twisted.web.resource import IResource
 from twisted.web.server import Request
 from twisted.web.server import Site
 
@@ -31,6 +30,6 @@
 class BoundedSite(Site):
     """A site with a limit on the bytes of each body."""
 
-    def __init__(self, resource: IResource, max_body_bytes: int) -> None:
+    def __init__(self, resource: Any, max_body_bytes: int) -> None:
         super().__init__(resource, requestFactory=BoundedRequest)
         self.max_body_bytes = max_body_bytes
