--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -66,8 +66,8 @@
 from magnoliaflow.platform.store import StoreClient
 from magnoliaflow.policy.callermemory import caller_connections
 from magnoliaflow.transport.inbound import InboundRequest
+from magnoliaflow.transport.limits import ServerLimits
 from magnoliaflow.transport.server import ServerFactory
-from magnoliaflow.transport.server import ServerLimits
 
 SYSTEM_MODULES = (capshares, maintenance)
 # A fifth of the shortest interval of a duty or system.
--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -8,21 +8,16 @@
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.policy.callermemory import held_bytes
 from magnoliaflow.transport.framing import body_length
-from magnoliaflow.transport.framing import has_conflicting_framing
-from magnoliaflow.transport.framing import head_size
+from magnoliaflow.transport.framing import head_fault
 from magnoliaflow.transport.inbound import InboundRequest
 from magnoliaflow.transport.inbound import rejection
 from magnoliaflow.transport.inbound import WRITE_BYTES
+from magnoliaflow.transport.limits import LINGER_S
+from magnoliaflow.transport.limits import MAX_EVENTS_PER_TURN
+from magnoliaflow.transport.limits import MAX_PIPELINED_BYTES
+from magnoliaflow.transport.limits import SMALL_BODY_BYTES
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# Events of one connection in one turn of the reactor, each about 15 us.
-MAX_EVENTS_PER_TURN = 32
-# Bytes behind a request in progress at which its connection is not read.
-MAX_PIPELINED_BYTES = 16 * 1024
-# A body up to this length does not wait for room.
-SMALL_BODY_BYTES = 16 * 1024
-# A rejected caller that still sends may read its answer for so long.
-LINGER_S = 0.5
 
 
 class ServerConnection(Protocol):
@@ -162,7 +157,7 @@
     def make_room(self) -> None:
         """Close the connection in favour of one that was opened later."""
         if self.reading:
-            self._reject(503, linger=False)
+            self._reject(503, linger=False, has_room=False)
         else:
             self._close()
 
@@ -175,7 +170,7 @@
         if self.is_unread:
             self.transport.abortConnection()
         else:
-            self._reject(503)
+            self._reject(503, has_room=False)
 
     def _release(self) -> None:
         if self.is_held:
@@ -303,16 +298,11 @@
         inbound = InboundRequest(self, event)
         self.incoming = inbound
         limits = self.factory.limits
-        if head_size(inbound.target, inbound.headers) > limits.max_head_bytes:
-            self._reject(431)
-            return False
-        if has_conflicting_framing(inbound.headers):
-            self._reject(400)
+        fault = head_fault(inbound.target, inbound.headers, limits)
+        if fault:
+            self._reject(fault)
             return False
         length = body_length(inbound.headers)
-        if length > limits.max_body_bytes:
-            self._reject(413)
-            return False
         if not length:
             return True
         account = self.factory.name_account(inbound)
@@ -344,7 +334,9 @@
         self.account()
         self.factory.handler(inbound)
 
-    def _reject(self, status: int, *, linger: bool = True) -> None:
+    def _reject(
+        self, status: int, *, linger: bool = True, has_room: bool = True
+    ) -> None:
         """Reject a request with a status and close the connection."""
         if self.is_rejected:
             return
@@ -354,12 +346,16 @@
         self._release()
         self.factory.on_rejected(status)
         if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.write(rejection(status))
+            self.write(rejection(status, has_room))
             self.write(h11.EndOfMessage())
         # The rest of the input is not kept.
         self.conn = h11.Connection(h11.SERVER)
         self.unparsed = 0
-        if linger and self.factory.open.may_linger(self):
+        if (
+            linger
+            and not self.is_unread
+            and self.factory.open.may_linger(self)
+        ):
             self._linger()
         else:
             self._close()
@@ -371,9 +367,7 @@
         self.transport.unregisterProducer()
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
-        self.timer = reactor.callLater(
-            LINGER_S, self.transport.abortConnection
-        )
+        self.timer = reactor.callLater(LINGER_S, self._close)
 
     def _close(self) -> None:
         """Close once the answer is sent, or when it is not read."""
@@ -401,7 +395,7 @@
         if not self.reading:
             self._close()
         elif "memory" in self.pauses:
-            self._reject(503)
+            self._reject(503, has_room=False)
         elif self.conn.their_state is h11.SEND_BODY and self.has_moved:
             self._start_timer(self.factory.limits.idle_timeout_s)
         else:
--- a/src/magnoliaflow/transport/inbound.py
+++ b/src/magnoliaflow/transport/inbound.py
@@ -27,10 +27,10 @@
 WRITE_BYTES = 64 * 1024
 
 
-def rejection(status: int) -> h11.Response:
+def rejection(status: int, has_room: bool) -> h11.Response:
     """Return the head of an answer to input that is not handled."""
     headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-    if status == 503:
+    if not has_room:
         headers.append((b"Retry-After", NO_ROOM_RETRY_AFTER))
     return h11.Response(
         status_code=status,
--- a/src/magnoliaflow/transport/server.py
+++ b/src/magnoliaflow/transport/server.py
@@ -9,29 +9,12 @@
 from magnoliaflow.transport.connection import ServerConnection
 from magnoliaflow.transport.connections import OpenConnections
 from magnoliaflow.transport.inbound import InboundRequest
+from magnoliaflow.transport.limits import ServerLimits
 from magnoliaflow.transport.memory import BufferBudget
 
 # Bodies that a server without a budget of its own may buffer.
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
-
-class ServerLimits:
-    """Limits on request sizes in bytes and waiting times in seconds."""
-
-    __slots__ = (
-        "head_timeout_s",
-        "idle_timeout_s",
-        "max_body_bytes",
-        "max_head_bytes",
-    )
-
-    def __init__(self) -> None:
-        self.max_head_bytes = 16384
-        self.max_body_bytes = 4 * 1024 * 1024
-        self.head_timeout_s = 3.0
-        self.idle_timeout_s = 15.0
-
-
 Handler = Callable[[InboundRequest], None]
 
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -10,9 +10,9 @@
 from magnoliaflow.policy.callermemory import CallerMemory
 from magnoliaflow.transport import connection
 from magnoliaflow.transport import inbound
+from magnoliaflow.transport.limits import ServerLimits
 from magnoliaflow.transport import memory
 from magnoliaflow.transport.server import ServerFactory
-from magnoliaflow.transport.server import ServerLimits
 
 LIMIT = 1000
 
