--- a/src/magnoliaflow/entry/callerlog.py
+++ b/src/magnoliaflow/entry/callerlog.py
@@ -31,7 +31,7 @@
             bytes=row.size,
             idle_s=round(row.idle_s, 3),
             held=row.held,
-            limit=self.state.buffers.memory.limit_bytes,
+            limit=self.state.buffers.limit_bytes,
             address=names.get("address", ""),
             account=names.get("account", ""),
         )
--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -133,10 +133,7 @@
         self.current = None
         self.reading = False
         self.account()
-        if (
-            self.conn.our_state is not h11.DONE
-            or self.conn.their_state is not h11.DONE
-        ):
+        if {self.conn.our_state, self.conn.their_state} != {h11.DONE}:
             self._close()
             return
         self.conn.start_next_cycle()
@@ -341,7 +338,7 @@
         if self.is_rejected:
             return
         self.is_rejected = True
-        self.body = bytearray()
+        self.body.clear()
         self.factory.buffers.stop_waiting(self)
         self._release()
         self.factory.on_rejected(status)
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -74,6 +74,15 @@
         """Return the bytes of all holders."""
         return self.memory.total
 
+    @property
+    def limit_bytes(self) -> int:
+        """Return the bytes that all may hold."""
+        return self.memory.limit_bytes
+
+    @limit_bytes.setter
+    def limit_bytes(self, value: int) -> None:
+        self.memory.limit_bytes = value
+
     def is_short(self) -> bool:
         """Return whether new bodies have to wait."""
         return self.memory.is_short()
