--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -2,7 +2,8 @@
 
 Answers a crowd of callers that send much, stop short of the end and stay
 open, or do not read their answers.  The holder with the least progress per
-held byte goes first, so that a slow caller outlives one that has stopped.
+held byte goes first, so that a slow caller outlives one that has stopped; of
+those with similar progress the largest.
 """
 
 from collections.abc import Hashable
@@ -11,6 +12,7 @@
 from dataclasses import dataclass
 from math import exp
 from math import inf
+from math import log2
 
 MB = 1024 * 1024
 # Share of a host's memory for what it holds for its callers; the process
@@ -41,6 +43,8 @@
 FAIR_SHARE = 0.5
 # Time constant of the decay of progress.
 PROGRESS_S = 2.0
+# Less progress per held byte is none.
+MIN_PACE = 0.001
 # A holder without progress for this long makes room for those that wait.
 STALLED_S = 1.0
 
@@ -113,6 +117,11 @@
             return 0.0
         return self.moved * exp((self.moved_at - now) / PROGRESS_S)
 
+    def pace(self, now: float) -> int:
+        """Return the class of progress per held byte, a factor of two each."""
+        ratio = self.progress(now) / max(1, self.size)
+        return round(log2(max(MIN_PACE, ratio)))
+
 
 class CallerMemory:
     """Account of the bytes that a host holds for its callers.
@@ -202,7 +211,7 @@
             key=lambda row: (
                 greedy not in row[1].keys,
                 row[1].waiting,
-                row[1].progress(now) / max(1, row[1].size),
+                row[1].pace(now),
                 -row[1].size,
             ),
         )
