--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -7,6 +7,7 @@
 
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.policy.callermemory import held_bytes
+from magnoliaflow.transport.bodybuffer import BodyBuffer
 from magnoliaflow.transport.framing import body_length
 from magnoliaflow.transport.framing import head_fault
 from magnoliaflow.transport.inbound import InboundRequest
@@ -38,7 +39,7 @@
         )
         self.current: InboundRequest | None = None
         self.incoming: Any = None
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.timer: Any = None
         self.reading = False
         self.is_rejected = False
@@ -285,7 +286,7 @@
             if size > self.factory.limits.max_body_bytes:
                 self._reject(413)
                 return False
-            self.body += event.data
+            self.body.add(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._handle_request()
             return False
@@ -323,8 +324,7 @@
         """Hand a complete request to the handler."""
         self._cancel_timer()
         inbound = self.incoming
-        inbound.body = bytes(self.body)
-        self.body = bytearray()
+        inbound.body = self.body.take()
         self.unparsed = len(self.conn.trailing_data[0])
         self.current = inbound
         self.factory.open.set_running(self)
--- a/src/magnoliaflow/transport/connections.py
+++ b/src/magnoliaflow/transport/connections.py
@@ -39,12 +39,12 @@
 
     def add(self, conn: Any) -> None:
         """Add a new connection; close another one if there are too many."""
+        kinds = (self.lingering, self.idle, self.reading)
+        victim = next((next(iter(kind)) for kind in kinds if kind), conn)
         self.idle[conn] = None
         self.kinds[conn] = self.idle
         if len(self) <= self.limit:
             return
-        kinds = (self.lingering, self.idle, self.reading)
-        victim = next(next(iter(kind)) for kind in kinds if kind)
         self.on_crowded(victim.transport.getPeer().host)
         if victim is conn or victim in self.lingering:
             victim.transport.abortConnection()
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -1,5 +1,7 @@
 """Decisions on callers' memory, and the reader of requests under noise."""
 
+from unittest.mock import Mock
+
 from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,6 +11,7 @@
 
 from magnoliaflow.policy.callermemory import CallerMemory
 from magnoliaflow.transport import connection
+from magnoliaflow.transport.connections import OpenConnections
 from magnoliaflow.transport import inbound
 from magnoliaflow.transport.limits import ServerLimits
 from magnoliaflow.transport import memory
@@ -70,6 +73,30 @@
         assert freed >= excess and bool(chosen) == (excess > 0)
 
 
+def test_a_new_connection_closes_the_least_recent_of_the_right_kind():
+    crowded = []
+    opened = OpenConnections(3, crowded.append)
+    conns = [Mock() for _ in range(6)]
+    for conn in conns[:3]:
+        opened.add(conn)
+    opened.set_reading(conns[1])
+    opened.set_reading(conns[2])
+    opened.set_reading(conns[1])
+    for number, victim in ((3, 0), (4, 3)):
+        opened.add(conns[number])
+        conns[victim].make_room.assert_called_once()
+        opened.discard(conns[victim])
+    opened.set_running(conns[4])
+    opened.add(conns[5])
+    conns[2].make_room.assert_called_once()
+    opened.discard(conns[2])
+    opened.set_running(conns[1])
+    opened.set_running(conns[5])
+    opened.add(conns[0])
+    conns[0].transport.abortConnection.assert_called_once()
+    assert len(crowded) == 4
+
+
 class Transport(StringTransport):
     """A transport that accepts what a socket does."""
 
