--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -150,7 +150,7 @@
     def reject_incomplete(self, status: int) -> None:
         """Reject a request that has not been read completely."""
         if self.current is None and self.reading:
-            self._reject(status)
+            self._reject(status, linger=False)
 
     def make_room(self) -> None:
         """Close the connection in favour of one that was opened later."""
