--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -100,7 +100,10 @@
   1: string account, 2: double rate, 3: double spent
 }
 struct UsageCount { 1: string account, 2: i64 window, 3: i32 count }
-struct EngineLoad { 1: string engine, 2: i32 running, 3: i32 unread_tokens }
+struct EngineLoad {
+  1: string engine, 2: i32 running, 3: i32 unread_tokens,
+  4: optional i32 speed_weight, 5: optional i32 speed_total
+}
 struct ServiceLoad {
   1: string backend, 2: double tokens_rate, 3: i32 running
 }
@@ -132,7 +135,8 @@
   1: list<string> engines, 2: list<i32> running, 3: list<i64> unread_tokens,
   4: list<string> accounts, 5: list<double> rates, 6: list<double> spent,
   7: list<string> services, 8: list<double> token_rates,
-  9: list<i32> service_running
+  9: list<i32> service_running, 10: optional list<i32> speed_weights,
+  11: optional list<i32> speed_totals
 }
 struct Progress {
   1: i64 version, 2: double config_age, 3: i64 fleet_end,
--- a/src/magnoliaflow/cluster/sums.py
+++ b/src/magnoliaflow/cluster/sums.py
@@ -8,11 +8,15 @@
 
 @dataclass(slots=True)
 class Sums:
-    """Sums over other hosts: engines, accounts' demands and services."""
+    """Sums over other hosts: engines, accounts' demands and services.
+
+    ``speeds`` are the scaled evidence of engines' prefill rates.
+    """
 
     engines: dict[str, list[int]] = field(default_factory=dict)
     rates: dict[str, float] = field(default_factory=dict)
     services: dict[str, list[float]] = field(default_factory=dict)
+    speeds: dict[str, list[int]] = field(default_factory=dict)
 
     def add(self, loads: LoadSums, sign: int = 1) -> None:
         """Add loads, or subtract them with a sign of -1."""
@@ -22,6 +26,12 @@
             engine = self.engines.setdefault(name, [0, 0])
             engine[0] += sign * running
             engine[1] += sign * unread
+        for name, weight, total in zip(
+            loads.engines, loads.speed_weights, loads.speed_totals
+        ):
+            speed = self.speeds.setdefault(name, [0, 0])
+            speed[0] += sign * weight
+            speed[1] += sign * total
         for name, rate in zip(loads.accounts, loads.rates):
             self.rates[name] = self.rates.get(name, 0.0) + sign * rate
         for name, rate, running in zip(
@@ -34,11 +44,21 @@
     def loads(self, spent: dict[str, float]) -> LoadSums:
         """Return the sums as columns, with the totals spent by account."""
         accounts = sorted(self.rates.keys() | spent.keys())
-        engines = [name for name, load in self.engines.items() if any(load)]
+        speeds = {
+            name: speed for name, speed in self.speeds.items() if speed[0]
+        }
+        engines = [
+            name
+            for name in {**self.engines, **speeds}
+            if name in speeds or any(self.engines[name])
+        ]
+        none = (0, 0)
         return LoadSums(
             engines=tuple(engines),
-            running=tuple(self.engines[name][0] for name in engines),
-            unread_tokens=tuple(self.engines[name][1] for name in engines),
+            running=tuple(self.engines.get(name, none)[0] for name in engines),
+            unread_tokens=tuple(
+                self.engines.get(name, none)[1] for name in engines
+            ),
             accounts=tuple(accounts),
             rates=tuple(self.rates.get(name, 0.0) for name in accounts),
             spent=tuple(spent.get(name, 0.0) for name in accounts),
@@ -47,4 +67,17 @@
             service_running=tuple(
                 int(load[1]) for load in self.services.values()
             ),
+            speed_weights=_speed_column(speeds, engines, 0),
+            speed_totals=_speed_column(speeds, engines, 1),
         )
+
+
+def _speed_column(
+    speeds: dict[str, list[int]], engines: list[str], index: int
+) -> tuple[int, ...]:
+    """Return one column of the evidence, empty if there is none."""
+    if not speeds:
+        return ()
+    return tuple(
+        speeds[name][index] if name in speeds else 0 for name in engines
+    )
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -64,6 +64,8 @@
     ENGINE_UNLIMITED = 643
     REQUEST_HELD = 644
     REQUEST_RELEASED = 645
+    SPEEDS_LEARNED = 646
+    ENGINES_PLANNED = 647
 
 
 EXPLANATIONS = {
@@ -117,6 +119,8 @@
     LogEvent.ENGINE_UNLIMITED: "An engine no longer names a limit.",
     LogEvent.REQUEST_HELD: "A request is held back: engines ended.",
     LogEvent.REQUEST_RELEASED: "A request is no longer held back.",
+    LogEvent.SPEEDS_LEARNED: "Prefill rates learned of a service's engines.",
+    LogEvent.ENGINES_PLANNED: "A plan of engines, and the load that came.",
 }
 
 
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -195,11 +195,15 @@
     """A host's load on an engine.
 
     ``unread_tokens`` are prompt tokens of requests without a first token.
+    ``speed_weight`` and ``speed_total`` are evidence of the engine's prefill
+    rate (enginespeeds), in hundredths.
     """
 
     engine: str
     running: int
     unread_tokens: int
+    speed_weight: int = 0
+    speed_total: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,6 +308,8 @@
     Per engine: open requests and prompt tokens without a first token.  Per
     account: demand per second and the total ``spent`` of its cap, in the
     cap's unit.  Per service: prompt tokens per second and open requests.
+    Per engine too, or empty: evidence of its prefill rate (enginespeeds), in
+    hundredths.
     """
 
     engines: tuple[str, ...] = ()
@@ -315,6 +321,8 @@
     services: tuple[str, ...] = ()
     token_rates: tuple[float, ...] = ()
     service_running: tuple[int, ...] = ()
+    speed_weights: tuple[int, ...] = ()
+    speed_totals: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -7,6 +7,7 @@
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.entry.brokenanswers import record_broken_answer
 from magnoliaflow.entry.brokenanswers import record_sound_answer
+from magnoliaflow.entry.enginespeeds import record_first_token
 from magnoliaflow.entry.limits import record_limit
 from magnoliaflow.platform.headers import decode_engine_head
 from magnoliaflow.platform.headers import encode_forward
@@ -57,6 +58,7 @@
         "event_count",
         "exchange",
         "expected_s",
+        "queued_ahead",
         "first_event_at",
         "head",
         "opened_at",
@@ -76,7 +78,9 @@
         self.handler = handler
         self.engine = engine
         self.uncached = uncached
-        self.expected_s = first_token_s(engine, uncached, boot_time())
+        now = boot_time()
+        self.expected_s = first_token_s(engine, uncached, now)
+        self.queued_ahead = engine.tokens_ahead(now)
         self.exchange: Exchange | None = None
         self.head: EngineResponseHead | None = None
         self.body = bytearray()
@@ -312,8 +316,15 @@
         self.first_event_at = now
         self.engine.record_prompt_read(self.uncached)
         elapsed_s = now - self.opened_at
-        predicted_s = self.expected_s / self.engine.slowness
-        self.engine.record_slowness(elapsed_s / max(0.01, predicted_s))
+        if not self.engine.learned_rate:
+            predicted_s = self.expected_s / self.engine.slowness
+            self.engine.record_slowness(elapsed_s / max(0.01, predicted_s))
+        record_first_token(
+            self.handler.state,
+            self.engine,
+            self.queued_ahead + self.uncached,
+            elapsed_s,
+        )
         self._count_usage(now)
 
     def _count_usage(self, at: float) -> None:
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -40,6 +40,7 @@
 from magnoliaflow.entry.drain import Drain
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.duties import UsageDuty
+from magnoliaflow.entry.enginespeeds import speed_details
 from magnoliaflow.entry.findings import FindingsSender
 from magnoliaflow.entry.findings import hold_details
 from magnoliaflow.entry.findings import holds_request
@@ -211,6 +212,7 @@
                     if holds_request(hold)
                 ],
                 "limit": limit_details(self.state),
+                "speed": speed_details(self.state),
                 "store": [store_details(self.state)],
             }
             inbound.respond(
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -21,6 +21,7 @@
         "faults",
         "first_byte",
         "in_flight",
+        "learned_rate",
         "lease_held",
         "parts_held",
         "refusals",
@@ -79,6 +80,13 @@
             "Engines that name a limit of requests a second.",
             registry=registry,
         )
+        self.learned_rate = Gauge(
+            "magnoliaflow_entry_learned_rate",
+            "Learned prompt tokens a second of engines: lowest, median, "
+            "highest.",
+            ["service", "bound"],
+            registry=registry,
+        )
         self.faults = Counter(
             "magnoliaflow_entry_faults",
             "Unexpected errors after which the process went on, by place.",
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -247,9 +247,15 @@
             for window, account, count in usage
         ),
         engines=tuple(
-            EngineLoad(engine.name, engine.local_running, engine.unread_tokens)
+            EngineLoad(
+                engine.name,
+                engine.local_running,
+                engine.unread_tokens,
+                *evidence,
+            )
             for engine in state.routing.engines.values()
-            if engine.local_running
+            if (evidence := engine.speed.scaled(now))[0]
+            or engine.local_running
         ),
         services=tuple(
             ServiceLoad(
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -8,11 +8,14 @@
 from magnoliaflow.common.errors import StartRefusedError
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.entry.enginespeeds import service_speeds
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.updates import DEFAULT_PREFILL_RATE
 from magnoliaflow.platform.cloud import CloudClient
 from magnoliaflow.policy.routes import Scaling
 from magnoliaflow.policy.routes import Service
+from magnoliaflow.policy.scaling import Capacity
+from magnoliaflow.policy.scaling import learned_capacity
 from magnoliaflow.policy.scaling import Load
 from magnoliaflow.policy.scaling import plan_engines
 from magnoliaflow.policy.scaling import ZoneSupply
@@ -49,6 +52,8 @@
 # retry delay above and the time that a reclaimable engine takes to start.
 CAPACITY_SHORTAGE_S = 8.0
 FAILED_RETRY_DELAY_S = 0.5
+# Interval of the log lines on a service's plan.
+PLAN_LOG_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
@@ -73,6 +78,7 @@
         "assumed_engines",
         "shortage_until",
         "cloud",
+        "next_log_at",
         "next_plan_at",
         "first_load_at",
         "last_registered_at",
@@ -89,6 +95,7 @@
         self.state = state
         self.cloud = cloud
         self.next_plan_at = -inf
+        self.next_log_at: dict[str, float] = {}
         self.shortage_until: dict[tuple[str, str], float] = {}
         self.first_load_at = inf
         self.last_registered_at = -inf
@@ -162,6 +169,7 @@
     def _plan(self, service: Service, now: float) -> None:
         scaling = service.scaling
         assert scaling is not None
+        each = self._capacity(service)
         supplies = self._supplies(service, now)
         load = self._peak(service.name, now - PEAK_WINDOW_S)
         recent = self._peak(service.name, now - ON_DEMAND_PEAK_WINDOW_S)
@@ -169,20 +177,23 @@
             known = self._known_on_demand(service.name)
             assumed = max(known, self.assumed_engines.get(service.name, 0))
             self.assumed_engines[service.name] = assumed
-            rate = assumed * DEFAULT_PREFILL_RATE * ASSUMED_UTILIZATION
+            rate = assumed * each.tokens_per_s * ASSUMED_UTILIZATION
             load = Load(max(load.tokens_per_s, rate), load.running)
             recent = load
         plan = plan_engines(
             scaling,
             supplies,
             load,
-            DEFAULT_PREFILL_RATE,
+            each.tokens_per_s,
+            running=each.running,
             previous_spot=self.spot_totals.get(service.name, 0),
             recent=recent,
             never_used=self._never_used(),
             load_uncertain=self._load_uncertain(now),
         )
         self.spot_totals[service.name] = sum(wanted.spot for wanted in plan)
+        if service.name in self.state.learning_services:
+            self._log_plan(service.name, each, load, supplies, plan, now)
         for wanted in plan:
             supply = next(
                 candidate
@@ -191,6 +202,41 @@
             )
             self._order_engines(service, scaling, wanted, supply, now)
 
+    def _capacity(self, service: Service) -> Capacity:
+        """Return what a plan counts on for each engine of a service."""
+        speeds = service_speeds(self.state, service.name)
+        if speeds is None:
+            return Capacity(DEFAULT_PREFILL_RATE)
+        return learned_capacity(speeds, service.slots)
+
+    def _log_plan(
+        self,
+        name: str,
+        each: Capacity,
+        load: Load,
+        supplies: list[ZoneSupply],
+        plan: list[ZoneTarget],
+        now: float,
+    ) -> None:
+        """Log what is planned for, and what was when engines take to boot."""
+        if now < self.next_log_at.get(name, -inf):
+            return
+        self.next_log_at[name] = now + PLAN_LOG_INTERVAL_S
+        _, current = self.recent_loads[name][-1]
+        self.state.log(
+            LogEvent.ENGINES_PLANNED,
+            backend=name,
+            each=round(each.tokens_per_s),
+            slots=round(each.running, 1),
+            planned_rate=round(load.tokens_per_s),
+            planned_running=round(load.running),
+            rate=round(current.tokens_per_s),
+            running=round(current.running),
+            engines=sum(supply.spot + supply.on_demand for supply in supplies),
+            spot=sum(wanted.spot for wanted in plan),
+            on_demand=sum(wanted.on_demand for wanted in plan),
+        )
+
     def _known_on_demand(self, name: str) -> int:
         """Return how many on-demand engines were ever registered.
 
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -165,6 +165,7 @@
         "probed_engines",
         "identity",
         "known_holds",
+        "learning_services",
         "lease_manager",
         "lifecycle",
         "limited_engines",
@@ -173,6 +174,8 @@
         "metrics",
         "next_gauges_at",
         "next_rate_update_at",
+        "next_speed_log_at",
+        "next_speed_update_at",
         "rate_limits",
         "peer_addresses",
         "ports_held",
@@ -257,6 +260,9 @@
         self.spent: dict[str, float] = defaultdict(float)
         self.next_gauges_at = -inf
         self.next_rate_update_at = -inf
+        self.next_speed_log_at = -inf
+        self.next_speed_update_at = -inf
+        self.learning_services: set[str] = set()
         self.rate_limits: dict[str, Bucket] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.usage = UsageCounter(window_s=host_settings.usage_window_s)
@@ -337,6 +343,11 @@
                 for engine in self.routing.engines.values()
                 if engine.local_running
             },
+            speeds={
+                engine.name: list(evidence)
+                for engine in self.routing.engines.values()
+                if (evidence := engine.speed.scaled(now))[0]
+            },
             rates=dict(self.reported_demands),
             services={
                 name: [load.demand.current(now), load.running]
@@ -405,6 +416,21 @@
                 service[1] += load.running
         return sums
 
+    def others_speeds(self, now: float) -> dict[str, list[int]]:
+        """Return the other hosts' evidence of engines' rates, scaled."""
+        speeds = (
+            {name: list(sums) for name, sums in self.view_sums.speeds.items()}
+            if self.uses_groups()
+            else {}
+        )
+        for peer in self._counted_peers(now):
+            for load in peer.heartbeat.engines:
+                if load.speed_weight:
+                    sums = speeds.setdefault(load.engine, [0, 0])
+                    sums[0] += load.speed_weight
+                    sums[1] += load.speed_total
+        return speeds
+
     def engine_run(self, name: str) -> str:
         """Return a name of an engine's current run, the same at all hosts."""
         entry = self.registry.entries.get(name)
--- a/src/magnoliaflow/platform/document.py
+++ b/src/magnoliaflow/platform/document.py
@@ -97,6 +97,7 @@
         max_engines=max(1, int(values.get("maxAttempts") or 1)),
         anonymous=bool(values.get("anonymous")),
         resumable=bool(values.get("streamResumption")),
+        gap_target_s=float(values.get("targetGapMs") or 0.0) / MS,
     )
 
 
@@ -108,6 +109,7 @@
         model=engine is not None,
         max_connections=int(values.get("connectionLimit") or 0),
         cache_tokens=int((engine or {}).get("kvCapacityTokens") or 0),
+        slots=int((engine or {}).get("slots") or 0),
         scaling=_scaling(values.get("scaling")),
     )
 
--- a/src/magnoliaflow/policy/engines.py
+++ b/src/magnoliaflow/policy/engines.py
@@ -8,6 +8,7 @@
 
 from magnoliaflow.common.ports import LoadReport
 from magnoliaflow.common.settings import BackendServer
+from magnoliaflow.policy.enginespeeds import Evidence
 
 REPORT_LAG_S = 0.3
 MIN_LIMIT = 1.0
@@ -53,7 +54,9 @@
     smoothed ratio of actual to predicted time to first token, ``failures``
     the number of consecutive failed calls.  ``send_interval_s`` is the time
     between local sends that a limit of the engine allows, 0 without a limit;
-    the next send may be at ``next_send_at``.
+    the next send may be at ``next_send_at``.  ``learned_rate`` is the
+    learned prefill rate, 0 while none is; ``speed`` is what local answers
+    show of it, ``known_weight`` the weight of all hosts' samples.
     """
 
     cfg: BackendServer
@@ -78,6 +81,14 @@
     failures: int = 0
     send_interval_s: float = 0.0
     next_send_at: float = -inf
+    learned_rate: float = 0.0
+    speed: Evidence = field(default_factory=Evidence)
+    known_weight: float = 0.0
+
+    @property
+    def prefill_rate(self) -> float:
+        """Return the prompt tokens a second that the engine reads."""
+        return self.learned_rate or self.cfg.prefill_rate
 
     @property
     def name(self) -> str:
@@ -179,6 +190,10 @@
         """Return the estimated unread prompt tokens of peers' requests."""
         return max(0.0, self.peer_tokens * _decay(now - self.peer_tokens_at))
 
+    def tokens_ahead(self, now: float) -> float:
+        """Return the estimated prompt tokens that wait to be read."""
+        return self.unread_tokens + self.peer_unread_tokens(now)
+
     def record_slowness(self, factor: float) -> None:
         """Update slowness from a first token's actual-to-predicted ratio."""
         bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, factor))
--- a/src/magnoliaflow/policy/placement.py
+++ b/src/magnoliaflow/policy/placement.py
@@ -30,14 +30,15 @@
 
 def first_token_s(engine: Engine, uncached: int, now: float) -> float:
     """Return the predicted seconds to the first token at an engine."""
-    ahead = engine.unread_tokens + engine.peer_unread_tokens(now) + uncached
-    wait = ahead / engine.cfg.prefill_rate + FIRST_DECODE_STEP_S
+    ahead = engine.tokens_ahead(now) + uncached
+    wait = ahead / engine.prefill_rate + FIRST_DECODE_STEP_S
     running = engine.local_running + engine.peer_running
     wait += running * BATCH_SLOWDOWN_S
     excess = running + 1 - engine.cfg.slots
     if excess > 0:
         wait += excess / engine.cfg.slots
-    return wait * engine.slowness
+    # A learned rate includes how slow the engine is.
+    return wait if engine.learned_rate else wait * engine.slowness
 
 
 def session_key(request: RoutingRequest) -> int:
@@ -76,7 +77,7 @@
                 PREFERRED_CACHED_SHARE * shared
             )
             uncached = max(1, min(uncached, expected))
-        prefill_s = uncached / engine.cfg.prefill_rate
+        prefill_s = uncached / engine.prefill_rate
         jitter = routing.rng.random() * 1e-3
         wait = first_token_s(engine, uncached, now)
         return wait + PREFILL_WEIGHT * prefill_s + jitter
--- a/src/magnoliaflow/policy/ratelimit.py
+++ b/src/magnoliaflow/policy/ratelimit.py
@@ -14,6 +14,9 @@
 # Admitted share of the engines' prefill rate; a higher one slows running
 # answers by more than their latency targets allow.
 ADMITTED_SHARE = 1.0
+# The same where the rate is learned: the assumed one is below that of most
+# engines, a learned one is not.
+LEARNED_ADMITTED_SHARE = 0.8
 # Burst in seconds of the admission rate: engines can read that much within a
 # latency target.
 BURST_S = 0.9
@@ -31,7 +34,11 @@
     bucket: Bucket, engines: Iterable[Engine], share: float
 ) -> None:
     """Set the admission rate from the usable engines and the host's share."""
-    rate = sum(engine.cfg.prefill_rate for engine in engines) * ADMITTED_SHARE
+    rate = sum(
+        engine.prefill_rate
+        * (LEARNED_ADMITTED_SHARE if engine.learned_rate else ADMITTED_SHARE)
+        for engine in engines
+    )
     bucket.rate = rate
     bucket.burst = rate * BURST_S
     bucket.share = share
--- a/src/magnoliaflow/policy/routes.py
+++ b/src/magnoliaflow/policy/routes.py
@@ -28,7 +28,8 @@
     """Settings of requests under a host and path prefix.
 
     ``timeout_s`` is the longest time that a caller waits, ``target_s`` the
-    latency target to the first byte.
+    latency target to the first byte, ``gap_target_s`` that between two
+    events of a stream, 0 for none.
     """
 
     name: str
@@ -42,6 +43,7 @@
     max_engines: int
     anonymous: bool
     resumable: bool
+    gap_target_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
@@ -81,6 +83,7 @@
     max_connections: int
     cache_tokens: int = 0
     scaling: Scaling | None = None
+    slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from math import ceil
 
+from magnoliaflow.policy.enginespeeds import SpeedSummary
 from magnoliaflow.policy.routes import Scaling
 
 # Planned utilization of an engine's prefill rate; the rest absorbs bursts,
@@ -21,6 +22,14 @@
 SCALE_DOWN_LOAD_FACTOR = 1.2
 # Concurrent requests at which an engine still meets its token latency.
 TARGET_RUNNING = 28
+# Share of an engine's slots that may be taken: the rest absorbs bursts.
+TARGET_SLOTS_SHARE = 0.6
+# Share of the learned rates that a plan counts on: engines read prompts
+# between the tokens of the answers that they write.
+LEARNED_SHARE = 0.75
+# Effect of the spread of the learned rates, and its bound.
+SPREAD_WEIGHT = 0.5
+MIN_SPREAD_FACTOR = 0.5
 # On-demand engines kept for a service that was never used, for callers that
 # arrive before its reclaimable engines run.
 NEW_SERVICE_ON_DEMAND = 1
@@ -50,6 +59,14 @@
     running: float
 
 
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """What one engine carries: prompt tokens a second and requests at once."""
+
+    tokens_per_s: float
+    running: float = TARGET_RUNNING
+
+
 @dataclass(frozen=True, slots=True)
 class ZoneTarget:
     """Target numbers of engines in a zone."""
@@ -59,10 +76,23 @@
     spot: int
 
 
-def engines_for(load: Load, prefill_rate: float, utilization: float) -> float:
+def engines_for(load: Load, each: Capacity, utilization: float) -> float:
     """Return the engines needed for a load at a prefill utilization."""
-    for_prefill = load.tokens_per_s / (prefill_rate * utilization)
-    return max(1.0, for_prefill, load.running / TARGET_RUNNING)
+    for_prefill = load.tokens_per_s / (each.tokens_per_s * utilization)
+    return max(1.0, for_prefill, load.running / each.running)
+
+
+def learned_capacity(speeds: SpeedSummary, slots: int) -> Capacity:
+    """Return what one engine carries where the rates are learned.
+
+    Sends do not follow the engines' speed exactly, so that engines of
+    different speed carry less than their mean rate.
+    """
+    margin = max(MIN_SPREAD_FACTOR, 1.0 - SPREAD_WEIGHT * speeds.spread)
+    return Capacity(
+        speeds.mean * LEARNED_SHARE * margin,
+        max(1.0, slots * TARGET_SLOTS_SHARE) if slots else TARGET_RUNNING,
+    )
 
 
 def plan_engines(
@@ -71,6 +101,7 @@
     load: Load,
     prefill_rate: float,
     *,
+    running: float = TARGET_RUNNING,
     previous_spot: int = 0,
     recent: Load | None = None,
     never_used: bool = False,
@@ -87,10 +118,11 @@
     lowered only if fewer would also carry a load that is higher by
     ``SCALE_DOWN_LOAD_FACTOR``.  ``recent`` is the load to plan on-demand
     engines for, if it differs: they cost several times as much and are
-    kept for a shorter time after a peak.  ``never_used`` says that the
-    service has had no request, so that reclaimable engines are expected to
-    run before the first one.  ``load_uncertain`` says that the load may be
-    higher than known.
+    kept for a shorter time after a peak.  ``running`` is how many requests
+    an engine runs at once and still meets its token latency.
+    ``never_used`` says that the service has had no request, so that
+    reclaimable engines are expected to run before the first one.
+    ``load_uncertain`` says that the load may be higher than known.
     """
     by_price = sorted(
         supplies,
@@ -101,19 +133,20 @@
     )
     if not by_price:
         return []
-    total = spot_total(load, prefill_rate, len(by_price))
+    each = Capacity(prefill_rate, running)
+    total = spot_total(load, each, len(by_price))
     if total < previous_spot:
         raised_load = Load(
             load.tokens_per_s * SCALE_DOWN_LOAD_FACTOR,
             load.running * SCALE_DOWN_LOAD_FACTOR,
         )
         total = min(
-            previous_spot, spot_total(raised_load, prefill_rate, len(by_price))
+            previous_spot, spot_total(raised_load, each, len(by_price))
         )
     spot_counts = _distribute(
         len(by_price), total, scaling.min_engines, scaling.max_engines
     )
-    missing = _on_demand_needed(by_price, recent or load, prefill_rate)
+    missing = _on_demand_needed(by_price, recent or load, each)
     if never_used:
         missing = min(missing, NEW_SERVICE_ON_DEMAND)
     if (
@@ -181,10 +214,10 @@
 
 
 def _on_demand_needed(
-    supplies: list[ZoneSupply], load: Load, prefill_rate: float
+    supplies: list[ZoneSupply], load: Load, each: Capacity
 ) -> int:
     """Return the number of on-demand engines needed."""
-    after_loss = ceil(engines_for(load, prefill_rate, FAILOVER_UTILIZATION))
+    after_loss = ceil(engines_for(load, each, FAILOVER_UTILIZATION))
     if all(supply.spot_available for supply in supplies):
         # The missing reclaimable engines are starting: keep on-demand ones
         # for them, but order none.
@@ -205,13 +238,13 @@
     return max(0, needed - (sum(spot_counts) - max(spot_counts)))
 
 
-def spot_total(load: Load, prefill_rate: float, zones: int) -> int:
+def spot_total(load: Load, each: Capacity, zones: int) -> int:
     """Return the reclaimable engines needed for a load.
 
     They carry it even after the loss of the largest zone.
     """
-    normal = ceil(engines_for(load, prefill_rate, TARGET_UTILIZATION))
-    after_loss = ceil(engines_for(load, prefill_rate, FAILOVER_UTILIZATION))
+    normal = ceil(engines_for(load, each, TARGET_UTILIZATION))
+    after_loss = ceil(engines_for(load, each, FAILOVER_UTILIZATION))
     total = max(normal, after_loss)
     while zones > 1 and total - ceil(total / zones) < after_loss:
         total += 1
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -3801,6 +3801,8 @@
      - engine
      - running
      - unread_tokens
+     - speed_weight
+     - speed_total
 
     """
 
@@ -3808,13 +3810,17 @@
         'engine',
         'running',
         'unread_tokens',
+        'speed_weight',
+        'speed_total',
     )
 
 
-    def __init__(self, engine=None, running=None, unread_tokens=None,):
+    def __init__(self, engine=None, running=None, unread_tokens=None, speed_weight=None, speed_total=None,):
         self.engine = engine
         self.running = running
         self.unread_tokens = unread_tokens
+        self.speed_weight = speed_weight
+        self.speed_total = speed_total
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3840,6 +3846,16 @@
                     self.unread_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.speed_weight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.speed_total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3862,6 +3878,14 @@
             oprot.writeFieldBegin('unread_tokens', TType.I32, 3)
             oprot.writeI32(self.unread_tokens)
             oprot.writeFieldEnd()
+        if self.speed_weight is not None:
+            oprot.writeFieldBegin('speed_weight', TType.I32, 4)
+            oprot.writeI32(self.speed_weight)
+            oprot.writeFieldEnd()
+        if self.speed_total is not None:
+            oprot.writeFieldBegin('speed_total', TType.I32, 5)
+            oprot.writeI32(self.speed_total)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4776,6 +4800,8 @@
      - services
      - token_rates
      - service_running
+     - speed_weights
+     - speed_totals
 
     """
 
@@ -4789,10 +4815,12 @@
         'services',
         'token_rates',
         'service_running',
+        'speed_weights',
+        'speed_totals',
     )
 
 
-    def __init__(self, engines=None, running=None, unread_tokens=None, accounts=None, rates=None, spent=None, services=None, token_rates=None, service_running=None,):
+    def __init__(self, engines=None, running=None, unread_tokens=None, accounts=None, rates=None, spent=None, services=None, token_rates=None, service_running=None, speed_weights=None, speed_totals=None,):
         self.engines = engines
         self.running = running
         self.unread_tokens = unread_tokens
@@ -4802,6 +4830,8 @@
         self.services = services
         self.token_rates = token_rates
         self.service_running = service_running
+        self.speed_weights = speed_weights
+        self.speed_totals = speed_totals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4902,6 +4932,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.speed_weights = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readI32()
+                        self.speed_weights.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.speed_totals = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readI32()
+                        self.speed_totals.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4915,64 +4965,78 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.engines))
-            for iter154 in self.engines:
-                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
+            for iter166 in self.engines:
+                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.running))
-            for iter155 in self.running:
-                oprot.writeI32(iter155)
+            for iter167 in self.running:
+                oprot.writeI32(iter167)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unread_tokens is not None:
             oprot.writeFieldBegin('unread_tokens', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unread_tokens))
-            for iter156 in self.unread_tokens:
-                oprot.writeI64(iter156)
+            for iter168 in self.unread_tokens:
+                oprot.writeI64(iter168)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.accounts))
-            for iter157 in self.accounts:
-                oprot.writeString(iter157.encode('utf-8') if sys.version_info[0] == 2 else iter157)
+            for iter169 in self.accounts:
+                oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 5)
             oprot.writeListBegin(TType.DOUBLE, len(self.rates))
-            for iter158 in self.rates:
-                oprot.writeDouble(iter158)
+            for iter170 in self.rates:
+                oprot.writeDouble(iter170)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 6)
             oprot.writeListBegin(TType.DOUBLE, len(self.spent))
-            for iter159 in self.spent:
-                oprot.writeDouble(iter159)
+            for iter171 in self.spent:
+                oprot.writeDouble(iter171)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter160 in self.services:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter172 in self.services:
+                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_rates is not None:
             oprot.writeFieldBegin('token_rates', TType.LIST, 8)
             oprot.writeListBegin(TType.DOUBLE, len(self.token_rates))
-            for iter161 in self.token_rates:
-                oprot.writeDouble(iter161)
+            for iter173 in self.token_rates:
+                oprot.writeDouble(iter173)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_running is not None:
             oprot.writeFieldBegin('service_running', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.service_running))
-            for iter162 in self.service_running:
-                oprot.writeI32(iter162)
+            for iter174 in self.service_running:
+                oprot.writeI32(iter174)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speed_weights is not None:
+            oprot.writeFieldBegin('speed_weights', TType.LIST, 10)
+            oprot.writeListBegin(TType.I32, len(self.speed_weights))
+            for iter175 in self.speed_weights:
+                oprot.writeI32(iter175)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speed_totals is not None:
+            oprot.writeFieldBegin('speed_totals', TType.LIST, 11)
+            oprot.writeListBegin(TType.I32, len(self.speed_totals))
+            for iter176 in self.speed_totals:
+                oprot.writeI32(iter176)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5330,11 +5394,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = LeaseFact()
-                        _elem168.read(iprot)
-                        self.leases.append(_elem168)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = LeaseFact()
+                        _elem182.read(iprot)
+                        self.leases.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5387,8 +5451,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter169 in self.leases:
-                iter169.write(oprot)
+            for iter183 in self.leases:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5515,31 +5579,31 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = HostFact()
-                        _elem175.read(iprot)
-                        self.hosts.append(_elem175)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = HostFact()
+                        _elem189.read(iprot)
+                        self.hosts.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = iprot.readI64()
-                        self.numbers.append(_elem181)
+                    (_etype193, _size190) = iprot.readListBegin()
+                    for _i194 in range(_size190):
+                        _elem195 = iprot.readI64()
+                        self.numbers.append(_elem195)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = iprot.readDouble()
-                        self.ages.append(_elem187)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = iprot.readDouble()
+                        self.ages.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5558,11 +5622,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = LeaseFact()
-                        _elem193.read(iprot)
-                        self.leases.append(_elem193)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = LeaseFact()
+                        _elem207.read(iprot)
+                        self.leases.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5574,20 +5638,20 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.heard = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.heard.append(_elem199)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.heard_numbers = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = iprot.readI64()
-                        self.heard_numbers.append(_elem205)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = iprot.readI64()
+                        self.heard_numbers.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5620,22 +5684,22 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter206 in self.hosts:
-                iter206.write(oprot)
+            for iter220 in self.hosts:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter207 in self.numbers:
-                oprot.writeI64(iter207)
+            for iter221 in self.numbers:
+                oprot.writeI64(iter221)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 7)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter208 in self.ages:
-                oprot.writeDouble(iter208)
+            for iter222 in self.ages:
+                oprot.writeDouble(iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
@@ -5649,8 +5713,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter209 in self.leases:
-                iter209.write(oprot)
+            for iter223 in self.leases:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5660,15 +5724,15 @@
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter210 in self.heard:
-                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
+            for iter224 in self.heard:
+                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_numbers is not None:
             oprot.writeFieldBegin('heard_numbers', TType.LIST, 13)
             oprot.writeListBegin(TType.I64, len(self.heard_numbers))
-            for iter211 in self.heard_numbers:
-                oprot.writeI64(iter211)
+            for iter225 in self.heard_numbers:
+                oprot.writeI64(iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5737,31 +5801,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readBinary()
-                        self.digests.append(_elem217)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = iprot.readBinary()
+                        self.digests.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = iprot.readDouble()
-                        self.ages.append(_elem223)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = iprot.readDouble()
+                        self.ages.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = HostFact()
-                        _elem229.read(iprot)
-                        self.hosts.append(_elem229)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = HostFact()
+                        _elem243.read(iprot)
+                        self.hosts.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5782,22 +5846,22 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter230 in self.digests:
-                oprot.writeBinary(iter230)
+            for iter244 in self.digests:
+                oprot.writeBinary(iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 3)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter231 in self.ages:
-                oprot.writeDouble(iter231)
+            for iter245 in self.ages:
+                oprot.writeDouble(iter245)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter232 in self.hosts:
-                iter232.write(oprot)
+            for iter246 in self.hosts:
+                iter246.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5879,11 +5943,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype236, _size233) = iprot.readListBegin()
-                    for _i237 in range(_size233):
-                        _elem238 = EngineEntry()
-                        _elem238.read(iprot)
-                        self.entries.append(_elem238)
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = EngineEntry()
+                        _elem252.read(iprot)
+                        self.entries.append(_elem252)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5917,8 +5981,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter239 in self.entries:
-                iter239.write(oprot)
+            for iter253 in self.entries:
+                iter253.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -5985,11 +6049,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype243, _size240) = iprot.readListBegin()
-                    for _i244 in range(_size240):
-                        _elem245 = UsageCount()
-                        _elem245.read(iprot)
-                        self.usage.append(_elem245)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = UsageCount()
+                        _elem259.read(iprot)
+                        self.usage.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6010,8 +6074,8 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter246 in self.usage:
-                iter246.write(oprot)
+            for iter260 in self.usage:
+                iter260.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6249,22 +6313,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = EndedEngine()
-                        _elem252.read(iprot)
-                        self.ends.append(_elem252)
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = EndedEngine()
+                        _elem266.read(iprot)
+                        self.ends.append(_elem266)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype256, _size253) = iprot.readListBegin()
-                    for _i257 in range(_size253):
-                        _elem258 = SoundAnswer()
-                        _elem258.read(iprot)
-                        self.sound.append(_elem258)
+                    (_etype270, _size267) = iprot.readListBegin()
+                    for _i271 in range(_size267):
+                        _elem272 = SoundAnswer()
+                        _elem272.read(iprot)
+                        self.sound.append(_elem272)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6285,15 +6349,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter259 in self.ends:
-                iter259.write(oprot)
+            for iter273 in self.ends:
+                iter273.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter260 in self.sound:
-                iter260.write(oprot)
+            for iter274 in self.sound:
+                iter274.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6454,33 +6518,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype264, _size261) = iprot.readListBegin()
-                    for _i265 in range(_size261):
-                        _elem266 = SuspectPart()
-                        _elem266.read(iprot)
-                        self.parts.append(_elem266)
+                    (_etype278, _size275) = iprot.readListBegin()
+                    for _i279 in range(_size275):
+                        _elem280 = SuspectPart()
+                        _elem280.read(iprot)
+                        self.parts.append(_elem280)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype270, _size267) = iprot.readListBegin()
-                    for _i271 in range(_size267):
-                        _elem272 = NamedLimit()
-                        _elem272.read(iprot)
-                        self.limits.append(_elem272)
+                    (_etype284, _size281) = iprot.readListBegin()
+                    for _i285 in range(_size281):
+                        _elem286 = NamedLimit()
+                        _elem286.read(iprot)
+                        self.limits.append(_elem286)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype276, _size273) = iprot.readListBegin()
-                    for _i277 in range(_size273):
-                        _elem278 = SuspectPart()
-                        _elem278.read(iprot)
-                        self.requests.append(_elem278)
+                    (_etype290, _size287) = iprot.readListBegin()
+                    for _i291 in range(_size287):
+                        _elem292 = SuspectPart()
+                        _elem292.read(iprot)
+                        self.requests.append(_elem292)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6501,22 +6565,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter279 in self.parts:
-                iter279.write(oprot)
+            for iter293 in self.parts:
+                iter293.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter280 in self.limits:
-                iter280.write(oprot)
+            for iter294 in self.limits:
+                iter294.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter281 in self.requests:
-                iter281.write(oprot)
+            for iter295 in self.requests:
+                iter295.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7150,6 +7214,8 @@
     (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.I32, 'unread_tokens', None, None, ),  # 3
+    (4, TType.I32, 'speed_weight', None, None, ),  # 4
+    (5, TType.I32, 'speed_total', None, None, ),  # 5
 )
 all_structs.append(ServiceLoad)
 ServiceLoad.thrift_spec = (
@@ -7229,6 +7295,8 @@
     (7, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.LIST, 'token_rates', (TType.DOUBLE, None, False), None, ),  # 8
     (9, TType.LIST, 'service_running', (TType.I32, None, False), None, ),  # 9
+    (10, TType.LIST, 'speed_weights', (TType.I32, None, False), None, ),  # 10
+    (11, TType.LIST, 'speed_totals', (TType.I32, None, False), None, ),  # 11
 )
 all_structs.append(Progress)
 Progress.thrift_spec = (
--- /dev/null
+++ b/tests/test_engine_speeds.py
@@ -0,0 +1,234 @@
+"""Learned rates of engines: 66 hosts, 30 engines of 0.6 to 1.6, no network.
+
+Engines read prompts in turn and are 2.5 times as slow in 15% of all periods
+of 0.6 s; hosts know of each other's sends and samples every 0.8 s.
+"""
+
+from math import ceil
+from math import pi
+from math import sin
+from random import Random
+from statistics import median
+
+import pytest
+
+from magnoliaflow.cluster.sums import Sums
+from magnoliaflow.common.settings import BackendServer
+from magnoliaflow.policy.engines import new_engine
+from magnoliaflow.policy.enginespeeds import learned_rate
+from magnoliaflow.policy.enginespeeds import learns_speeds
+from magnoliaflow.policy.enginespeeds import REFERENCE_RATE
+from magnoliaflow.policy.enginespeeds import SCALE
+from magnoliaflow.policy.enginespeeds import service_prior
+from magnoliaflow.policy.enginespeeds import speed_sample
+from magnoliaflow.policy.enginespeeds import summarize
+from magnoliaflow.policy.placement import first_token
+from magnoliaflow.policy.routing import CostWeights
+from magnoliaflow.policy.routing import RoutingRequest
+from magnoliaflow.policy.routing import RoutingState
+from magnoliaflow.policy.scaling import Capacity
+from magnoliaflow.policy.scaling import learned_capacity
+from magnoliaflow.policy.scaling import Load
+from magnoliaflow.policy.scaling import spot_total
+
+BASE_RATE = 56_900.0
+FACTORS = (0.6, 1.0, 1.6)
+ENGINES = [f"m{number}" for number in range(30)]
+HOSTS = 66
+SHARE_INTERVAL_S = 0.8
+AIM_S = 0.4
+OTHERS = "others"
+
+
+def true_rate(name):
+    """Return an engine's rate without noise, in tokens a second."""
+    return BASE_RATE * FACTORS[int(name[1:]) % len(FACTORS)]
+
+
+class Deployment:
+    """Hosts that place prompts on simulated engines."""
+
+    def __init__(self, *, learns, seed=1):
+        self.learns = learns
+        self.rng = Random(seed)
+        self.free_at = dict.fromkeys(ENGINES, 0.0)
+        self.noise = {}
+        self.hosts = [self._host(number) for number in range(HOSTS)]
+        self.first_tokens = []
+        self.sent = dict.fromkeys(ENGINES, 0)
+        self.pending = []
+
+    def _host(self, number):
+        routing = RoutingState(
+            name=f"h{number}",
+            weights=CostWeights(0.0, 1.0),
+            rng=Random(number),
+        )
+        routing.load_factor = HOSTS
+        for name in ENGINES:
+            server = BackendServer(
+                name=name,
+                kind="model",
+                host=name,
+                zone="z",
+                address="127.0.0.1:1",
+                backend="llm",
+                checks_fencing=False,
+                slots=64,
+                prefill_rate=REFERENCE_RATE,
+            )
+            routing.add(new_engine(server))
+        return routing
+
+    def play(self, until, requests_per_s):
+        """Play requests that arrive at random."""
+        now, share_at = 0.0, 0.0
+        while now < until:
+            now += self.rng.expovariate(requests_per_s)
+            self._finish(now)
+            if now >= share_at:
+                share_at = now + SHARE_INTERVAL_S
+                self._share(now)
+            self._send(now)
+
+    def _send(self, now):
+        tokens = min(39_600, int(self.rng.lognormvariate(7.3, 1.0)))
+        host = self.rng.choice(self.hosts)
+        request = RoutingRequest(
+            request_id="r",
+            backend="llm",
+            blocks=(),
+            prompt_tokens=tokens,
+            answer_tokens=50,
+            first_token_s=1.0,
+            token_gap_s=0.0,
+        )
+        engines = list(host.engines.values())
+        engine = first_token(host, request, engines, now)
+        # The engine has read some prompts before, unknown to the host.
+        uncached = tokens // 5 if self.rng.random() < 0.15 else tokens
+        ahead = engine.tokens_ahead(now)
+        engine.record_prompt_sent(tokens)
+        period = (engine.name, int(now / 0.6))
+        slow = self.noise.setdefault(
+            period, 2.5 if self.rng.random() < 0.15 else 1.0
+        )
+        start = max(now, self.free_at[engine.name])
+        end = start + uncached * slow / true_rate(engine.name)
+        self.free_at[engine.name] = end
+        self.sent[engine.name] += tokens
+        first_at = end + 0.018
+        self.first_tokens.append(first_at - now)
+        self.pending.append((first_at, now, engine, tokens, ahead))
+
+    def _finish(self, now):
+        for item in [item for item in self.pending if item[0] <= now]:
+            self.pending.remove(item)
+            first_at, sent_at, engine, tokens, ahead = item
+            engine.record_prompt_read(tokens)
+            engine.record_ended()
+            elapsed_s = first_at - sent_at
+            sample = speed_sample(
+                tokens + ahead,
+                elapsed_s,
+                engine.prefill_rate,
+                engine.known_weight,
+            )
+            if self.learns and sample is not None:
+                engine.speed.add(*sample, first_at)
+
+    def _share(self, now):
+        """Add up what all hosts report, as reports and digests do."""
+        reports = [self._loads(host, now) for host in self.hosts]
+        total = Sums()
+        for loads in reports:
+            total.add(loads)
+        for host, loads in zip(self.hosts, reports):
+            total.add(loads, -1)
+            own = {
+                name: engine.speed.current(now)
+                for name, engine in host.engines.items()
+            }
+            evidence = {}
+            for name, engine in host.engines.items():
+                running, unread = total.engines.get(name, (0, 0))
+                engine.update_peer_load(OTHERS, running, unread, now)
+                weight, scaled = total.speeds.get(name, (0, 0))
+                evidence[name] = (
+                    own[name][0] + weight / SCALE,
+                    own[name][1] + scaled / SCALE,
+                )
+            total.add(loads)
+            prior = service_prior(evidence.values())
+            for name, engine in host.engines.items():
+                engine.known_weight = evidence[name][0]
+                engine.learned_rate = learned_rate(*evidence[name], prior)
+
+    def _loads(self, host, now):
+        return Sums(
+            engines={
+                name: [engine.local_running, engine.unread_tokens]
+                for name, engine in host.engines.items()
+            },
+            speeds={
+                name: list(engine.speed.scaled(now))
+                for name, engine in host.engines.items()
+                if engine.speed.scaled(now)[0]
+            },
+        ).loads({})
+
+    def on_time(self):
+        """Return the share of first tokens within the aim."""
+        return sum(s <= AIM_S for s in self.first_tokens) / len(
+            self.first_tokens
+        )
+
+
+@pytest.mark.parametrize("requests_per_s", [200, 320])
+def test_rates_are_learned_in_seconds_and_shared(requests_per_s):
+    deployment = Deployment(learns=True)
+    deployment.play(8.0, requests_per_s)
+    errors = [
+        abs(engine.learned_rate / true_rate(name) - 1.0)
+        for name, engine in deployment.hosts[7].engines.items()
+    ]
+    assert median(errors) < 0.15
+
+
+def test_learned_rates_move_work_to_fast_engines():
+    """Against the same load without them, more first tokens are in time."""
+    learned, assumed = Deployment(learns=True), Deployment(learns=False)
+    for deployment in (learned, assumed):
+        deployment.play(12.0, 320)
+    assert learned.on_time() > assumed.on_time()
+    sent = {
+        factor: sum(
+            tokens
+            for name, tokens in learned.sent.items()
+            if true_rate(name) == BASE_RATE * factor
+        )
+        for factor in FACTORS
+    }
+    assert sent[1.6] > 1.5 * sent[1.0] > 2.0 * sent[0.6]
+
+
+def test_a_plan_survives_the_loss_of_a_zone_with_fewer_engines():
+    """A wave of 0.3 in 40 s, planned one boot time before its load."""
+    rates = [BASE_RATE * factor for factor in FACTORS] * 4
+    each = learned_capacity(summarize(rates, len(rates)), slots=64)
+    for second in range(40):
+        now, soon = (
+            500_000.0 * (1.0 + 0.3 * sin(2 * pi * at / 40.0))
+            for at in (second, second + 4)
+        )
+        load = Load(now, 60.0)
+        planned = spot_total(load, each, zones=3)
+        left = planned - ceil(planned / 3)
+        # The slowest third more than its share among those that remain.
+        assert left * (BASE_RATE * 0.9) > soon
+        assert planned < spot_total(load, Capacity(REFERENCE_RATE), zones=3)
+
+
+def test_only_tight_gap_targets_call_for_learned_rates():
+    assert learns_speeds([0.0, 1.0, 0.5])
+    assert not learns_speeds([0.0, 0.6, 1.0])
