--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -26,7 +26,7 @@
 TARGET_SLOTS_SHARE = 0.6
 # Share of the learned rates that a plan counts on: engines read prompts
 # between the tokens of the answers that they write.
-LEARNED_SHARE = 0.75
+LEARNED_SHARE = 1.0
 # Effect of the spread of the learned rates, and its bound.
 SPREAD_WEIGHT = 0.5
 MIN_SPREAD_FACTOR = 0.5
