--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -4,6 +4,7 @@
 of 0.6 s; hosts know of each other's sends and samples every 0.8 s.
 """
 
+from logging import getLogger
 from math import ceil
 from math import pi
 from math import sin
@@ -13,7 +14,18 @@
 import pytest
 
 from magnoliaflow.cluster.sums import Sums
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.settings import BackendServer
+from magnoliaflow.entry.enginespeeds import record_first_token
+from magnoliaflow.entry.enginespeeds import speed_details
+from magnoliaflow.entry.enginespeeds import update_speeds
+from magnoliaflow.entry.heartbeats import make_heartbeat
+from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.state import PeerHost
+from magnoliaflow.entry.updates import apply_registration
+from magnoliaflow.platform.document import decode_document
+from magnoliaflow.platform.nodefile import decode_host_settings
 from magnoliaflow.policy.engines import new_engine
 from magnoliaflow.policy.enginespeeds import learned_rate
 from magnoliaflow.policy.enginespeeds import learns_speeds
@@ -31,6 +43,12 @@
 from magnoliaflow.policy.scaling import Load
 from magnoliaflow.policy.scaling import spot_total
 
+BOOT_FILE = """nodeName=e-1
+zone=a
+listenAddresses.frontend=10.0.0.1:1
+listenAddresses.controlPlane=10.0.0.1:2
+platform.address=10.0.0.9:3
+"""
 BASE_RATE = 56_900.0
 FACTORS = (0.6, 1.0, 1.6)
 ENGINES = [f"m{number}" for number in range(30)]
@@ -232,3 +250,53 @@
 def test_only_tight_gap_targets_call_for_learned_rates():
     assert learns_speeds([0.0, 1.0, 0.5])
     assert not learns_speeds([0.0, 0.6, 1.0])
+
+
+def entry_state(gap_ms):
+    """Return the state of a host whose only route has a gap target."""
+    state = EntryState(
+        decode_host_settings(BOOT_FILE),
+        identity="e-1-a",
+        rng=Random(1),
+        logger=getLogger("speeds"),
+    )
+    state.route_table = decode_document(
+        b'{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/",'
+        b'"kind":"streaming","timeoutMs":5000,"service":"llm",'
+        b'"targetGapMs":%d}],"services":[{"name":"llm","engineId":'
+        b'{"slots":16}}]}' % gap_ms
+    )
+    for number, name in enumerate(("m0", "m1", "m2")):
+        entry = EngineEntry(name, "llm", f"h:{number}", "a", 16, False)
+        apply_registration(state, name, entry, number + 1)
+    return state
+
+
+def test_a_host_uses_what_others_have_learned_where_routes_call_for_it():
+    """Engine m0 by others' samples, m1 by this host's own, m2 by both's."""
+    state, other = entry_state(gap_ms=500), entry_state(gap_ms=500)
+    for host, name in ((state, "m1"), (other, "m0")):
+        update_speeds(host)
+        for _ in range(20):
+            record_first_token(host, host.routing.engines[name], 6_000, 0.12)
+    now = boot_time()
+    peer = PeerHost("p", make_heartbeat(other, now, None), now)
+    state.peers.put("p", peer)
+    state.next_speed_update_at = 0.0
+    update_speeds(state)
+    rates = {row["engine"]: row["rate"] for row in speed_details(state)}
+    assert rates["m0"] == pytest.approx(60_000, rel=0.05)
+    assert rates["m1"] == pytest.approx(60_000, rel=0.05)
+    assert rates["m2"] == pytest.approx(60_000, rel=0.05)
+
+
+def test_a_longer_gap_target_leaves_the_assumed_rate_in_force():
+    state = entry_state(gap_ms=1000)
+    update_speeds(state)
+    for _ in range(20):
+        record_first_token(state, state.routing.engines["m1"], 6_000, 0.12)
+    state.next_speed_update_at = 0.0
+    update_speeds(state)
+    engine = state.routing.engines["m1"]
+    assert engine.prefill_rate == REFERENCE_RATE and not speed_details(state)
+    assert state.own_sums(boot_time()).loads({}).speed_weights == ()
