--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -105,7 +105,8 @@
   4: optional i32 speed_weight, 5: optional i32 speed_total
 }
 struct ServiceLoad {
-  1: string backend, 2: double tokens_rate, 3: i32 running
+  1: string backend, 2: double tokens_rate, 3: i32 running,
+  4: optional double recent_rate
 }
 struct EngineEntry {
   1: string engine, 2: string backend, 3: string address, 4: string zone,
@@ -136,7 +137,7 @@
   4: list<string> accounts, 5: list<double> rates, 6: list<double> spent,
   7: list<string> services, 8: list<double> token_rates,
   9: list<i32> service_running, 10: optional list<i32> speed_weights,
-  11: optional list<i32> speed_totals
+  11: optional list<i32> speed_totals, 12: optional list<double> recent_rates
 }
 struct Progress {
   1: i64 version, 2: double config_age, 3: i64 fleet_end,
--- a/src/magnoliaflow/cluster/sums.py
+++ b/src/magnoliaflow/cluster/sums.py
@@ -10,13 +10,16 @@
 class Sums:
     """Sums over other hosts: engines, accounts' demands and services.
 
-    ``speeds`` are the scaled evidence of engines' prefill rates.
+    ``speeds`` are the scaled evidence of engines' prefill rates,
+    ``recent_rates`` the services' prompt tokens per second of the last
+    seconds.
     """
 
     engines: dict[str, list[int]] = field(default_factory=dict)
     rates: dict[str, float] = field(default_factory=dict)
     services: dict[str, list[float]] = field(default_factory=dict)
     speeds: dict[str, list[int]] = field(default_factory=dict)
+    recent_rates: dict[str, float] = field(default_factory=dict)
 
     def add(self, loads: LoadSums, sign: int = 1) -> None:
         """Add loads, or subtract them with a sign of -1."""
@@ -40,6 +43,13 @@
             service = self.services.setdefault(name, [0.0, 0.0])
             service[0] += sign * rate
             service[1] += sign * running
+        # Old versions send the smoothed rates only.
+        for name, rate in zip(
+            loads.services, loads.recent_rates or loads.token_rates
+        ):
+            self.recent_rates[name] = (
+                self.recent_rates.get(name, 0.0) + sign * rate
+            )
 
     def loads(self, spent: dict[str, float]) -> LoadSums:
         """Return the sums as columns, with the totals spent by account."""
@@ -67,6 +77,9 @@
             service_running=tuple(
                 int(load[1]) for load in self.services.values()
             ),
+            recent_rates=tuple(
+                self.recent_rates.get(name, 0.0) for name in self.services
+            ),
             speed_weights=_speed_column(speeds, engines, 0),
             speed_totals=_speed_column(speeds, engines, 1),
         )
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -208,11 +208,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
-    """A host's demand on a service, in prompt tokens per second."""
+    """A host's demand on a service, in prompt tokens per second.
+
+    ``recent_rate`` is that of the last seconds, -1 from old versions.
+    """
 
     backend: str
     tokens_rate: float
     running: int
+    recent_rate: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,7 +313,8 @@
     account: demand per second and the total ``spent`` of its cap, in the
     cap's unit.  Per service: prompt tokens per second and open requests.
     Per engine too, or empty: evidence of its prefill rate (enginespeeds), in
-    hundredths.
+    hundredths.  Per service too, or empty: prompt tokens per second of the
+    last seconds.
     """
 
     engines: tuple[str, ...] = ()
@@ -323,6 +328,7 @@
     service_running: tuple[int, ...] = ()
     speed_weights: tuple[int, ...] = ()
     speed_totals: tuple[int, ...] = ()
+    recent_rates: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -233,7 +233,7 @@
         engine = self.state.routing.engines[choice.engine]
         if not self.attempts_sent:
             local_load = self.state.local_loads[self.service]
-            local_load.demand.record(choice.uncached_tokens, now)
+            local_load.record(choice.uncached_tokens, now)
         wait_s = first_token_s(engine, 0, now)
         if self._serves_model() and wait_s > left_s:
             self.refuse(Code.DEADLINE_UNREACHABLE, wait_s)
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -259,7 +259,10 @@
         ),
         services=tuple(
             ServiceLoad(
-                name, local_load.demand.current(now), local_load.running
+                name,
+                local_load.demand.current(now),
+                local_load.running,
+                local_load.recent.current(now),
             )
             for name, local_load in state.local_loads.items()
         ),
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -8,14 +8,13 @@
 from magnoliaflow.common.errors import StartRefusedError
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.messages import EngineEntry
-from magnoliaflow.entry.enginespeeds import service_speeds
+from magnoliaflow.entry.planloads import PlanLoads
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.updates import DEFAULT_PREFILL_RATE
 from magnoliaflow.platform.cloud import CloudClient
 from magnoliaflow.policy.routes import Scaling
 from magnoliaflow.policy.routes import Service
 from magnoliaflow.policy.scaling import Capacity
-from magnoliaflow.policy.scaling import learned_capacity
 from magnoliaflow.policy.scaling import Load
 from magnoliaflow.policy.scaling import plan_engines
 from magnoliaflow.policy.scaling import ZoneSupply
@@ -23,12 +22,6 @@
 
 # Planning interval: the notice before a reclaim is two seconds.
 PLAN_INTERVAL_S = 0.25
-# A load peak counts for this long: half the period of the daily load wave as
-# the test workloads play it.
-PEAK_WINDOW_S = 15.0
-# The same for on-demand engines, which start again in four seconds and cost
-# several times as much.
-ON_DEMAND_PEAK_WINDOW_S = 6.0
 # Capacity is not reduced until this long after the first traffic or a
 # takeover: a process that has just started does not know the load yet, and
 # most takeovers happen during failures.
@@ -86,7 +79,7 @@
         "holds_lease",
         "takeover_at",
         "orders",
-        "recent_loads",
+        "loads",
         "state",
         "spot_totals",
     )
@@ -105,7 +98,7 @@
         self.orders: dict[tuple[str, str, bool], Order] = {}
         self.spot_totals: dict[str, int] = {}
         self.assumed_engines: dict[str, int] = {}
-        self.recent_loads: dict[str, list[tuple[float, Load]]] = {}
+        self.loads = PlanLoads(state)
 
     def tick(self, now: float) -> None:
         """Plan and order engines for every scaled service when due."""
@@ -118,7 +111,9 @@
         ]
         self._record_registrations(now)
         for service in scaled:
-            self._record_load(service.name, now)
+            load = self.loads.record(service, now)
+            if load.tokens_per_s > 0 and self.first_load_at == inf:
+                self.first_load_at = now
         if not self.state.lease_manager.holds(now):
             self.holds_lease = False
             return
@@ -141,43 +136,17 @@
             self.last_registered_at = now
         self.registered = registered
 
-    def _record_load(self, name: str, now: float) -> None:
-        """Record a service's load over all live hosts."""
-        local_load = self.state.local_loads[name]
-        rate, running = self.state.others_demand(now).services.get(
-            name, (0.0, 0.0)
-        )
-        load = Load(
-            local_load.demand.current(now) + max(0.0, rate),
-            local_load.running + max(0.0, running),
-        )
-        if load.tokens_per_s > 0 and self.first_load_at == inf:
-            self.first_load_at = now
-        recent_loads = self.recent_loads.setdefault(name, [])
-        recent_loads.append((now, load))
-        while recent_loads and recent_loads[0][0] < now - PEAK_WINDOW_S:
-            recent_loads.pop(0)
-
-    def _peak(self, name: str, since: float) -> Load:
-        """Return the highest rate and running count since a time."""
-        loads = [load for at, load in self.recent_loads[name] if at >= since]
-        return Load(
-            max((load.tokens_per_s for load in loads), default=0.0),
-            max((load.running for load in loads), default=0.0),
-        )
-
     def _plan(self, service: Service, now: float) -> None:
         scaling = service.scaling
         assert scaling is not None
-        each = self._capacity(service)
+        each = self.loads.capacity(service, now)
         supplies = self._supplies(service, now)
-        load = self._peak(service.name, now - PEAK_WINDOW_S)
-        recent = self._peak(service.name, now - ON_DEMAND_PEAK_WINDOW_S)
+        load, recent = self.loads.peaks(service.name, now)
         if now < self.first_load_at + UNKNOWN_LOAD_S:
             known = self._known_on_demand(service.name)
             assumed = max(known, self.assumed_engines.get(service.name, 0))
             self.assumed_engines[service.name] = assumed
-            rate = assumed * each.tokens_per_s * ASSUMED_UTILIZATION
+            rate = assumed * DEFAULT_PREFILL_RATE * ASSUMED_UTILIZATION
             load = Load(max(load.tokens_per_s, rate), load.running)
             recent = load
         plan = plan_engines(
@@ -202,13 +171,6 @@
             )
             self._order_engines(service, scaling, wanted, supply, now)
 
-    def _capacity(self, service: Service) -> Capacity:
-        """Return what a plan counts on for each engine of a service."""
-        speeds = service_speeds(self.state, service.name)
-        if speeds is None:
-            return Capacity(DEFAULT_PREFILL_RATE)
-        return learned_capacity(speeds, service.slots)
-
     def _log_plan(
         self,
         name: str,
@@ -222,7 +184,7 @@
         if now < self.next_log_at.get(name, -inf):
             return
         self.next_log_at[name] = now + PLAN_LOG_INTERVAL_S
-        _, current = self.recent_loads[name][-1]
+        current = self.loads.current(name)
         self.state.log(
             LogEvent.ENGINES_PLANNED,
             backend=name,
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -78,6 +78,8 @@
 MESH_HOSTS = 8
 # Bodies, incomplete events and answers that callers have not read yet.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# Half-life of the rate that plans of engines follow where rates are learned.
+RECENT_HALF_LIFE_S = 1.5
 # Capacity of an engine's prefix cache unless the configuration sets it.
 DEFAULT_CACHE_TOKENS = 300_000
 
@@ -131,12 +133,20 @@
 class LocalLoad:
     """Load of a service on this host.
 
-    ``demand`` is the smoothed rate of prompt tokens to read, ``running`` the
-    number of open attempts.
+    ``demand`` is the smoothed rate of prompt tokens to read, ``recent`` that
+    of the last seconds, ``running`` the number of open attempts.
     """
 
     demand: Demand = field(default_factory=Demand)
     running: int = 0
+    recent: Demand = field(
+        default_factory=lambda: Demand(half_life_s=RECENT_HALF_LIFE_S)
+    )
+
+    def record(self, tokens: int, now: float) -> None:
+        """Count the uncached prompt tokens of a request."""
+        self.demand.record(tokens, now)
+        self.recent.record(tokens, now)
 
 
 class EntryState:
@@ -353,6 +363,10 @@
                 name: [load.demand.current(now), load.running]
                 for name, load in self.local_loads.items()
             },
+            recent_rates={
+                name: load.recent.current(now)
+                for name, load in self.local_loads.items()
+            },
         )
 
     def _counted_peers(self, now: float) -> list[PeerHost]:
@@ -404,6 +418,7 @@
                     name: list(load)
                     for name, load in self.view_sums.services.items()
                 },
+                recent_rates=dict(self.view_sums.recent_rates),
             )
         for peer in self._counted_peers(now):
             for demand in peer.heartbeat.demands:
@@ -414,6 +429,10 @@
                 service = sums.services.setdefault(load.backend, [0.0, 0.0])
                 service[0] += load.tokens_rate
                 service[1] += load.running
+                recent = load.recent_rate
+                sums.recent_rates[load.backend] = sums.recent_rates.get(
+                    load.backend, 0.0
+                ) + (load.tokens_rate if recent < 0 else recent)
         return sums
 
     def others_speeds(self, now: float) -> dict[str, list[int]]:
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -26,7 +26,7 @@
 TARGET_SLOTS_SHARE = 0.6
 # Share of the learned rates that a plan counts on: engines read prompts
 # between the tokens of the answers that they write.
-LEARNED_SHARE = 1.0
+LEARNED_SHARE = 0.9
 # Effect of the spread of the learned rates, and its bound.
 SPREAD_WEIGHT = 0.5
 MIN_SPREAD_FACTOR = 0.5
@@ -82,17 +82,21 @@
     return max(1.0, for_prefill, load.running / each.running)
 
 
-def learned_capacity(speeds: SpeedSummary, slots: int) -> Capacity:
-    """Return what one engine carries where the rates are learned.
+def learned_rate(speeds: SpeedSummary) -> float:
+    """Return the tokens a second that a plan counts on for each engine.
 
     Sends do not follow the engines' speed exactly, so that engines of
     different speed carry less than their mean rate.
     """
     margin = max(MIN_SPREAD_FACTOR, 1.0 - SPREAD_WEIGHT * speeds.spread)
-    return Capacity(
-        speeds.mean * LEARNED_SHARE * margin,
-        max(1.0, slots * TARGET_SLOTS_SHARE) if slots else TARGET_RUNNING,
-    )
+    return speeds.mean * LEARNED_SHARE * margin
+
+
+def target_running(slots: int) -> float:
+    """Return the requests at once that a plan counts on for each engine."""
+    if not slots:
+        return TARGET_RUNNING
+    return max(1.0, slots * TARGET_SLOTS_SHARE)
 
 
 def plan_engines(
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -3917,6 +3917,7 @@
      - backend
      - tokens_rate
      - running
+     - recent_rate
 
     """
 
@@ -3924,13 +3925,15 @@
         'backend',
         'tokens_rate',
         'running',
+        'recent_rate',
     )
 
 
-    def __init__(self, backend=None, tokens_rate=None, running=None,):
+    def __init__(self, backend=None, tokens_rate=None, running=None, recent_rate=None,):
         self.backend = backend
         self.tokens_rate = tokens_rate
         self.running = running
+        self.recent_rate = recent_rate
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3956,6 +3959,11 @@
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.recent_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3978,6 +3986,10 @@
             oprot.writeFieldBegin('running', TType.I32, 3)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
+        if self.recent_rate is not None:
+            oprot.writeFieldBegin('recent_rate', TType.DOUBLE, 4)
+            oprot.writeDouble(self.recent_rate)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4802,6 +4814,7 @@
      - service_running
      - speed_weights
      - speed_totals
+     - recent_rates
 
     """
 
@@ -4817,10 +4830,11 @@
         'service_running',
         'speed_weights',
         'speed_totals',
+        'recent_rates',
     )
 
 
-    def __init__(self, engines=None, running=None, unread_tokens=None, accounts=None, rates=None, spent=None, services=None, token_rates=None, service_running=None, speed_weights=None, speed_totals=None,):
+    def __init__(self, engines=None, running=None, unread_tokens=None, accounts=None, rates=None, spent=None, services=None, token_rates=None, service_running=None, speed_weights=None, speed_totals=None, recent_rates=None,):
         self.engines = engines
         self.running = running
         self.unread_tokens = unread_tokens
@@ -4832,6 +4846,7 @@
         self.service_running = service_running
         self.speed_weights = speed_weights
         self.speed_totals = speed_totals
+        self.recent_rates = recent_rates
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4952,6 +4967,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.recent_rates = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = iprot.readDouble()
+                        self.recent_rates.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4965,78 +4990,85 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.engines))
-            for iter166 in self.engines:
-                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
+            for iter172 in self.engines:
+                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.running))
-            for iter167 in self.running:
-                oprot.writeI32(iter167)
+            for iter173 in self.running:
+                oprot.writeI32(iter173)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unread_tokens is not None:
             oprot.writeFieldBegin('unread_tokens', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unread_tokens))
-            for iter168 in self.unread_tokens:
-                oprot.writeI64(iter168)
+            for iter174 in self.unread_tokens:
+                oprot.writeI64(iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.accounts))
-            for iter169 in self.accounts:
-                oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
+            for iter175 in self.accounts:
+                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 5)
             oprot.writeListBegin(TType.DOUBLE, len(self.rates))
-            for iter170 in self.rates:
-                oprot.writeDouble(iter170)
+            for iter176 in self.rates:
+                oprot.writeDouble(iter176)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 6)
             oprot.writeListBegin(TType.DOUBLE, len(self.spent))
-            for iter171 in self.spent:
-                oprot.writeDouble(iter171)
+            for iter177 in self.spent:
+                oprot.writeDouble(iter177)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter172 in self.services:
-                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
+            for iter178 in self.services:
+                oprot.writeString(iter178.encode('utf-8') if sys.version_info[0] == 2 else iter178)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_rates is not None:
             oprot.writeFieldBegin('token_rates', TType.LIST, 8)
             oprot.writeListBegin(TType.DOUBLE, len(self.token_rates))
-            for iter173 in self.token_rates:
-                oprot.writeDouble(iter173)
+            for iter179 in self.token_rates:
+                oprot.writeDouble(iter179)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_running is not None:
             oprot.writeFieldBegin('service_running', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.service_running))
-            for iter174 in self.service_running:
-                oprot.writeI32(iter174)
+            for iter180 in self.service_running:
+                oprot.writeI32(iter180)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speed_weights is not None:
             oprot.writeFieldBegin('speed_weights', TType.LIST, 10)
             oprot.writeListBegin(TType.I32, len(self.speed_weights))
-            for iter175 in self.speed_weights:
-                oprot.writeI32(iter175)
+            for iter181 in self.speed_weights:
+                oprot.writeI32(iter181)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speed_totals is not None:
             oprot.writeFieldBegin('speed_totals', TType.LIST, 11)
             oprot.writeListBegin(TType.I32, len(self.speed_totals))
-            for iter176 in self.speed_totals:
-                oprot.writeI32(iter176)
+            for iter182 in self.speed_totals:
+                oprot.writeI32(iter182)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recent_rates is not None:
+            oprot.writeFieldBegin('recent_rates', TType.LIST, 12)
+            oprot.writeListBegin(TType.DOUBLE, len(self.recent_rates))
+            for iter183 in self.recent_rates:
+                oprot.writeDouble(iter183)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5394,11 +5426,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = LeaseFact()
-                        _elem182.read(iprot)
-                        self.leases.append(_elem182)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = LeaseFact()
+                        _elem189.read(iprot)
+                        self.leases.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5451,8 +5483,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter183 in self.leases:
-                iter183.write(oprot)
+            for iter190 in self.leases:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5579,31 +5611,31 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype187, _size184) = iprot.readListBegin()
-                    for _i188 in range(_size184):
-                        _elem189 = HostFact()
-                        _elem189.read(iprot)
-                        self.hosts.append(_elem189)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = HostFact()
+                        _elem196.read(iprot)
+                        self.hosts.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype193, _size190) = iprot.readListBegin()
-                    for _i194 in range(_size190):
-                        _elem195 = iprot.readI64()
-                        self.numbers.append(_elem195)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = iprot.readI64()
+                        self.numbers.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = iprot.readDouble()
-                        self.ages.append(_elem201)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = iprot.readDouble()
+                        self.ages.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5622,11 +5654,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype205, _size202) = iprot.readListBegin()
-                    for _i206 in range(_size202):
-                        _elem207 = LeaseFact()
-                        _elem207.read(iprot)
-                        self.leases.append(_elem207)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = LeaseFact()
+                        _elem214.read(iprot)
+                        self.leases.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5638,20 +5670,20 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.heard = []
-                    (_etype211, _size208) = iprot.readListBegin()
-                    for _i212 in range(_size208):
-                        _elem213 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.heard.append(_elem213)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.heard_numbers = []
-                    (_etype217, _size214) = iprot.readListBegin()
-                    for _i218 in range(_size214):
-                        _elem219 = iprot.readI64()
-                        self.heard_numbers.append(_elem219)
+                    (_etype224, _size221) = iprot.readListBegin()
+                    for _i225 in range(_size221):
+                        _elem226 = iprot.readI64()
+                        self.heard_numbers.append(_elem226)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5684,22 +5716,22 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter220 in self.hosts:
-                iter220.write(oprot)
+            for iter227 in self.hosts:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter221 in self.numbers:
-                oprot.writeI64(iter221)
+            for iter228 in self.numbers:
+                oprot.writeI64(iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 7)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter222 in self.ages:
-                oprot.writeDouble(iter222)
+            for iter229 in self.ages:
+                oprot.writeDouble(iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
@@ -5713,8 +5745,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter223 in self.leases:
-                iter223.write(oprot)
+            for iter230 in self.leases:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5724,15 +5756,15 @@
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter224 in self.heard:
-                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
+            for iter231 in self.heard:
+                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_numbers is not None:
             oprot.writeFieldBegin('heard_numbers', TType.LIST, 13)
             oprot.writeListBegin(TType.I64, len(self.heard_numbers))
-            for iter225 in self.heard_numbers:
-                oprot.writeI64(iter225)
+            for iter232 in self.heard_numbers:
+                oprot.writeI64(iter232)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5801,31 +5833,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype229, _size226) = iprot.readListBegin()
-                    for _i230 in range(_size226):
-                        _elem231 = iprot.readBinary()
-                        self.digests.append(_elem231)
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = iprot.readBinary()
+                        self.digests.append(_elem238)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype235, _size232) = iprot.readListBegin()
-                    for _i236 in range(_size232):
-                        _elem237 = iprot.readDouble()
-                        self.ages.append(_elem237)
+                    (_etype242, _size239) = iprot.readListBegin()
+                    for _i243 in range(_size239):
+                        _elem244 = iprot.readDouble()
+                        self.ages.append(_elem244)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype241, _size238) = iprot.readListBegin()
-                    for _i242 in range(_size238):
-                        _elem243 = HostFact()
-                        _elem243.read(iprot)
-                        self.hosts.append(_elem243)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = HostFact()
+                        _elem250.read(iprot)
+                        self.hosts.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5846,22 +5878,22 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter244 in self.digests:
-                oprot.writeBinary(iter244)
+            for iter251 in self.digests:
+                oprot.writeBinary(iter251)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 3)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter245 in self.ages:
-                oprot.writeDouble(iter245)
+            for iter252 in self.ages:
+                oprot.writeDouble(iter252)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter246 in self.hosts:
-                iter246.write(oprot)
+            for iter253 in self.hosts:
+                iter253.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5943,11 +5975,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = EngineEntry()
-                        _elem252.read(iprot)
-                        self.entries.append(_elem252)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = EngineEntry()
+                        _elem259.read(iprot)
+                        self.entries.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5981,8 +6013,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter253 in self.entries:
-                iter253.write(oprot)
+            for iter260 in self.entries:
+                iter260.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -6049,11 +6081,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype257, _size254) = iprot.readListBegin()
-                    for _i258 in range(_size254):
-                        _elem259 = UsageCount()
-                        _elem259.read(iprot)
-                        self.usage.append(_elem259)
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = UsageCount()
+                        _elem266.read(iprot)
+                        self.usage.append(_elem266)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6074,8 +6106,8 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter260 in self.usage:
-                iter260.write(oprot)
+            for iter267 in self.usage:
+                iter267.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6313,22 +6345,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype264, _size261) = iprot.readListBegin()
-                    for _i265 in range(_size261):
-                        _elem266 = EndedEngine()
-                        _elem266.read(iprot)
-                        self.ends.append(_elem266)
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = EndedEngine()
+                        _elem273.read(iprot)
+                        self.ends.append(_elem273)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype270, _size267) = iprot.readListBegin()
-                    for _i271 in range(_size267):
-                        _elem272 = SoundAnswer()
-                        _elem272.read(iprot)
-                        self.sound.append(_elem272)
+                    (_etype277, _size274) = iprot.readListBegin()
+                    for _i278 in range(_size274):
+                        _elem279 = SoundAnswer()
+                        _elem279.read(iprot)
+                        self.sound.append(_elem279)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6349,15 +6381,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter273 in self.ends:
-                iter273.write(oprot)
+            for iter280 in self.ends:
+                iter280.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter274 in self.sound:
-                iter274.write(oprot)
+            for iter281 in self.sound:
+                iter281.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6518,33 +6550,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype278, _size275) = iprot.readListBegin()
-                    for _i279 in range(_size275):
-                        _elem280 = SuspectPart()
-                        _elem280.read(iprot)
-                        self.parts.append(_elem280)
+                    (_etype285, _size282) = iprot.readListBegin()
+                    for _i286 in range(_size282):
+                        _elem287 = SuspectPart()
+                        _elem287.read(iprot)
+                        self.parts.append(_elem287)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype284, _size281) = iprot.readListBegin()
-                    for _i285 in range(_size281):
-                        _elem286 = NamedLimit()
-                        _elem286.read(iprot)
-                        self.limits.append(_elem286)
+                    (_etype291, _size288) = iprot.readListBegin()
+                    for _i292 in range(_size288):
+                        _elem293 = NamedLimit()
+                        _elem293.read(iprot)
+                        self.limits.append(_elem293)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype290, _size287) = iprot.readListBegin()
-                    for _i291 in range(_size287):
-                        _elem292 = SuspectPart()
-                        _elem292.read(iprot)
-                        self.requests.append(_elem292)
+                    (_etype297, _size294) = iprot.readListBegin()
+                    for _i298 in range(_size294):
+                        _elem299 = SuspectPart()
+                        _elem299.read(iprot)
+                        self.requests.append(_elem299)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6565,22 +6597,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter293 in self.parts:
-                iter293.write(oprot)
+            for iter300 in self.parts:
+                iter300.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter294 in self.limits:
-                iter294.write(oprot)
+            for iter301 in self.limits:
+                iter301.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter295 in self.requests:
-                iter295.write(oprot)
+            for iter302 in self.requests:
+                iter302.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7223,6 +7255,7 @@
     (1, TType.STRING, 'backend', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'tokens_rate', None, None, ),  # 2
     (3, TType.I32, 'running', None, None, ),  # 3
+    (4, TType.DOUBLE, 'recent_rate', None, None, ),  # 4
 )
 all_structs.append(EngineEntry)
 EngineEntry.thrift_spec = (
@@ -7297,6 +7330,7 @@
     (9, TType.LIST, 'service_running', (TType.I32, None, False), None, ),  # 9
     (10, TType.LIST, 'speed_weights', (TType.I32, None, False), None, ),  # 10
     (11, TType.LIST, 'speed_totals', (TType.I32, None, False), None, ),  # 11
+    (12, TType.LIST, 'recent_rates', (TType.DOUBLE, None, False), None, ),  # 12
 )
 all_structs.append(Progress)
 Progress.thrift_spec = (
