--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -22,8 +22,9 @@
 SCALE_DOWN_LOAD_FACTOR = 1.2
 # Concurrent requests at which an engine still meets its token latency.
 TARGET_RUNNING = 28
-# Share of an engine's slots that may be taken: the rest absorbs bursts.
-TARGET_SLOTS_SHARE = 0.6
+# Share of an engine's slots that a plan fills: the rest absorbs bursts.
+# Requests that wait at an engine count as running in an outage.
+TARGET_SLOTS_SHARE = 0.85
 # Share of the learned rates that a plan counts on: engines read prompts
 # between the tokens of the answers that they write.
 LEARNED_SHARE = 0.9
@@ -96,7 +97,7 @@
     """Return the requests at once that a plan counts on for each engine."""
     if not slots:
         return TARGET_RUNNING
-    return max(1.0, slots * TARGET_SLOTS_SHARE)
+    return max(1.0, min(TARGET_RUNNING, slots * TARGET_SLOTS_SHARE))
 
 
 def plan_engines(
