--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -162,7 +162,7 @@
         )
         self.spot_totals[service.name] = sum(wanted.spot for wanted in plan)
         if service.name in self.state.learning_services:
-            self._log_plan(service.name, each, load, supplies, plan, now)
+            self._log_plan(service, each, load, supplies, plan, now)
         for wanted in plan:
             supply = next(
                 candidate
@@ -173,18 +173,24 @@
 
     def _log_plan(
         self,
-        name: str,
+        service: Service,
         each: Capacity,
         load: Load,
         supplies: list[ZoneSupply],
         plan: list[ZoneTarget],
         now: float,
     ) -> None:
-        """Log what is planned for, and what was when engines take to boot."""
+        """Log what is planned for, and what came beside its forecast.
+
+        The forecast is that of one boot time ago.
+        """
+        name = service.name
         if now < self.next_log_at.get(name, -inf):
             return
         self.next_log_at[name] = now + PLAN_LOG_INTERVAL_S
         current = self.loads.current(name)
+        assert service.scaling is not None
+        foreseen = self.loads.foreseen(name, now - service.scaling.boot_s)
         self.state.log(
             LogEvent.ENGINES_PLANNED,
             backend=name,
@@ -193,6 +199,7 @@
             planned_rate=round(load.tokens_per_s),
             planned_running=round(load.running),
             rate=round(current.tokens_per_s),
+            foreseen_rate=foreseen and round(foreseen.tokens_per_s),
             running=round(current.running),
             engines=sum(supply.spot + supply.on_demand for supply in supplies),
             spot=sum(wanted.spot for wanted in plan),
--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -76,6 +76,13 @@
         history = self.histories[name]
         return (history.recent_loads or history.loads)[-1][1]
 
+    def foreseen(self, name: str, until: float) -> Load | None:
+        """Return the last forecast made until a time, None without one."""
+        made = [
+            load for at, load in self.histories[name].forecasts if at <= until
+        ]
+        return made[-1] if made else None
+
     def peaks(self, name: str, now: float) -> tuple[Load, Load]:
         """Return the loads to plan for: reclaimable and on-demand engines."""
         history = self.histories[name]
--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -105,7 +105,7 @@
                 self.starting.remove(engine)
                 self.register(*engine[1:])
             tokens = tokens_per_s * TICK_S
-            self.state.local_loads["llm"].demand.record(tokens, self.now)
+            self.state.local_loads["llm"].record(tokens, self.now)
             duty.tick(self.now)
             fewest = min(fewest, len(self.engines))
             self.on_demand_engine_s += TICK_S * self.on_demand_count()
@@ -298,3 +298,21 @@
     deployment.reclaim("a")
     deployment.simulate(duty, deployment.now + 3.0, DEFAULT_PREFILL_RATE)
     assert len(sent) == len(set(sent)) > 0
+
+
+def test_a_plan_is_logged_with_what_came(deployment, caplog):
+    """Where rates are learned; the forecast is that of one boot time ago."""
+    caplog.set_level("INFO", logger="orders")
+    load = DEFAULT_PREFILL_RATE * 2.2
+    deployment.state.learning_services = {"llm"}
+    simulate_until_settled(deployment, load)
+    plans = [
+        record
+        for record in caplog.records
+        if getattr(record, "event_name", "") == "ENGINES_PLANNED"
+    ]
+    last = plans[-1]
+    assert last.rate == pytest.approx(load, rel=0.1)
+    assert last.foreseen_rate == pytest.approx(load, rel=0.1)
+    assert last.planned_rate >= last.rate * 0.95
+    assert len(deployment.engines) * DEFAULT_PREFILL_RATE > load
