--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -4,6 +4,7 @@
 of 0.6 s; hosts know of each other's sends and samples every 0.8 s.
 """
 
+from dataclasses import replace
 from logging import getLogger
 from math import ceil
 from math import pi
@@ -15,7 +16,10 @@
 
 from magnoliaflow.cluster.sums import Sums
 from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.codec import from_wire
+from magnoliaflow.common.codec import to_wire
 from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.common.messages import LoadSums
 from magnoliaflow.common.settings import BackendServer
 from magnoliaflow.entry.enginespeeds import record_first_token
 from magnoliaflow.entry.enginespeeds import speed_details
@@ -328,3 +332,24 @@
     engine = state.routing.engines["m1"]
     assert engine.prefill_rate == REFERENCE_RATE and not speed_details(state)
     assert state.own_sums(boot_time()).loads({}).speed_weights == ()
+
+
+def test_sums_with_hosts_of_an_old_build():
+    """They send no evidence, and their smoothed rates count as recent."""
+    old = LoadSums(("m0",), (2,), (900,), (), (), (), ("llm",), (5.0,), (2,))
+    new = replace(
+        old, speed_weights=(250,), speed_totals=(-30,), recent_rates=(7.0,)
+    )
+    total = Sums()
+    for loads in (old, new, new):
+        total.add(decode_loads(loads))
+    total.add(new, -1)
+    assert total.speeds == {"m0": [250, -30]}
+    assert total.recent_rates == {"llm": 12.0}
+    assert total.engines == {"m0": [4, 1800]}
+    assert total.loads({}).recent_rates == (12.0,)
+
+
+def decode_loads(loads):
+    """Return loads as another host reads them."""
+    return from_wire(to_wire(loads))
