--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -195,20 +195,28 @@
     """A host's load on an engine.
 
     ``unread_tokens`` are prompt tokens of requests without a first token.
+    ``speed_weight`` and ``speed_total`` are evidence of the engine's prefill
+    rate (enginespeeds), in hundredths.
     """
 
     engine: str
     running: int
     unread_tokens: int
+    speed_weight: int = 0
+    speed_total: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
-    """A host's demand on a service, in prompt tokens per second."""
+    """A host's demand on a service, in prompt tokens per second.
+
+    ``recent_rate`` is that of the last seconds, -1 from old versions.
+    """
 
     backend: str
     tokens_rate: float
     running: int
+    recent_rate: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -304,6 +312,9 @@
     Per engine: open requests and prompt tokens without a first token.  Per
     account: demand per second and the total ``spent`` of its cap, in the
     cap's unit.  Per service: prompt tokens per second and open requests.
+    Per engine too, or empty: evidence of its prefill rate (enginespeeds), in
+    hundredths.  Per service too, or empty: prompt tokens per second of the
+    last seconds.
     """
 
     engines: tuple[str, ...] = ()
@@ -315,6 +326,9 @@
     services: tuple[str, ...] = ()
     token_rates: tuple[float, ...] = ()
     service_running: tuple[int, ...] = ()
+    speed_weights: tuple[int, ...] = ()
+    speed_totals: tuple[int, ...] = ()
+    recent_rates: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -247,13 +247,22 @@
             for window, account, count in usage
         ),
         engines=tuple(
-            EngineLoad(engine.name, engine.local_running, engine.unread_tokens)
+            EngineLoad(
+                engine.name,
+                engine.local_running,
+                engine.unread_tokens,
+                *evidence,
+            )
             for engine in state.routing.engines.values()
-            if engine.local_running
+            if (evidence := engine.speed.scaled(now))[0]
+            or engine.local_running
         ),
         services=tuple(
             ServiceLoad(
-                name, local_load.demand.current(now), local_load.running
+                name,
+                local_load.demand.current(now),
+                local_load.running,
+                local_load.recent.current(now),
             )
             for name, local_load in state.local_loads.items()
         ),
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -78,6 +78,8 @@
 UNKNOWN_AGE_S = 1e6
 # Hosts up to which all exchange heartbeats; more form groups.
 MESH_HOSTS = 8
+# Half-life of the rate that plans of engines follow where rates are learned.
+RECENT_HALF_LIFE_S = 1.5
 # Capacity of an engine's prefix cache unless the configuration sets it.
 DEFAULT_CACHE_TOKENS = 300_000
 
@@ -131,12 +133,20 @@
 class LocalLoad:
     """Load of a service on this host.
 
-    ``demand`` is the smoothed rate of prompt tokens to read, ``running`` the
-    number of open attempts.
+    ``demand`` is the smoothed rate of prompt tokens to read, ``recent`` that
+    of the last seconds, ``running`` the number of open attempts.
     """
 
     demand: Demand = field(default_factory=Demand)
     running: int = 0
+    recent: Demand = field(
+        default_factory=lambda: Demand(half_life_s=RECENT_HALF_LIFE_S)
+    )
+
+    def record(self, tokens: int, now: float) -> None:
+        """Count the uncached prompt tokens of a request."""
+        self.demand.record(tokens, now)
+        self.recent.record(tokens, now)
 
 
 class EntryState:
@@ -166,6 +176,7 @@
         "probed_engines",
         "identity",
         "known_holds",
+        "learning_services",
         "lease_manager",
         "lifecycle",
         "limited_engines",
@@ -174,6 +185,8 @@
         "metrics",
         "next_gauges_at",
         "next_rate_update_at",
+        "next_speed_log_at",
+        "next_speed_update_at",
         "rate_limits",
         "peer_addresses",
         "ports_held",
@@ -262,6 +275,9 @@
         self.spent: dict[str, float] = defaultdict(float)
         self.next_gauges_at = -inf
         self.next_rate_update_at = -inf
+        self.next_speed_log_at = -inf
+        self.next_speed_update_at = -inf
+        self.learning_services: set[str] = set()
         self.rate_limits: dict[str, Bucket] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.usage = UsageCounter(window_s=host_settings.usage_window_s)
@@ -342,11 +358,20 @@
                 for engine in self.routing.engines.values()
                 if engine.local_running
             },
+            speeds={
+                engine.name: list(evidence)
+                for engine in self.routing.engines.values()
+                if (evidence := engine.speed.scaled(now))[0]
+            },
             rates=dict(self.reported_demands),
             services={
                 name: [load.demand.current(now), load.running]
                 for name, load in self.local_loads.items()
             },
+            recent_rates={
+                name: load.recent.current(now)
+                for name, load in self.local_loads.items()
+            },
         )
 
     def _counted_peers(self, now: float) -> list[PeerHost]:
@@ -398,6 +423,7 @@
                     name: list(load)
                     for name, load in self.view_sums.services.items()
                 },
+                recent_rates=dict(self.view_sums.recent_rates),
             )
         for peer in self._counted_peers(now):
             for demand in peer.heartbeat.demands:
@@ -408,8 +434,27 @@
                 service = sums.services.setdefault(load.backend, [0.0, 0.0])
                 service[0] += load.tokens_rate
                 service[1] += load.running
+                recent = load.recent_rate
+                sums.recent_rates[load.backend] = sums.recent_rates.get(
+                    load.backend, 0.0
+                ) + (load.tokens_rate if recent < 0 else recent)
         return sums
 
+    def others_speeds(self, now: float) -> dict[str, list[int]]:
+        """Return the other hosts' evidence of engines' rates, scaled."""
+        speeds = (
+            {name: list(sums) for name, sums in self.view_sums.speeds.items()}
+            if self.uses_groups()
+            else {}
+        )
+        for peer in self._counted_peers(now):
+            for load in peer.heartbeat.engines:
+                if load.speed_weight:
+                    sums = speeds.setdefault(load.engine, [0, 0])
+                    sums[0] += load.speed_weight
+                    sums[1] += load.speed_total
+        return speeds
+
     def engine_run(self, name: str) -> str:
         """Return a name of an engine's current run, the same at all hosts."""
         entry = self.registry.entries.get(name)
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -3801,6 +3801,8 @@
      - engine
      - running
      - unread_tokens
+     - speed_weight
+     - speed_total
 
     """
 
@@ -3808,13 +3810,17 @@
         'engine',
         'running',
         'unread_tokens',
+        'speed_weight',
+        'speed_total',
     )
 
 
-    def __init__(self, engine=None, running=None, unread_tokens=None,):
+    def __init__(self, engine=None, running=None, unread_tokens=None, speed_weight=None, speed_total=None,):
         self.engine = engine
         self.running = running
         self.unread_tokens = unread_tokens
+        self.speed_weight = speed_weight
+        self.speed_total = speed_total
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3840,6 +3846,16 @@
                     self.unread_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.speed_weight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.speed_total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3862,6 +3878,14 @@
             oprot.writeFieldBegin('unread_tokens', TType.I32, 3)
             oprot.writeI32(self.unread_tokens)
             oprot.writeFieldEnd()
+        if self.speed_weight is not None:
+            oprot.writeFieldBegin('speed_weight', TType.I32, 4)
+            oprot.writeI32(self.speed_weight)
+            oprot.writeFieldEnd()
+        if self.speed_total is not None:
+            oprot.writeFieldBegin('speed_total', TType.I32, 5)
+            oprot.writeI32(self.speed_total)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3893,6 +3917,7 @@
      - backend
      - tokens_rate
      - running
+     - recent_rate
 
     """
 
@@ -3900,13 +3925,15 @@
         'backend',
         'tokens_rate',
         'running',
+        'recent_rate',
     )
 
 
-    def __init__(self, backend=None, tokens_rate=None, running=None,):
+    def __init__(self, backend=None, tokens_rate=None, running=None, recent_rate=None,):
         self.backend = backend
         self.tokens_rate = tokens_rate
         self.running = running
+        self.recent_rate = recent_rate
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3932,6 +3959,11 @@
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.recent_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3954,6 +3986,10 @@
             oprot.writeFieldBegin('running', TType.I32, 3)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
+        if self.recent_rate is not None:
+            oprot.writeFieldBegin('recent_rate', TType.DOUBLE, 4)
+            oprot.writeDouble(self.recent_rate)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4776,6 +4812,9 @@
      - services
      - token_rates
      - service_running
+     - speed_weights
+     - speed_totals
+     - recent_rates
 
     """
 
@@ -4789,10 +4828,13 @@
         'services',
         'token_rates',
         'service_running',
+        'speed_weights',
+        'speed_totals',
+        'recent_rates',
     )
 
 
-    def __init__(self, engines=None, running=None, unread_tokens=None, accounts=None, rates=None, spent=None, services=None, token_rates=None, service_running=None,):
+    def __init__(self, engines=None, running=None, unread_tokens=None, accounts=None, rates=None, spent=None, services=None, token_rates=None, service_running=None, speed_weights=None, speed_totals=None, recent_rates=None,):
         self.engines = engines
         self.running = running
         self.unread_tokens = unread_tokens
@@ -4802,6 +4844,9 @@
         self.services = services
         self.token_rates = token_rates
         self.service_running = service_running
+        self.speed_weights = speed_weights
+        self.speed_totals = speed_totals
+        self.recent_rates = recent_rates
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4902,6 +4947,36 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.speed_weights = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readI32()
+                        self.speed_weights.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.speed_totals = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readI32()
+                        self.speed_totals.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.recent_rates = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = iprot.readDouble()
+                        self.recent_rates.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4915,64 +4990,85 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.engines))
-            for iter154 in self.engines:
-                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
+            for iter172 in self.engines:
+                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.running))
-            for iter155 in self.running:
-                oprot.writeI32(iter155)
+            for iter173 in self.running:
+                oprot.writeI32(iter173)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unread_tokens is not None:
             oprot.writeFieldBegin('unread_tokens', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unread_tokens))
-            for iter156 in self.unread_tokens:
-                oprot.writeI64(iter156)
+            for iter174 in self.unread_tokens:
+                oprot.writeI64(iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.accounts))
-            for iter157 in self.accounts:
-                oprot.writeString(iter157.encode('utf-8') if sys.version_info[0] == 2 else iter157)
+            for iter175 in self.accounts:
+                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 5)
             oprot.writeListBegin(TType.DOUBLE, len(self.rates))
-            for iter158 in self.rates:
-                oprot.writeDouble(iter158)
+            for iter176 in self.rates:
+                oprot.writeDouble(iter176)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 6)
             oprot.writeListBegin(TType.DOUBLE, len(self.spent))
-            for iter159 in self.spent:
-                oprot.writeDouble(iter159)
+            for iter177 in self.spent:
+                oprot.writeDouble(iter177)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter160 in self.services:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter178 in self.services:
+                oprot.writeString(iter178.encode('utf-8') if sys.version_info[0] == 2 else iter178)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_rates is not None:
             oprot.writeFieldBegin('token_rates', TType.LIST, 8)
             oprot.writeListBegin(TType.DOUBLE, len(self.token_rates))
-            for iter161 in self.token_rates:
-                oprot.writeDouble(iter161)
+            for iter179 in self.token_rates:
+                oprot.writeDouble(iter179)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_running is not None:
             oprot.writeFieldBegin('service_running', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.service_running))
-            for iter162 in self.service_running:
-                oprot.writeI32(iter162)
+            for iter180 in self.service_running:
+                oprot.writeI32(iter180)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speed_weights is not None:
+            oprot.writeFieldBegin('speed_weights', TType.LIST, 10)
+            oprot.writeListBegin(TType.I32, len(self.speed_weights))
+            for iter181 in self.speed_weights:
+                oprot.writeI32(iter181)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speed_totals is not None:
+            oprot.writeFieldBegin('speed_totals', TType.LIST, 11)
+            oprot.writeListBegin(TType.I32, len(self.speed_totals))
+            for iter182 in self.speed_totals:
+                oprot.writeI32(iter182)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recent_rates is not None:
+            oprot.writeFieldBegin('recent_rates', TType.LIST, 12)
+            oprot.writeListBegin(TType.DOUBLE, len(self.recent_rates))
+            for iter183 in self.recent_rates:
+                oprot.writeDouble(iter183)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5330,11 +5426,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = LeaseFact()
-                        _elem168.read(iprot)
-                        self.leases.append(_elem168)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = LeaseFact()
+                        _elem189.read(iprot)
+                        self.leases.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5387,8 +5483,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter169 in self.leases:
-                iter169.write(oprot)
+            for iter190 in self.leases:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5515,31 +5611,31 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = HostFact()
-                        _elem175.read(iprot)
-                        self.hosts.append(_elem175)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = HostFact()
+                        _elem196.read(iprot)
+                        self.hosts.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = iprot.readI64()
-                        self.numbers.append(_elem181)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = iprot.readI64()
+                        self.numbers.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = iprot.readDouble()
-                        self.ages.append(_elem187)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = iprot.readDouble()
+                        self.ages.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5558,11 +5654,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = LeaseFact()
-                        _elem193.read(iprot)
-                        self.leases.append(_elem193)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = LeaseFact()
+                        _elem214.read(iprot)
+                        self.leases.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5574,20 +5670,20 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.heard = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.heard.append(_elem199)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.heard_numbers = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = iprot.readI64()
-                        self.heard_numbers.append(_elem205)
+                    (_etype224, _size221) = iprot.readListBegin()
+                    for _i225 in range(_size221):
+                        _elem226 = iprot.readI64()
+                        self.heard_numbers.append(_elem226)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5620,22 +5716,22 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter206 in self.hosts:
-                iter206.write(oprot)
+            for iter227 in self.hosts:
+                iter227.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter207 in self.numbers:
-                oprot.writeI64(iter207)
+            for iter228 in self.numbers:
+                oprot.writeI64(iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 7)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter208 in self.ages:
-                oprot.writeDouble(iter208)
+            for iter229 in self.ages:
+                oprot.writeDouble(iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
@@ -5649,8 +5745,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter209 in self.leases:
-                iter209.write(oprot)
+            for iter230 in self.leases:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5660,15 +5756,15 @@
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter210 in self.heard:
-                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
+            for iter231 in self.heard:
+                oprot.writeString(iter231.encode('utf-8') if sys.version_info[0] == 2 else iter231)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_numbers is not None:
             oprot.writeFieldBegin('heard_numbers', TType.LIST, 13)
             oprot.writeListBegin(TType.I64, len(self.heard_numbers))
-            for iter211 in self.heard_numbers:
-                oprot.writeI64(iter211)
+            for iter232 in self.heard_numbers:
+                oprot.writeI64(iter232)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5737,31 +5833,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readBinary()
-                        self.digests.append(_elem217)
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = iprot.readBinary()
+                        self.digests.append(_elem238)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = iprot.readDouble()
-                        self.ages.append(_elem223)
+                    (_etype242, _size239) = iprot.readListBegin()
+                    for _i243 in range(_size239):
+                        _elem244 = iprot.readDouble()
+                        self.ages.append(_elem244)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = HostFact()
-                        _elem229.read(iprot)
-                        self.hosts.append(_elem229)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = HostFact()
+                        _elem250.read(iprot)
+                        self.hosts.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5782,22 +5878,22 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter230 in self.digests:
-                oprot.writeBinary(iter230)
+            for iter251 in self.digests:
+                oprot.writeBinary(iter251)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 3)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter231 in self.ages:
-                oprot.writeDouble(iter231)
+            for iter252 in self.ages:
+                oprot.writeDouble(iter252)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter232 in self.hosts:
-                iter232.write(oprot)
+            for iter253 in self.hosts:
+                iter253.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5879,11 +5975,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype236, _size233) = iprot.readListBegin()
-                    for _i237 in range(_size233):
-                        _elem238 = EngineEntry()
-                        _elem238.read(iprot)
-                        self.entries.append(_elem238)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = EngineEntry()
+                        _elem259.read(iprot)
+                        self.entries.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5917,8 +6013,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter239 in self.entries:
-                iter239.write(oprot)
+            for iter260 in self.entries:
+                iter260.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -5985,11 +6081,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype243, _size240) = iprot.readListBegin()
-                    for _i244 in range(_size240):
-                        _elem245 = UsageCount()
-                        _elem245.read(iprot)
-                        self.usage.append(_elem245)
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = UsageCount()
+                        _elem266.read(iprot)
+                        self.usage.append(_elem266)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6010,8 +6106,8 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter246 in self.usage:
-                iter246.write(oprot)
+            for iter267 in self.usage:
+                iter267.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6249,22 +6345,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = EndedEngine()
-                        _elem252.read(iprot)
-                        self.ends.append(_elem252)
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = EndedEngine()
+                        _elem273.read(iprot)
+                        self.ends.append(_elem273)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype256, _size253) = iprot.readListBegin()
-                    for _i257 in range(_size253):
-                        _elem258 = SoundAnswer()
-                        _elem258.read(iprot)
-                        self.sound.append(_elem258)
+                    (_etype277, _size274) = iprot.readListBegin()
+                    for _i278 in range(_size274):
+                        _elem279 = SoundAnswer()
+                        _elem279.read(iprot)
+                        self.sound.append(_elem279)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6285,15 +6381,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter259 in self.ends:
-                iter259.write(oprot)
+            for iter280 in self.ends:
+                iter280.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter260 in self.sound:
-                iter260.write(oprot)
+            for iter281 in self.sound:
+                iter281.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6454,33 +6550,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype264, _size261) = iprot.readListBegin()
-                    for _i265 in range(_size261):
-                        _elem266 = SuspectPart()
-                        _elem266.read(iprot)
-                        self.parts.append(_elem266)
+                    (_etype285, _size282) = iprot.readListBegin()
+                    for _i286 in range(_size282):
+                        _elem287 = SuspectPart()
+                        _elem287.read(iprot)
+                        self.parts.append(_elem287)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype270, _size267) = iprot.readListBegin()
-                    for _i271 in range(_size267):
-                        _elem272 = NamedLimit()
-                        _elem272.read(iprot)
-                        self.limits.append(_elem272)
+                    (_etype291, _size288) = iprot.readListBegin()
+                    for _i292 in range(_size288):
+                        _elem293 = NamedLimit()
+                        _elem293.read(iprot)
+                        self.limits.append(_elem293)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype276, _size273) = iprot.readListBegin()
-                    for _i277 in range(_size273):
-                        _elem278 = SuspectPart()
-                        _elem278.read(iprot)
-                        self.requests.append(_elem278)
+                    (_etype297, _size294) = iprot.readListBegin()
+                    for _i298 in range(_size294):
+                        _elem299 = SuspectPart()
+                        _elem299.read(iprot)
+                        self.requests.append(_elem299)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6501,22 +6597,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter279 in self.parts:
-                iter279.write(oprot)
+            for iter300 in self.parts:
+                iter300.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter280 in self.limits:
-                iter280.write(oprot)
+            for iter301 in self.limits:
+                iter301.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter281 in self.requests:
-                iter281.write(oprot)
+            for iter302 in self.requests:
+                iter302.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7150,6 +7246,8 @@
     (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
     (2, TType.I32, 'running', None, None, ),  # 2
     (3, TType.I32, 'unread_tokens', None, None, ),  # 3
+    (4, TType.I32, 'speed_weight', None, None, ),  # 4
+    (5, TType.I32, 'speed_total', None, None, ),  # 5
 )
 all_structs.append(ServiceLoad)
 ServiceLoad.thrift_spec = (
@@ -7157,6 +7255,7 @@
     (1, TType.STRING, 'backend', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'tokens_rate', None, None, ),  # 2
     (3, TType.I32, 'running', None, None, ),  # 3
+    (4, TType.DOUBLE, 'recent_rate', None, None, ),  # 4
 )
 all_structs.append(EngineEntry)
 EngineEntry.thrift_spec = (
@@ -7229,6 +7328,9 @@
     (7, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.LIST, 'token_rates', (TType.DOUBLE, None, False), None, ),  # 8
     (9, TType.LIST, 'service_running', (TType.I32, None, False), None, ),  # 9
+    (10, TType.LIST, 'speed_weights', (TType.I32, None, False), None, ),  # 10
+    (11, TType.LIST, 'speed_totals', (TType.I32, None, False), None, ),  # 11
+    (12, TType.LIST, 'recent_rates', (TType.DOUBLE, None, False), None, ),  # 12
 )
 all_structs.append(Progress)
 Progress.thrift_spec = (
