--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -51,6 +51,11 @@
   1: i64 fence, 2: i64 window, 3: list<AccountCount> counts,
   4: double written_at
 }
+struct RolloutStep {
+  1: i64 fence, 2: string backend, 3: string target, 4: i64 order,
+  5: i32 number, 6: i32 stage, 7: list<string> routes, 8: list<double> shares,
+  9: double elapsed, 10: string reason, 11: double written_at
+}
 struct Record {
   1: string record_id,
   2: optional Accept accept, 3: optional Dispatch dispatch,
@@ -59,7 +64,8 @@
   8: optional ProfileChange profile_change,
   9: optional ProfileSnapshot profile_snapshot,
   10: optional LeaseClaim lease_claim, 11: optional LeaseRenew lease_renew,
-  12: optional Mark mark, 13: optional UsageReport usage_report
+  12: optional Mark mark, 13: optional UsageReport usage_report,
+  14: optional RolloutStep rollout_step
 }
 
 struct HostNotice { 1: string host, 2: double seconds_left }
@@ -107,7 +113,8 @@
 struct EngineEntry {
   1: string engine, 2: string backend, 3: string address, 4: string zone,
   5: i32 slots, 6: bool leaving, 7: double leaves_s, 8: bool spot,
-  9: i64 born, 10: bool gone, 11: i64 offset, 12: optional i64 sequence
+  9: i64 born, 10: bool gone, 11: i64 offset, 12: optional i64 sequence,
+  13: optional string version
 }
 struct Beat {
   1: string identity, 2: string host, 3: string zone,
@@ -177,6 +184,22 @@
   1: string host, 2: list<SuspectPart> parts, 3: list<NamedLimit> limits,
   4: optional list<SuspectPart> requests
 }
+struct RolloutNews {
+  1: string host, 2: string identity, 3: list<RolloutStep> steps,
+  4: list<double> ages, 5: i64 heard_number
+}
+struct RolloutTally {
+  1: string route, 2: bool target, 3: i32 sent, 4: i32 finished,
+  5: i32 failed, 6: i32 running, 7: list<i32> latencies
+}
+struct RolloutCount {
+  1: string backend, 2: i64 order, 3: i32 number, 4: i32 stage,
+  5: double age, 6: list<RolloutTally> tallies
+}
+struct RolloutCounts {
+  1: HostFact fact, 2: i64 number, 3: i32 hosts, 4: string group,
+  5: list<RolloutCount> counts
+}
 struct PeerMessage {
   1: optional Heartbeat heartbeat, 2: optional Hold hold,
   3: optional HoldAck hold_ack, 4: optional Extend extend,
@@ -187,7 +210,8 @@
   14: optional HostNotice host_notice, 15: optional Beat beat,
   16: optional Report report, 17: optional View view,
   18: optional Changes changes, 19: optional UsageCounts usage_counts,
-  20: optional Findings findings
+  20: optional Findings findings, 21: optional RolloutNews rollout_news,
+  22: optional RolloutCounts rollout_counts
 }
 service Peer {
   void deliver(1: string sender, 2: list<PeerMessage> messages)
--- a/src/magnoliaflow/cluster/hostsettings.py
+++ b/src/magnoliaflow/cluster/hostsettings.py
@@ -8,7 +8,9 @@
     """Names, addresses (``IP:PORT``) and bounds, with times in seconds.
 
     ``first_start`` tells whether the whole deployment starts for the first
-    time.
+    time.  ``judges_rollouts``: this deployment moves traffic to a new version
+    when it is ordered; ``exposure_share``, ``exposure_tolerance`` (requests)
+    and ``rollback_s`` bound what a bad version gets.
     """
 
     host: str
@@ -39,3 +41,7 @@
     usage_window_s: float
     usage_delay_s: float
     directory_ttl_s: float
+    judges_rollouts: bool = False
+    exposure_share: float = 0.1
+    exposure_tolerance: float = 50.0
+    rollback_s: float = 5.0
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Union
 
+from magnoliaflow.common.records import RolloutStep
+
 
 @dataclass(frozen=True, slots=True)
 class HostNotice:
@@ -218,7 +220,7 @@
     ``leaves_s`` counts from when the entry was read; ``born`` distinguishes
     runs under the same id; ``offset`` is the position of the last change, -1
     if unknown.  ``sequence`` grows with each entry that a run writes, -1 if
-    it is not known.
+    it is not known.  ``version`` is that of its software, empty if unknown.
     """
 
     engine: str
@@ -233,6 +235,7 @@
     gone: bool = False
     offset: int = -1
     sequence: int = -1
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -488,6 +491,66 @@
     requests: tuple[SuspectPart, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutNews:
+    """The roll-outs as the sender has them.
+
+    ``ages`` are the seconds since each step was confirmed as the newest.
+    ``heard_number`` is the number of the receiver's last counts that the
+    sender has received, -1 if there are none.
+    """
+
+    host: str
+    identity: str
+    steps: tuple[RolloutStep, ...]
+    ages: tuple[float, ...]
+    heard_number: int
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutTally:
+    """What hosts saw of one version on one route since the order."""
+
+    route: str
+    target: bool
+    sent: int
+    finished: int
+    failed: int
+    running: int
+    latencies: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutCount:
+    """Tallies of a service, and the step that its hosts route by.
+
+    ``number`` and ``stage`` are the lowest of the hosts, ``age`` the seconds
+    since the oldest news in them.
+    """
+
+    backend: str
+    order: int
+    number: int
+    stage: int
+    age: float
+    tallies: tuple[RolloutTally, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutCounts:
+    """Counts of the sender, or of the ``hosts`` of its ``group``.
+
+    ``number`` counts these messages of a process.  ``group`` is empty unless
+    the sender has summed the counts of its group.
+    """
+
+    fact: HostFact
+    number: int
+    hosts: int
+    group: str
+    counts: tuple[RolloutCount, ...]
+
+
 Message = Union[
     Heartbeat,
     HostNotice,
@@ -509,4 +572,6 @@
     Changes,
     UsageCounts,
     Findings,
+    RolloutNews,
+    RolloutCounts,
 ]
--- a/src/magnoliaflow/common/records.py
+++ b/src/magnoliaflow/common/records.py
@@ -177,6 +177,28 @@
     written_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutStep:
+    """A decision of a roll-out; stage 0 is an order without one.
+
+    ``order`` is the position of the order.  ``routes`` and ``shares`` are
+    columns: the share of a route's requests that go to the target version.
+    ``elapsed`` is in seconds since the order.
+    """
+
+    fence: int
+    backend: str
+    target: str
+    order: int
+    number: int
+    stage: int
+    routes: tuple[str, ...]
+    shares: tuple[float, ...]
+    elapsed: float
+    reason: str
+    written_at: float
+
+
 RecordBody = Union[
     Accept,
     Dispatch,
@@ -190,6 +212,7 @@
     LeaseClaim,
     LeaseRenew,
     UsageReport,
+    RolloutStep,
 ]
 
 
--- a/src/magnoliaflow/common/settings.py
+++ b/src/magnoliaflow/common/settings.py
@@ -39,7 +39,8 @@
     """A model engine or a plain service that executes requests.
 
     ``price`` is per host and hour, ``prefill_rate`` in prompt tokens per
-    second, ``token_rate`` in tokens per second of one stream.
+    second, ``token_rate`` in tokens per second of one stream.  ``version``
+    is that of its software, empty if unknown.
     """
 
     name: str
@@ -56,6 +57,7 @@
     prefill_rate: float = 4000.0
     token_rate: float = 40.0
     answers_status: bool = False
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -131,9 +131,9 @@
 
 
 def _moved(previous: EngineEntry | None, entry: EngineEntry) -> bool:
-    return previous is not None and (previous.address, previous.backend) != (
-        entry.address,
-        entry.backend,
+    return previous is not None and (
+        (previous.address, previous.backend, previous.version)
+        != (entry.address, entry.backend, entry.version)
     )
 
 
@@ -155,4 +155,5 @@
         reclaimable=entry.spot,
         slots=max(1, entry.slots),
         prefill_rate=DEFAULT_PREFILL_RATE,
+        version=entry.version,
     )
--- a/src/magnoliaflow/platform/nodefile.py
+++ b/src/magnoliaflow/platform/nodefile.py
@@ -110,6 +110,10 @@
         usage_window_s=get("bounds.usageWindowS", float, 5),
         usage_delay_s=get("bounds.usageDelayS", float, 10),
         directory_ttl_s=get("bounds.ttl_max_s", float, 5),
+        judges_rollouts="rollout" in values.get("contracts", "").split(","),
+        exposure_share=get("bounds.exposureShare", float, 0.1),
+        exposure_tolerance=get("bounds.exposureTolerance", float, 50),
+        rollback_s=get("bounds.rollbackTimeoutMs", float, 5000) / MS,
     )
     if faults:
         raise SettingsError("; ".join(faults))
--- a/src/magnoliaflow/platform/registrations.py
+++ b/src/magnoliaflow/platform/registrations.py
@@ -52,6 +52,7 @@
             born=int(_number(fields, "born", 0, 0, MAX_INT)),
             # Grows with each heartbeat of the run.
             sequence=int(_number(fields, "sequence", -1, 0, MAX_INT)),
+            version=_version(fields),
         )
     except FormatError:
         return None
@@ -64,6 +65,17 @@
     return value
 
 
+def _version(fields: dict[str, Any]) -> str:
+    """Return the version of an engine's software, '' without a usable one.
+
+    An engine serves whatever its version.
+    """
+    try:
+        return _name(fields, "version")
+    except FormatError:
+        return ""
+
+
 def _number(
     fields: dict[str, Any],
     field: str,
--- a/src/magnoliaflow/platform/store.py
+++ b/src/magnoliaflow/platform/store.py
@@ -23,6 +23,7 @@
 ENGINES_TOPIC = "keyed.servers"
 DUTY_TOPIC = "duty"
 HOSTS_TOPIC = "keyed.members"
+STATUS_TOPIC = "keyed.status"
 # Header of every answer; its value rises by one when the store has lost
 # records that it had confirmed.
 ERA_HEADER = b"store-era"
--- /dev/null
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -0,0 +1,1 @@
+"""Stub of the roll-out verdict, replaced by branch rollpolicy."""
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -1682,6 +1682,210 @@
         return not (self == other)
 
 
+class RolloutStep(object):
+    """
+    Attributes:
+     - fence
+     - backend
+     - target
+     - order
+     - number
+     - stage
+     - routes
+     - shares
+     - elapsed
+     - reason
+     - written_at
+
+    """
+
+    __slots__ = (
+        'fence',
+        'backend',
+        'target',
+        'order',
+        'number',
+        'stage',
+        'routes',
+        'shares',
+        'elapsed',
+        'reason',
+        'written_at',
+    )
+
+
+    def __init__(self, fence=None, backend=None, target=None, order=None, number=None, stage=None, routes=None, shares=None, elapsed=None, reason=None, written_at=None,):
+        self.fence = fence
+        self.backend = backend
+        self.target = target
+        self.order = order
+        self.number = number
+        self.stage = stage
+        self.routes = routes
+        self.shares = shares
+        self.elapsed = elapsed
+        self.reason = reason
+        self.written_at = written_at
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.backend = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.stage = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.routes.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.shares = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readDouble()
+                        self.shares.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.elapsed = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.written_at = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutStep')
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 1)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        if self.backend is not None:
+            oprot.writeFieldBegin('backend', TType.STRING, 2)
+            oprot.writeString(self.backend.encode('utf-8') if sys.version_info[0] == 2 else self.backend)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 3)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 4)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 5)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.stage is not None:
+            oprot.writeFieldBegin('stage', TType.I32, 6)
+            oprot.writeI32(self.stage)
+            oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.routes))
+            for iter26 in self.routes:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.LIST, 8)
+            oprot.writeListBegin(TType.DOUBLE, len(self.shares))
+            for iter27 in self.shares:
+                oprot.writeDouble(iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.elapsed is not None:
+            oprot.writeFieldBegin('elapsed', TType.DOUBLE, 9)
+            oprot.writeDouble(self.elapsed)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 10)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.written_at is not None:
+            oprot.writeFieldBegin('written_at', TType.DOUBLE, 11)
+            oprot.writeDouble(self.written_at)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Record(object):
     """
     Attributes:
@@ -1698,6 +1902,7 @@
      - lease_renew
      - mark
      - usage_report
+     - rollout_step
 
     """
 
@@ -1715,10 +1920,11 @@
         'lease_renew',
         'mark',
         'usage_report',
+        'rollout_step',
     )
 
 
-    def __init__(self, record_id=None, accept=None, dispatch=None, takeover=None, refuse=None, outcome=None, restate=None, profile_change=None, profile_snapshot=None, lease_claim=None, lease_renew=None, mark=None, usage_report=None,):
+    def __init__(self, record_id=None, accept=None, dispatch=None, takeover=None, refuse=None, outcome=None, restate=None, profile_change=None, profile_snapshot=None, lease_claim=None, lease_renew=None, mark=None, usage_report=None, rollout_step=None,):
         self.record_id = record_id
         self.accept = accept
         self.dispatch = dispatch
@@ -1732,6 +1938,7 @@
         self.lease_renew = lease_renew
         self.mark = mark
         self.usage_report = usage_report
+        self.rollout_step = rollout_step
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1819,6 +2026,12 @@
                     self.usage_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.rollout_step = RolloutStep()
+                    self.rollout_step.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1881,6 +2094,10 @@
             oprot.writeFieldBegin('usage_report', TType.STRUCT, 13)
             self.usage_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.rollout_step is not None:
+            oprot.writeFieldBegin('rollout_step', TType.STRUCT, 14)
+            self.rollout_step.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2067,22 +2284,22 @@
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.applied = {}
-                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
-                    for _i18 in range(_size14):
-                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val20 = iprot.readI64()
-                        self.applied[_key19] = _val20
+                    (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
+                    for _i32 in range(_size28):
+                        _key33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val34 = iprot.readI64()
+                        self.applied[_key33] = _val34
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = HostNotice()
-                        _elem26.read(iprot)
-                        self.notices.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = HostNotice()
+                        _elem40.read(iprot)
+                        self.notices.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2128,16 +2345,16 @@
         if self.applied is not None:
             oprot.writeFieldBegin('applied', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.applied))
-            for kiter27, viter28 in self.applied.items():
-                oprot.writeString(kiter27.encode('utf-8') if sys.version_info[0] == 2 else kiter27)
-                oprot.writeI64(viter28)
+            for kiter41, viter42 in self.applied.items():
+                oprot.writeString(kiter41.encode('utf-8') if sys.version_info[0] == 2 else kiter41)
+                oprot.writeI64(viter42)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter29 in self.notices:
-                iter29.write(oprot)
+            for iter43 in self.notices:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
@@ -2333,11 +2550,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.lineage = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = Parting()
-                        _elem35.read(iprot)
-                        self.lineage.append(_elem35)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = Parting()
+                        _elem49.read(iprot)
+                        self.lineage.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2359,10 +2576,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype39, _size36) = iprot.readListBegin()
-                    for _i40 in range(_size36):
-                        _elem41 = iprot.readI32()
-                        self.tokens.append(_elem41)
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readI32()
+                        self.tokens.append(_elem55)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2406,8 +2623,8 @@
         if self.lineage is not None:
             oprot.writeFieldBegin('lineage', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.lineage))
-            for iter42 in self.lineage:
-                iter42.write(oprot)
+            for iter56 in self.lineage:
+                iter56.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.account is not None:
@@ -2425,8 +2642,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 8)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter43 in self.tokens:
-                oprot.writeI32(iter43)
+            for iter57 in self.tokens:
+                oprot.writeI32(iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.deadline_s is not None:
@@ -2647,10 +2864,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readI32()
-                        self.tokens.append(_elem49)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readI32()
+                        self.tokens.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2693,8 +2910,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.tokens))
-            for iter50 in self.tokens:
-                oprot.writeI32(iter50)
+            for iter64 in self.tokens:
+                oprot.writeI32(iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engine is not None:
@@ -3557,11 +3774,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = NewsRecord()
-                        _elem56.read(iprot)
-                        self.records.append(_elem56)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = NewsRecord()
+                        _elem70.read(iprot)
+                        self.records.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3582,8 +3799,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter57 in self.records:
-                iter57.write(oprot)
+            for iter71 in self.records:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3994,6 +4211,7 @@
      - gone
      - offset
      - sequence
+     - version
 
     """
 
@@ -4010,10 +4228,11 @@
         'gone',
         'offset',
         'sequence',
+        'version',
     )
 
 
-    def __init__(self, engine=None, backend=None, address=None, zone=None, slots=None, leaving=None, leaves_s=None, spot=None, born=None, gone=None, offset=None, sequence=None,):
+    def __init__(self, engine=None, backend=None, address=None, zone=None, slots=None, leaving=None, leaves_s=None, spot=None, born=None, gone=None, offset=None, sequence=None, version=None,):
         self.engine = engine
         self.backend = backend
         self.address = address
@@ -4026,6 +4245,7 @@
         self.gone = gone
         self.offset = offset
         self.sequence = sequence
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4096,6 +4316,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4154,6 +4379,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 12)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 13)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4352,65 +4581,65 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.peers = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.peers.append(_elem63)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.peers.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = AccountDemand()
-                        _elem69.read(iprot)
-                        self.demands.append(_elem69)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = AccountDemand()
+                        _elem83.read(iprot)
+                        self.demands.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = UsageCount()
-                        _elem75.read(iprot)
-                        self.usage.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = UsageCount()
+                        _elem89.read(iprot)
+                        self.usage.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = EngineLoad()
-                        _elem81.read(iprot)
-                        self.engines.append(_elem81)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = EngineLoad()
+                        _elem95.read(iprot)
+                        self.engines.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = ServiceLoad()
-                        _elem87.read(iprot)
-                        self.services.append(_elem87)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = ServiceLoad()
+                        _elem101.read(iprot)
+                        self.services.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = EngineEntry()
-                        _elem93.read(iprot)
-                        self.entries.append(_elem93)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = EngineEntry()
+                        _elem107.read(iprot)
+                        self.entries.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4524,43 +4753,43 @@
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter94 in self.peers:
-                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
+            for iter108 in self.peers:
+                oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter95 in self.demands:
-                iter95.write(oprot)
+            for iter109 in self.demands:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter96 in self.usage:
-                iter96.write(oprot)
+            for iter110 in self.usage:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter97 in self.engines:
-                iter97.write(oprot)
+            for iter111 in self.engines:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter98 in self.services:
-                iter98.write(oprot)
+            for iter112 in self.services:
+                iter112.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter99 in self.entries:
-                iter99.write(oprot)
+            for iter113 in self.entries:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -4815,90 +5044,90 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.engines.append(_elem105)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.engines.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = iprot.readI32()
-                        self.running.append(_elem111)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = iprot.readI32()
+                        self.running.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.unread_tokens = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readI64()
-                        self.unread_tokens.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readI64()
+                        self.unread_tokens.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.accounts.append(_elem123)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.accounts.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.rates = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = iprot.readDouble()
-                        self.rates.append(_elem129)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = iprot.readDouble()
+                        self.rates.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = iprot.readDouble()
-                        self.spent.append(_elem135)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = iprot.readDouble()
+                        self.spent.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype139, _size136) = iprot.readListBegin()
-                    for _i140 in range(_size136):
-                        _elem141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.services.append(_elem141)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.services.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.token_rates = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = iprot.readDouble()
-                        self.token_rates.append(_elem147)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = iprot.readDouble()
+                        self.token_rates.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.service_running = []
-                    (_etype151, _size148) = iprot.readListBegin()
-                    for _i152 in range(_size148):
-                        _elem153 = iprot.readI32()
-                        self.service_running.append(_elem153)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = iprot.readI32()
+                        self.service_running.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4915,64 +5144,64 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.engines))
-            for iter154 in self.engines:
-                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
+            for iter168 in self.engines:
+                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.running))
-            for iter155 in self.running:
-                oprot.writeI32(iter155)
+            for iter169 in self.running:
+                oprot.writeI32(iter169)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.unread_tokens is not None:
             oprot.writeFieldBegin('unread_tokens', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.unread_tokens))
-            for iter156 in self.unread_tokens:
-                oprot.writeI64(iter156)
+            for iter170 in self.unread_tokens:
+                oprot.writeI64(iter170)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.accounts))
-            for iter157 in self.accounts:
-                oprot.writeString(iter157.encode('utf-8') if sys.version_info[0] == 2 else iter157)
+            for iter171 in self.accounts:
+                oprot.writeString(iter171.encode('utf-8') if sys.version_info[0] == 2 else iter171)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 5)
             oprot.writeListBegin(TType.DOUBLE, len(self.rates))
-            for iter158 in self.rates:
-                oprot.writeDouble(iter158)
+            for iter172 in self.rates:
+                oprot.writeDouble(iter172)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 6)
             oprot.writeListBegin(TType.DOUBLE, len(self.spent))
-            for iter159 in self.spent:
-                oprot.writeDouble(iter159)
+            for iter173 in self.spent:
+                oprot.writeDouble(iter173)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.services))
-            for iter160 in self.services:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter174 in self.services:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_rates is not None:
             oprot.writeFieldBegin('token_rates', TType.LIST, 8)
             oprot.writeListBegin(TType.DOUBLE, len(self.token_rates))
-            for iter161 in self.token_rates:
-                oprot.writeDouble(iter161)
+            for iter175 in self.token_rates:
+                oprot.writeDouble(iter175)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_running is not None:
             oprot.writeFieldBegin('service_running', TType.LIST, 9)
             oprot.writeListBegin(TType.I32, len(self.service_running))
-            for iter162 in self.service_running:
-                oprot.writeI32(iter162)
+            for iter176 in self.service_running:
+                oprot.writeI32(iter176)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5330,11 +5559,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = LeaseFact()
-                        _elem168.read(iprot)
-                        self.leases.append(_elem168)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = LeaseFact()
+                        _elem182.read(iprot)
+                        self.leases.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5387,8 +5616,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter169 in self.leases:
-                iter169.write(oprot)
+            for iter183 in self.leases:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5515,31 +5744,31 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = HostFact()
-                        _elem175.read(iprot)
-                        self.hosts.append(_elem175)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = HostFact()
+                        _elem189.read(iprot)
+                        self.hosts.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = iprot.readI64()
-                        self.numbers.append(_elem181)
+                    (_etype193, _size190) = iprot.readListBegin()
+                    for _i194 in range(_size190):
+                        _elem195 = iprot.readI64()
+                        self.numbers.append(_elem195)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = iprot.readDouble()
-                        self.ages.append(_elem187)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = iprot.readDouble()
+                        self.ages.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5558,11 +5787,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = LeaseFact()
-                        _elem193.read(iprot)
-                        self.leases.append(_elem193)
+                    (_etype205, _size202) = iprot.readListBegin()
+                    for _i206 in range(_size202):
+                        _elem207 = LeaseFact()
+                        _elem207.read(iprot)
+                        self.leases.append(_elem207)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5574,20 +5803,20 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.heard = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.heard.append(_elem199)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.heard_numbers = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = iprot.readI64()
-                        self.heard_numbers.append(_elem205)
+                    (_etype217, _size214) = iprot.readListBegin()
+                    for _i218 in range(_size214):
+                        _elem219 = iprot.readI64()
+                        self.heard_numbers.append(_elem219)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5620,22 +5849,22 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter206 in self.hosts:
-                iter206.write(oprot)
+            for iter220 in self.hosts:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter207 in self.numbers:
-                oprot.writeI64(iter207)
+            for iter221 in self.numbers:
+                oprot.writeI64(iter221)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 7)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter208 in self.ages:
-                oprot.writeDouble(iter208)
+            for iter222 in self.ages:
+                oprot.writeDouble(iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
@@ -5649,8 +5878,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter209 in self.leases:
-                iter209.write(oprot)
+            for iter223 in self.leases:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5660,15 +5889,15 @@
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter210 in self.heard:
-                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
+            for iter224 in self.heard:
+                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_numbers is not None:
             oprot.writeFieldBegin('heard_numbers', TType.LIST, 13)
             oprot.writeListBegin(TType.I64, len(self.heard_numbers))
-            for iter211 in self.heard_numbers:
-                oprot.writeI64(iter211)
+            for iter225 in self.heard_numbers:
+                oprot.writeI64(iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5737,31 +5966,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readBinary()
-                        self.digests.append(_elem217)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = iprot.readBinary()
+                        self.digests.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = iprot.readDouble()
-                        self.ages.append(_elem223)
+                    (_etype235, _size232) = iprot.readListBegin()
+                    for _i236 in range(_size232):
+                        _elem237 = iprot.readDouble()
+                        self.ages.append(_elem237)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = HostFact()
-                        _elem229.read(iprot)
-                        self.hosts.append(_elem229)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = HostFact()
+                        _elem243.read(iprot)
+                        self.hosts.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5782,22 +6011,22 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter230 in self.digests:
-                oprot.writeBinary(iter230)
+            for iter244 in self.digests:
+                oprot.writeBinary(iter244)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 3)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter231 in self.ages:
-                oprot.writeDouble(iter231)
+            for iter245 in self.ages:
+                oprot.writeDouble(iter245)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter232 in self.hosts:
-                iter232.write(oprot)
+            for iter246 in self.hosts:
+                iter246.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5879,11 +6108,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype236, _size233) = iprot.readListBegin()
-                    for _i237 in range(_size233):
-                        _elem238 = EngineEntry()
-                        _elem238.read(iprot)
-                        self.entries.append(_elem238)
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = EngineEntry()
+                        _elem252.read(iprot)
+                        self.entries.append(_elem252)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5917,8 +6146,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter239 in self.entries:
-                iter239.write(oprot)
+            for iter253 in self.entries:
+                iter253.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -5985,11 +6214,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype243, _size240) = iprot.readListBegin()
-                    for _i244 in range(_size240):
-                        _elem245 = UsageCount()
-                        _elem245.read(iprot)
-                        self.usage.append(_elem245)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = UsageCount()
+                        _elem259.read(iprot)
+                        self.usage.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6010,8 +6239,8 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter246 in self.usage:
-                iter246.write(oprot)
+            for iter260 in self.usage:
+                iter260.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6249,22 +6478,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = EndedEngine()
-                        _elem252.read(iprot)
-                        self.ends.append(_elem252)
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = EndedEngine()
+                        _elem266.read(iprot)
+                        self.ends.append(_elem266)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype256, _size253) = iprot.readListBegin()
-                    for _i257 in range(_size253):
-                        _elem258 = SoundAnswer()
-                        _elem258.read(iprot)
-                        self.sound.append(_elem258)
+                    (_etype270, _size267) = iprot.readListBegin()
+                    for _i271 in range(_size267):
+                        _elem272 = SoundAnswer()
+                        _elem272.read(iprot)
+                        self.sound.append(_elem272)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6285,15 +6514,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter259 in self.ends:
-                iter259.write(oprot)
+            for iter273 in self.ends:
+                iter273.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter260 in self.sound:
-                iter260.write(oprot)
+            for iter274 in self.sound:
+                iter274.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6454,33 +6683,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype264, _size261) = iprot.readListBegin()
-                    for _i265 in range(_size261):
-                        _elem266 = SuspectPart()
-                        _elem266.read(iprot)
-                        self.parts.append(_elem266)
+                    (_etype278, _size275) = iprot.readListBegin()
+                    for _i279 in range(_size275):
+                        _elem280 = SuspectPart()
+                        _elem280.read(iprot)
+                        self.parts.append(_elem280)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype270, _size267) = iprot.readListBegin()
-                    for _i271 in range(_size267):
-                        _elem272 = NamedLimit()
-                        _elem272.read(iprot)
-                        self.limits.append(_elem272)
+                    (_etype284, _size281) = iprot.readListBegin()
+                    for _i285 in range(_size281):
+                        _elem286 = NamedLimit()
+                        _elem286.read(iprot)
+                        self.limits.append(_elem286)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype276, _size273) = iprot.readListBegin()
-                    for _i277 in range(_size273):
-                        _elem278 = SuspectPart()
-                        _elem278.read(iprot)
-                        self.requests.append(_elem278)
+                    (_etype290, _size287) = iprot.readListBegin()
+                    for _i291 in range(_size287):
+                        _elem292 = SuspectPart()
+                        _elem292.read(iprot)
+                        self.requests.append(_elem292)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6501,22 +6730,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter279 in self.parts:
-                iter279.write(oprot)
+            for iter293 in self.parts:
+                iter293.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter280 in self.limits:
-                iter280.write(oprot)
+            for iter294 in self.limits:
+                iter294.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter281 in self.requests:
-                iter281.write(oprot)
+            for iter295 in self.requests:
+                iter295.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6544,77 +6773,32 @@
         return not (self == other)
 
 
-class PeerMessage(object):
+class RolloutNews(object):
     """
     Attributes:
-     - heartbeat
-     - hold
-     - hold_ack
-     - extend
-     - finish
-     - handover
-     - stop
-     - claim_handover
-     - news_request
-     - news
-     - drop
-     - find
-     - found
-     - host_notice
-     - beat
-     - report
-     - view
-     - changes
-     - usage_counts
-     - findings
+     - host
+     - identity
+     - steps
+     - ages
+     - heard_number
 
     """
 
     __slots__ = (
-        'heartbeat',
-        'hold',
-        'hold_ack',
-        'extend',
-        'finish',
-        'handover',
-        'stop',
-        'claim_handover',
-        'news_request',
-        'news',
-        'drop',
-        'find',
-        'found',
-        'host_notice',
-        'beat',
-        'report',
-        'view',
-        'changes',
-        'usage_counts',
-        'findings',
+        'host',
+        'identity',
+        'steps',
+        'ages',
+        'heard_number',
     )
 
 
-    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None, report=None, view=None, changes=None, usage_counts=None, findings=None,):
-        self.heartbeat = heartbeat
-        self.hold = hold
-        self.hold_ack = hold_ack
-        self.extend = extend
-        self.finish = finish
-        self.handover = handover
-        self.stop = stop
-        self.claim_handover = claim_handover
-        self.news_request = news_request
-        self.news = news
-        self.drop = drop
-        self.find = find
-        self.found = found
-        self.host_notice = host_notice
-        self.beat = beat
-        self.report = report
-        self.view = view
-        self.changes = changes
-        self.usage_counts = usage_counts
-        self.findings = findings
+    def __init__(self, host=None, identity=None, steps=None, ages=None, heard_number=None,):
+        self.host = host
+        self.identity = identity
+        self.steps = steps
+        self.ages = ages
+        self.heard_number = heard_number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6626,9 +6810,604 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.heartbeat = Heartbeat()
-                    self.heartbeat.read(iprot)
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.steps = []
+                    (_etype299, _size296) = iprot.readListBegin()
+                    for _i300 in range(_size296):
+                        _elem301 = RolloutStep()
+                        _elem301.read(iprot)
+                        self.steps.append(_elem301)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.ages = []
+                    (_etype305, _size302) = iprot.readListBegin()
+                    for _i306 in range(_size302):
+                        _elem307 = iprot.readDouble()
+                        self.ages.append(_elem307)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.heard_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutNews')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 2)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.steps is not None:
+            oprot.writeFieldBegin('steps', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.steps))
+            for iter308 in self.steps:
+                iter308.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.LIST, 4)
+            oprot.writeListBegin(TType.DOUBLE, len(self.ages))
+            for iter309 in self.ages:
+                oprot.writeDouble(iter309)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heard_number is not None:
+            oprot.writeFieldBegin('heard_number', TType.I64, 5)
+            oprot.writeI64(self.heard_number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutTally(object):
+    """
+    Attributes:
+     - route
+     - target
+     - sent
+     - finished
+     - failed
+     - running
+     - latencies
+
+    """
+
+    __slots__ = (
+        'route',
+        'target',
+        'sent',
+        'finished',
+        'failed',
+        'running',
+        'latencies',
+    )
+
+
+    def __init__(self, route=None, target=None, sent=None, finished=None, failed=None, running=None, latencies=None,):
+        self.route = route
+        self.target = target
+        self.sent = sent
+        self.finished = finished
+        self.failed = failed
+        self.running = running
+        self.latencies = latencies
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.target = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.finished = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.failed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.latencies = []
+                    (_etype313, _size310) = iprot.readListBegin()
+                    for _i314 in range(_size310):
+                        _elem315 = iprot.readI32()
+                        self.latencies.append(_elem315)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutTally')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.BOOL, 2)
+            oprot.writeBool(self.target)
+            oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.I32, 3)
+            oprot.writeI32(self.sent)
+            oprot.writeFieldEnd()
+        if self.finished is not None:
+            oprot.writeFieldBegin('finished', TType.I32, 4)
+            oprot.writeI32(self.finished)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I32, 5)
+            oprot.writeI32(self.failed)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 6)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.latencies is not None:
+            oprot.writeFieldBegin('latencies', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.latencies))
+            for iter316 in self.latencies:
+                oprot.writeI32(iter316)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutCount(object):
+    """
+    Attributes:
+     - backend
+     - order
+     - number
+     - stage
+     - age
+     - tallies
+
+    """
+
+    __slots__ = (
+        'backend',
+        'order',
+        'number',
+        'stage',
+        'age',
+        'tallies',
+    )
+
+
+    def __init__(self, backend=None, order=None, number=None, stage=None, age=None, tallies=None,):
+        self.backend = backend
+        self.order = order
+        self.number = number
+        self.stage = stage
+        self.age = age
+        self.tallies = tallies
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.backend = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.stage = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.tallies = []
+                    (_etype320, _size317) = iprot.readListBegin()
+                    for _i321 in range(_size317):
+                        _elem322 = RolloutTally()
+                        _elem322.read(iprot)
+                        self.tallies.append(_elem322)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutCount')
+        if self.backend is not None:
+            oprot.writeFieldBegin('backend', TType.STRING, 1)
+            oprot.writeString(self.backend.encode('utf-8') if sys.version_info[0] == 2 else self.backend)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 2)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 3)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.stage is not None:
+            oprot.writeFieldBegin('stage', TType.I32, 4)
+            oprot.writeI32(self.stage)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 5)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        if self.tallies is not None:
+            oprot.writeFieldBegin('tallies', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.tallies))
+            for iter323 in self.tallies:
+                iter323.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutCounts(object):
+    """
+    Attributes:
+     - fact
+     - number
+     - hosts
+     - group
+     - counts
+
+    """
+
+    __slots__ = (
+        'fact',
+        'number',
+        'hosts',
+        'group',
+        'counts',
+    )
+
+
+    def __init__(self, fact=None, number=None, hosts=None, group=None, counts=None,):
+        self.fact = fact
+        self.number = number
+        self.hosts = hosts
+        self.group = group
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.fact = HostFact()
+                    self.fact.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.hosts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype327, _size324) = iprot.readListBegin()
+                    for _i328 in range(_size324):
+                        _elem329 = RolloutCount()
+                        _elem329.read(iprot)
+                        self.counts.append(_elem329)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutCounts')
+        if self.fact is not None:
+            oprot.writeFieldBegin('fact', TType.STRUCT, 1)
+            self.fact.write(oprot)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.I32, 3)
+            oprot.writeI32(self.hosts)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 4)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter330 in self.counts:
+                iter330.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PeerMessage(object):
+    """
+    Attributes:
+     - heartbeat
+     - hold
+     - hold_ack
+     - extend
+     - finish
+     - handover
+     - stop
+     - claim_handover
+     - news_request
+     - news
+     - drop
+     - find
+     - found
+     - host_notice
+     - beat
+     - report
+     - view
+     - changes
+     - usage_counts
+     - findings
+     - rollout_news
+     - rollout_counts
+
+    """
+
+    __slots__ = (
+        'heartbeat',
+        'hold',
+        'hold_ack',
+        'extend',
+        'finish',
+        'handover',
+        'stop',
+        'claim_handover',
+        'news_request',
+        'news',
+        'drop',
+        'find',
+        'found',
+        'host_notice',
+        'beat',
+        'report',
+        'view',
+        'changes',
+        'usage_counts',
+        'findings',
+        'rollout_news',
+        'rollout_counts',
+    )
+
+
+    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None, report=None, view=None, changes=None, usage_counts=None, findings=None, rollout_news=None, rollout_counts=None,):
+        self.heartbeat = heartbeat
+        self.hold = hold
+        self.hold_ack = hold_ack
+        self.extend = extend
+        self.finish = finish
+        self.handover = handover
+        self.stop = stop
+        self.claim_handover = claim_handover
+        self.news_request = news_request
+        self.news = news
+        self.drop = drop
+        self.find = find
+        self.found = found
+        self.host_notice = host_notice
+        self.beat = beat
+        self.report = report
+        self.view = view
+        self.changes = changes
+        self.usage_counts = usage_counts
+        self.findings = findings
+        self.rollout_news = rollout_news
+        self.rollout_counts = rollout_counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.heartbeat = Heartbeat()
+                    self.heartbeat.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -6745,6 +7524,18 @@
                     self.findings.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.rollout_news = RolloutNews()
+                    self.rollout_news.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.rollout_counts = RolloutCounts()
+                    self.rollout_counts.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6835,6 +7626,14 @@
             oprot.writeFieldBegin('findings', TType.STRUCT, 20)
             self.findings.write(oprot)
             oprot.writeFieldEnd()
+        if self.rollout_news is not None:
+            oprot.writeFieldBegin('rollout_news', TType.STRUCT, 21)
+            self.rollout_news.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rollout_counts is not None:
+            oprot.writeFieldBegin('rollout_counts', TType.STRUCT, 22)
+            self.rollout_counts.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6986,6 +7785,21 @@
     (3, TType.LIST, 'counts', (TType.STRUCT, [AccountCount, None], False), None, ),  # 3
     (4, TType.DOUBLE, 'written_at', None, None, ),  # 4
 )
+all_structs.append(RolloutStep)
+RolloutStep.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fence', None, None, ),  # 1
+    (2, TType.STRING, 'backend', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'target', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'order', None, None, ),  # 4
+    (5, TType.I32, 'number', None, None, ),  # 5
+    (6, TType.I32, 'stage', None, None, ),  # 6
+    (7, TType.LIST, 'routes', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.LIST, 'shares', (TType.DOUBLE, None, False), None, ),  # 8
+    (9, TType.DOUBLE, 'elapsed', None, None, ),  # 9
+    (10, TType.STRING, 'reason', 'UTF8', None, ),  # 10
+    (11, TType.DOUBLE, 'written_at', None, None, ),  # 11
+)
 all_structs.append(Record)
 Record.thrift_spec = (
     None,  # 0
@@ -7002,6 +7816,7 @@
     (11, TType.STRUCT, 'lease_renew', [LeaseRenew, None], None, ),  # 11
     (12, TType.STRUCT, 'mark', [Mark, None], None, ),  # 12
     (13, TType.STRUCT, 'usage_report', [UsageReport, None], None, ),  # 13
+    (14, TType.STRUCT, 'rollout_step', [RolloutStep, None], None, ),  # 14
 )
 all_structs.append(HostNotice)
 HostNotice.thrift_spec = (
@@ -7173,6 +7988,7 @@
     (10, TType.BOOL, 'gone', None, None, ),  # 10
     (11, TType.I64, 'offset', None, None, ),  # 11
     (12, TType.I64, 'sequence', None, None, ),  # 12
+    (13, TType.STRING, 'version', 'UTF8', None, ),  # 13
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
@@ -7338,6 +8154,45 @@
     (3, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 3
     (4, TType.LIST, 'requests', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 4
 )
+all_structs.append(RolloutNews)
+RolloutNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'identity', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'steps', (TType.STRUCT, [RolloutStep, None], False), None, ),  # 3
+    (4, TType.LIST, 'ages', (TType.DOUBLE, None, False), None, ),  # 4
+    (5, TType.I64, 'heard_number', None, None, ),  # 5
+)
+all_structs.append(RolloutTally)
+RolloutTally.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'target', None, None, ),  # 2
+    (3, TType.I32, 'sent', None, None, ),  # 3
+    (4, TType.I32, 'finished', None, None, ),  # 4
+    (5, TType.I32, 'failed', None, None, ),  # 5
+    (6, TType.I32, 'running', None, None, ),  # 6
+    (7, TType.LIST, 'latencies', (TType.I32, None, False), None, ),  # 7
+)
+all_structs.append(RolloutCount)
+RolloutCount.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'backend', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'order', None, None, ),  # 2
+    (3, TType.I32, 'number', None, None, ),  # 3
+    (4, TType.I32, 'stage', None, None, ),  # 4
+    (5, TType.DOUBLE, 'age', None, None, ),  # 5
+    (6, TType.LIST, 'tallies', (TType.STRUCT, [RolloutTally, None], False), None, ),  # 6
+)
+all_structs.append(RolloutCounts)
+RolloutCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'fact', [HostFact, None], None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.I32, 'hosts', None, None, ),  # 3
+    (4, TType.STRING, 'group', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'counts', (TType.STRUCT, [RolloutCount, None], False), None, ),  # 5
+)
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
     None,  # 0
@@ -7361,6 +8216,8 @@
     (18, TType.STRUCT, 'changes', [Changes, None], None, ),  # 18
     (19, TType.STRUCT, 'usage_counts', [UsageCounts, None], None, ),  # 19
     (20, TType.STRUCT, 'findings', [Findings, None], None, ),  # 20
+    (21, TType.STRUCT, 'rollout_news', [RolloutNews, None], None, ),  # 21
+    (22, TType.STRUCT, 'rollout_counts', [RolloutCounts, None], None, ),  # 22
 )
 fix_spec(all_structs)
 del all_structs
