--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -64,6 +64,10 @@
     ENGINE_UNLIMITED = 643
     REQUEST_HELD = 644
     REQUEST_RELEASED = 645
+    ROLLOUT_ORDERED = 650
+    ROLLOUT_DECIDED = 651
+    ROLLOUT_APPLIED = 652
+    ROLLOUT_STATUS_WRITTEN = 653
 
 
 EXPLANATIONS = {
@@ -117,6 +121,10 @@
     LogEvent.ENGINE_UNLIMITED: "An engine no longer names a limit.",
     LogEvent.REQUEST_HELD: "A request is held back: engines ended.",
     LogEvent.REQUEST_RELEASED: "A request is no longer held back.",
+    LogEvent.ROLLOUT_ORDERED: "An order to move a service was read.",
+    LogEvent.ROLLOUT_DECIDED: "A share or an end was decided; with inputs.",
+    LogEvent.ROLLOUT_APPLIED: "A decision on a roll-out took hold here.",
+    LogEvent.ROLLOUT_STATUS_WRITTEN: "A roll-out's status was written.",
 }
 
 
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -8,6 +8,11 @@
 from magnoliaflow.entry.brokenanswers import record_broken_answer
 from magnoliaflow.entry.brokenanswers import record_sound_answer
 from magnoliaflow.entry.limits import record_limit
+from magnoliaflow.entry.versions import drop_watch
+from magnoliaflow.entry.versions import end_watch
+from magnoliaflow.entry.versions import may_send_to
+from magnoliaflow.entry.versions import Watch
+from magnoliaflow.entry.versions import watch_attempt
 from magnoliaflow.platform.headers import decode_engine_head
 from magnoliaflow.platform.headers import encode_forward
 from magnoliaflow.policy.crashes import SOUND_AFTER_S
@@ -70,6 +75,7 @@
         "splitter",
         "uncached",
         "usage_counted",
+        "watch",
     )
 
     def __init__(self, handler: Any, engine: Engine, uncached: int) -> None:
@@ -91,6 +97,7 @@
         self.event_count = 0
         self.is_sound = False
         self.first_event_at = 0.0
+        self.watch: Watch | None = None
 
     def open(self, call: Call, forward: ForwardContext) -> None:
         """Connect to the engine and send the request."""
@@ -123,6 +130,7 @@
             boot_time() - self.started_at > MAX_OPEN_DELAY_S
             or self.engine.leaving_at < inf
             or state.routing.engines.get(self.engine.name) is not self.engine
+            or not may_send_to(self.handler, self.engine.cfg.version)
         )
         if outdated:
             self._fail(Failure.UNSENT, "outdated before it was sent")
@@ -134,6 +142,7 @@
             return
         self.sent = True
         self.opened_at = boot_time()
+        self.watch = watch_attempt(self)
         self.handler.attempts_sent += 1
         self.handler.earn_retry()
 
@@ -230,11 +239,13 @@
         assert self.head is not None
         if self.splitter is not None:
             if self.splitter.buffer or self._ended_empty():
+                end_watch(self, failed=True)
                 record_broken_answer(self)
                 self._fail(
                     Failure.MAY_HAVE_RUN, "stream ended within an event"
                 )
                 return
+            end_watch(self, failed=False)
             self._release_engine()
             self.engine.failures = 0
             if self.event_count:
@@ -242,6 +253,7 @@
             self.handler.finish_stream(self)
             return
         self._count_usage(self.opened_at)
+        end_watch(self, failed=self.head.status >= 500)
         self._release_engine()
         if self.head.status >= 500:
             self._record_failure()
@@ -276,6 +288,9 @@
     def _fail(
         self, failure: Failure, reason: str, *, engine_fault: bool = False
     ) -> None:
+        if engine_fault:
+            end_watch(self, failed=True)
+        drop_watch(self, not_run=failure is Failure.NOT_RUN)
         self.abandon()
         if engine_fault:
             self._record_failure()
@@ -328,6 +343,7 @@
         if self.ended:
             return
         self.ended = True
+        drop_watch(self)
         self.handler.state.buffers.release(self)
         if self.splitter is not None:
             self.splitter.clear()
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -32,6 +32,7 @@
 from magnoliaflow.entry.findings import hold_retry_after
 from magnoliaflow.entry.limits import next_send_at
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.versions import find_sides
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import json_answer_headers
 from magnoliaflow.policy.crashes import Hold
@@ -278,6 +279,7 @@
             target_s=self.route.target_s,
             avoid=frozenset(self.tried_engines),
             sizes=tuple(tokens for _, tokens in parts),
+            sides=find_sides(self),
         )
 
     def _wait_for_engine(self, now: float) -> None:
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -52,6 +52,9 @@
 from magnoliaflow.entry import maintenance
 from magnoliaflow.entry.orders import OrderDuty
 from magnoliaflow.entry.reports import ReportSender
+from magnoliaflow.entry.rolloutnews import rollout_details
+from magnoliaflow.entry.rolloutnews import RolloutSender
+from magnoliaflow.entry.rollouts import RolloutDuty
 from magnoliaflow.entry.signals import SIGNALS
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.storeera import observe_store_era
@@ -124,7 +127,9 @@
         self.heartbeat_sender = HeartbeatSender(self.state, links)
         self.report_sender = ReportSender(self.state, links)
         self.findings_sender = FindingsSender(self.state, links)
+        self.rollout_sender = RolloutSender(self.state, links)
         self.duty_log = DutyLog(self.state, self.store)
+        self.rollout_duty = RolloutDuty(self.state, self.duty_log, self.store)
         self.usage_duty = UsageDuty(self.state, self.duty_log, self.cloud)
         self.order_duty = OrderDuty(self.state, self.cloud)
         self.server_limits = ServerLimits()
@@ -211,6 +216,7 @@
                     if holds_request(hold)
                 ],
                 "limit": limit_details(self.state),
+                "rollout": rollout_details(self.state),
                 "store": [store_details(self.state)],
             }
             inbound.respond(
@@ -268,11 +274,13 @@
         self._run("heartbeats", self.heartbeat_sender.tick, now)
         self._run("reports", self.report_sender.tick, now)
         self._run("findings", self.findings_sender.tick, now)
+        self._run("rollout news", self.rollout_sender.tick, now)
         self._run("registration", self._register, now)
         self._run("discovery", self._discover_peers, now)
         for _, name, function in ENTRY_SYSTEMS:
             self._run(name, function, state)
         self._run("duty log", self.duty_log.tick, now)
+        self._run("rollout duty", self.rollout_duty.tick, now)
         if self.host_settings.reports_usage:
             self._run("usage duty", self.usage_duty.tick, now)
         if self.host_settings.orders_engines:
@@ -399,6 +407,7 @@
     def _announce(self, now: float) -> None:
         """Send the other hosts this one's state and usage."""
         self.heartbeat_sender.send_round(now)
+        self.rollout_sender.send_counts(now)
         if self.state.uses_groups():
             self.report_sender.send_round(now)
             self.report_sender.send_usage(now)
--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -26,9 +26,11 @@
 from magnoliaflow.common.records import LeaseClaim
 from magnoliaflow.common.records import LeaseRenew
 from magnoliaflow.common.records import Record
+from magnoliaflow.common.records import RolloutStep
 from magnoliaflow.common.records import UsageReport
 from magnoliaflow.entry.followers import record_store_failure
 from magnoliaflow.entry.followers import record_store_success
+from magnoliaflow.entry.rolloutnews import apply_logged_step
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.platform.cloud import CloudClient
@@ -219,6 +221,8 @@
         elif isinstance(body, UsageReport):
             counts = {entry.account: entry.count for entry in body.counts}
             self.ledger.record(body.window, counts)
+        elif isinstance(body, RolloutStep):
+            apply_logged_step(self.state, body, self.era)
 
     @inlineCallbacks
     def append(self, record: Record) -> Any:
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -13,6 +13,7 @@
 
     __slots__ = (
         "answers",
+        "bad_answers",
         "broken_answers",
         "config_age",
         "engines",
@@ -27,6 +28,7 @@
         "registry",
         "requests_held",
         "retries",
+        "rollout_share",
         "store_era",
         "store_errors",
         "store_restores",
@@ -59,6 +61,18 @@
             ["route"],
             registry=registry,
         )
+        self.bad_answers = Counter(
+            "magnoliaflow_entry_bad_answers",
+            "Failed answers since a service's roll-out was ordered.",
+            ["service", "version"],
+            registry=registry,
+        )
+        self.rollout_share = Gauge(
+            "magnoliaflow_entry_rollout_share",
+            "Share of a route's requests that go to the ordered version.",
+            ["service", "route"],
+            registry=registry,
+        )
         self.engines_ended = Counter(
             "magnoliaflow_entry_engines_ended",
             "Engines that took no connection after an answer had broken off.",
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -22,6 +22,7 @@
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.entry.rolloutnews import take_order_entry
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
@@ -140,7 +141,10 @@
     def _keeps_poll(self) -> bool:
         """Return whether this host always waits for the next version."""
         state = self.state
-        return not state.uses_groups() or state.view.is_aggregator()
+        decides = state.host_settings.judges_rollouts and (
+            state.lease_manager.holds(boot_time())
+        )
+        return not state.uses_groups() or state.view.is_aggregator() or decides
 
     def _is_due(self) -> bool:
         """Return whether to read the configuration now."""
@@ -187,6 +191,11 @@
         The version is -1 if there is none, and that in force if it cannot be
         read.
         """
+        newest = {entry.key: entry for entry in page.entries}
+        for entry in newest.values():
+            take_order_entry(
+                self.state, entry, page.era, is_new=self.offset >= 0
+            )
         values = [
             entry.value
             for entry in page.entries
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -20,6 +20,8 @@
 from magnoliaflow.common.messages import Findings
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
+from magnoliaflow.common.messages import RolloutCounts
+from magnoliaflow.common.messages import RolloutNews
 from magnoliaflow.common.messages import ServiceLoad
 from magnoliaflow.common.messages import UsageCount
 from magnoliaflow.common.messages import UsageCounts
@@ -31,6 +33,8 @@
 from magnoliaflow.entry.reports import handle_usage_counts
 from magnoliaflow.entry.reports import handle_view
 from magnoliaflow.entry.reports import OTHERS
+from magnoliaflow.entry.rolloutnews import handle_rollout_counts
+from magnoliaflow.entry.rolloutnews import handle_rollout_news
 from magnoliaflow.entry.state import CLOCK_CORRECTION_SHARE
 from magnoliaflow.entry.state import CLOCK_TOLERANCE_S
 from magnoliaflow.entry.state import DUTY_LEASE
@@ -287,6 +291,8 @@
     Changes: handle_changes,
     UsageCounts: handle_usage_counts,
     Findings: handle_findings,
+    RolloutCounts: handle_rollout_counts,
+    RolloutNews: handle_rollout_news,
 }
 
 
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -1,6 +1,7 @@
 """State of one entry process, which its systems read and update."""
 
 from collections import defaultdict
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from logging import Logger
@@ -11,6 +12,7 @@
 from magnoliaflow.cluster.hostsettings import HostSettings
 from magnoliaflow.cluster.leasemanager import LeaseManager
 from magnoliaflow.cluster.registry import EngineRegistry
+from magnoliaflow.cluster.rollouts import RolloutBook
 from magnoliaflow.cluster.sums import Sums
 from magnoliaflow.cluster.views import ClusterView
 from magnoliaflow.common.clocks import boot_time
@@ -178,6 +180,9 @@
         "ports_held",
         "registry",
         "rng",
+        "rollout_counts_sent",
+        "rollouts",
+        "rollouts_heard",
         "host_settings",
         "spent",
         "started_at",
@@ -215,6 +220,13 @@
         self.config_document = b""
         self.config_confirmed_at = -inf
         self.registry = EngineRegistry()
+        self.rollouts = RolloutBook()
+        # Numbers and times of the last own counts, and the number of the last
+        # received from each process.
+        self.rollout_counts_sent: deque[tuple[int, float]] = deque(
+            maxlen=KEPT_HEARTBEATS
+        )
+        self.rollouts_heard: dict[str, tuple[str, int]] = {}
         self.registry_confirmed_at = -inf
         self.store_down_since = inf
         self.store_era = 0
--- a/src/magnoliaflow/policy/routing.py
+++ b/src/magnoliaflow/policy/routing.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from itertools import chain
 from random import Random
 from typing import Any
@@ -34,7 +35,8 @@
 
     ``first_token_s`` is the time left of the latency target ``target_s``;
     ``value`` is the worth of an answer that is on time.  ``sizes`` holds
-    the tokens of each block if blocks differ in size.
+    the tokens of each block if blocks differ in size.  ``sides`` are the
+    versions of engines to try, in order of preference; empty for any.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     value: float = 0.1
     avoid: frozenset[str] = frozenset()
     sizes: tuple[int, ...] = ()
+    sides: tuple[tuple[str, ...], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +89,7 @@
         "rings",
         "rng",
         "rotation",
+        "versions",
         "weights",
     )
 
@@ -98,6 +102,8 @@
         self.load_factor = 1.0
         self.engines: dict[str, Engine] = {}
         self.groups: dict[str, list[str]] = {}
+        # Engines by service and version.
+        self.versions: dict[str, dict[str, list[str]]] = {}
         self.prefixes = PrefixIndex()
         self.ranges: dict[str, Any] = {}
         self.rings: dict[str, HashRing] = {}
@@ -110,6 +116,9 @@
         group = self.groups.setdefault(engine.cfg.backend, [])
         if engine.name not in group:
             group.append(engine.name)
+            self.versions.setdefault(engine.cfg.backend, {}).setdefault(
+                engine.cfg.version, []
+            ).append(engine.name)
             self.rings.pop(engine.cfg.backend, None)
 
     def remove(self, name: str) -> None:
@@ -118,12 +127,29 @@
         if engine is None:
             return
         self.groups[engine.cfg.backend].remove(name)
+        self.versions[engine.cfg.backend][engine.cfg.version].remove(name)
         self.rings.pop(engine.cfg.backend, None)
         self.prefixes.remove_engine(name)
 
     def candidates(self, request: RoutingRequest, now: float) -> list[Engine]:
-        """Return usable engines: prefix holders and a random sample."""
+        """Return usable engines: prefix holders and a random sample.
+
+        They are of the first side that has any.
+        """
+        if len(request.sides) > 1:
+            by_side = (
+                self.candidates(replace(request, sides=(side,)), now)
+                for side in request.sides
+            )
+            return next(filter(None, by_side), [])
         group = self.groups.get(request.backend, [])
+        if request.sides:
+            versions = self.versions.get(request.backend, {})
+            group = list(
+                chain.from_iterable(
+                    versions.get(version, ()) for version in request.sides[0]
+                )
+            )
         names: list[str] = group
         if len(group) > MAX_CANDIDATES:
             names = self.rng.sample(group, MAX_CANDIDATES - MAX_HOLDERS)
@@ -136,6 +162,7 @@
             and engine.cfg.backend == request.backend
             and engine.usable(now)
             and name not in request.avoid
+            and admits(request, engine)
         ]
 
     def preferred_engine(
@@ -152,6 +179,7 @@
                 for name in ring.walk(key)
                 if (engine := self.engines[name]).usable(now)
                 and name not in request.avoid
+                and admits(request, engine)
             ),
             None,
         )
@@ -192,6 +220,11 @@
         return wait
 
 
+def admits(request: RoutingRequest, engine: Engine) -> bool:
+    """Return whether an engine is of the side to try first."""
+    return not request.sides or engine.cfg.version in request.sides[0]
+
+
 Policy = Callable[[RoutingState, RoutingRequest, list[Engine], float], Engine]
 POLICIES: dict[str, Policy] = {}
 
@@ -226,6 +259,10 @@
     engines = routing.candidates(request, now)
     if not engines:
         return None
+    if request.sides:
+        version = engines[0].cfg.version
+        side = next(side for side in request.sides if version in side)
+        request = replace(request, sides=(side,))
     engine = function(routing, request, engines, now)
     uncached = routing.uncached(engine, request)
     return Selection(
--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -1,6 +1,7 @@
 """Stand-in for an engine of the users' platform, with injected faults."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from threading import Event
 from threading import Lock
 from threading import Timer
@@ -15,6 +16,21 @@
 CRASH_DELAY_S = 0.05
 
 
+@dataclass(frozen=True)
+class Weakness:
+    """Requests that a bad version serves badly: a ``share`` of them.
+
+    Of those behind the first ``after`` ones, under ``prefix``, and while at
+    least ``load`` requests run.  They fail, or are answered ``delay_s`` later.
+    """
+
+    share: float = 0.0
+    after: int = 0
+    prefix: str = "/"
+    load: int = 0
+    delay_s: float = 0.0
+
+
 class BatchEngine:
     """Answers requests and records the ids of the attempts it executed.
 
@@ -36,6 +52,10 @@
     for none; ``arrivals`` are the times at which requests arrived.  Without
     ``framed``, answers have neither a length nor chunks and end with their
     connection.
+
+    ``weakness`` is what a bad version does to a part of its requests.
+    ``received`` holds the time, path and end ("good", "bad") of each request
+    that it ran.
     """
 
     def __init__(self, engine_id: str) -> None:
@@ -54,6 +74,9 @@
         self.rate_limit: float | None = None
         self.framed = True
         self.arrivals: list[float] = []
+        self.weakness = Weakness()
+        self.received: list[tuple[float, str, str]] = []
+        self.running = 0
         self.ends = 0
         self.on_restart: Callable[[], None] = lambda: None
         self.down = Event()
@@ -99,14 +122,29 @@
             not self.crashing_accounts or account in self.crashing_accounts
         )
 
-    def take_fault(self) -> str:
+    def take_fault(self, path: str = "/") -> str:
         """Return the fault of the next request, '' for none."""
         if self.fault_count == 0:
-            return ""
+            return self._weak_fault(path)
         self.fault_count -= 1
         return self.fault
 
 
+    def _weak_fault(self, path: str) -> str:
+        weakness, number = self.weakness, len(self.received)
+        is_bad = (
+            number >= weakness.after
+            and path.startswith(weakness.prefix)
+            and self.running >= weakness.load
+            and number * weakness.share % 1.0 + weakness.share >= 1.0
+        )
+        self.received.append((monotonic(), path, "bad" if is_bad else "good"))
+        if is_bad and weakness.delay_s:
+            sleep(weakness.delay_s)
+            return ""
+        return "failed" if is_bad else ""
+
+
 class _Handler(QuietHandler):
     @property
     def engine(self) -> BatchEngine:
@@ -126,7 +164,14 @@
         if self.headers["X-Expected-Instance"] != engine.engine_id:
             self._send_headers(421, [("X-Instance-Id", engine.engine_id)], 0)
             return
-        fault = engine.take_fault()
+        engine.running += 1
+        try:
+            self._run(body, engine.take_fault(self.path))
+        finally:
+            engine.running -= 1
+
+    def _run(self, body: bytes, fault: str) -> None:
+        engine = self.engine
         if fault == "shed":
             self._send_headers(503, [("X-Not-Executed", "1")], 0)
             return
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -25,6 +25,8 @@
 from magnoliaflow.common.messages import NewsRecord
 from magnoliaflow.common.messages import Parting
 from magnoliaflow.common.messages import Progress
+from magnoliaflow.common.messages import RolloutCount
+from magnoliaflow.common.messages import RolloutTally
 from magnoliaflow.common.messages import ServiceLoad
 from magnoliaflow.common.messages import SoundAnswer
 from magnoliaflow.common.messages import SuspectPart
@@ -33,6 +35,7 @@
 from magnoliaflow.common.records import ProfileEntry
 from magnoliaflow.common.records import Record
 from magnoliaflow.common.records import RecordBody
+from magnoliaflow.common.records import RolloutStep
 from magnoliaflow.wire import ttypes
 
 STRATEGIES = {
@@ -64,6 +67,9 @@
     Parting,
     ProfileEntry,
     Progress,
+    RolloutStep,
+    RolloutTally,
+    RolloutCount,
     ServiceLoad,
     SoundAnswer,
     SuspectPart,
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -123,7 +123,7 @@
             self.add_engine(name, service)
         self.store.put("keyed.op", "config", make_config(1))
 
-    def add_engine(self, name, service):
+    def add_engine(self, name, service, **overrides):
         """Start an engine, or stop its former run, and register it."""
         if name in self.engines:
             self.engines[name].close()
@@ -132,7 +132,7 @@
             name, service, born=FIRST_BORN + engine.ends
         )
         self.engines[name] = engine
-        self.register(name, service)
+        self.register(name, service, **overrides)
 
     def register(self, name, service, **overrides):
         """Write an engine's record to the store, as its heartbeat does."""
