--- /dev/null
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -0,0 +1,585 @@
+"""Share of a service's new requests that go to another version, over time.
+
+It answers an order to move a service's traffic to a version that may be bad:
+at once, later, under load or on one route only, with news of its answers that
+is seconds old.  The holder of the duty runs one RolloutPlan an order; hosts
+apply its decisions by share_in_force and sends_to_target.
+
+A bad version may get a part of the service's requests, the exposure budget.
+The plan spends it on a canary share of each route, about as many requests on
+each, on one short step to most of the traffic, whose answers are judged at the
+canary share again, and on routes with long answers, which go to the target
+first.  All new requests go there as late as a completion in time allows.
+Budget, times and shares follow from the rates, latencies and delays that the
+hosts report.
+
+Times are in seconds of one clock, handed in by the caller.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import IntEnum
+
+from xxhash import xxh64_intdigest
+
+from magnoliaflow.policy.rolloutverdict import class_end_s
+from magnoliaflow.policy.rolloutverdict import latency_class
+from magnoliaflow.policy.rolloutverdict import LATENCY_CLASSES
+from magnoliaflow.policy.rolloutverdict import quantile_class
+from magnoliaflow.policy.rolloutverdict import RolloutVerdict
+from magnoliaflow.policy.rolloutverdict import Tallies
+from magnoliaflow.policy.rolloutverdict import VersionTally
+
+__all__ = [
+    "LATENCY_CLASSES",
+    "RolloutDecision",
+    "RolloutLimits",
+    "RolloutOrder",
+    "RolloutPlan",
+    "RolloutStage",
+    "Tallies",
+    "VersionTally",
+    "latency_class",
+    "sends_to_target",
+    "share_in_force",
+]
+
+# Part of the exposure budget that is planned with: rates may fall, and
+# requests that are repeated may go to the target too.
+BUDGET_PART = 0.85
+# Part of the budget that the canary share takes until the time limit.
+CANARY_PART = 0.3
+# The old version has as many requests of each route, for a comparison.
+MAX_CANARY_SHARE = 0.5
+# Share during the step, and the part of the budget left that it may take.
+# Its longest duration and the longest answers (95th percentile) of the routes
+# that take part, as parts of the order's duration.
+STEP_SHARE = 0.75
+STEP_PART = 0.5
+MAX_STEP_PART = 1 / 12
+STEP_ANSWER_PART = 1 / 8
+# Part of the budget left that routes with long answers may take before all
+# requests go to the target.
+EARLY_PART = 0.5
+# Requests are counted over this time for the rates.
+RATE_WINDOW_S = 3.0
+MIN_RATE_WINDOW_S = 0.8
+# Time between a decision and its arrival at all hosts, until it was observed,
+# and its largest value, as a part of the order's duration.
+DELIVERY_S = 0.5
+MAX_LAG_PART = 1 / 4
+# A completion is decided this long before the time limit.
+COMPLETION_MARGIN_S = 0.8
+# Before all requests go to the target: the share is 0 while the tallies of a
+# live host are older than this, and at a host that the holder has not
+# confirmed the decision to for longer.  Both are below a rollback's time.
+NEWS_LIMIT_S = 3.0
+HOLD_S = 2.5
+# Shares change if they differ by this factor, and not more often than this.
+SHARE_CHANGE = 1.3
+SHARE_INTERVAL_S = 1.0
+# A version under suspicion at the time limit is judged for this part of the
+# order's duration more, then rolled back.
+SUSPICION_PART = 0.5
+# Part of the answers of a route that is waited for in plans.
+DRAIN_PART = 0.95
+
+
+class RolloutStage(IntEnum):
+    """Stages; from FULL on, all new requests go to the target."""
+
+    CANARY = 1
+    RAMP = 2
+    FULL = 3
+    COMPLETED = 4
+    ROLLED_BACK = 5
+
+
+ENDED = frozenset((RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK))
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """An operator's order; ``position`` in the store.
+
+    A later order of a service replaces an earlier one.
+    """
+
+    service: str
+    target: str
+    duration_s: float
+    position: int
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutLimits:
+    """Bounds of a bad version's requests (part, count) and rollback."""
+
+    exposure_share: float
+    exposure_tolerance: float
+    rollback_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutDecision:
+    """What all hosts apply.
+
+    ``order``: position of the order; ``number``: from 1, grows with each
+    decision of an order; ``shares``: (route, part of its new requests that go
+    to the target), 0 for others before FULL.
+    """
+
+    service: str
+    target: str
+    order: int
+    number: int
+    stage: RolloutStage
+    shares: tuple[tuple[str, float], ...]
+    elapsed_s: float
+    reason: str
+
+
+def share_in_force(
+    decision: RolloutDecision | None, route: str, age_s: float
+) -> float:
+    """Return the share of a route's new requests that go to the target.
+
+    ``age_s``: time since the holder last confirmed the decision.  A host that
+    it was not confirmed to sends nothing there before FULL; from FULL on the
+    decision holds, since the old engines may have stopped.
+    """
+    if decision is None or decision.stage == RolloutStage.ROLLED_BACK:
+        return 0.0
+    if decision.stage >= RolloutStage.FULL:
+        return 1.0
+    if age_s > HOLD_S:
+        return 0.0
+    return dict(decision.shares).get(route, 0.0)
+
+
+def sends_to_target(
+    decision: RolloutDecision | None,
+    route: str,
+    request_id: str,
+    age_s: float,
+) -> bool:
+    """Tell whether a new request goes to the target, drawn from its id.
+
+    A higher share keeps the requests of a lower one.
+    """
+    share = share_in_force(decision, route, age_s)
+    if decision is None or not 0.0 < share < 1.0:
+        return share >= 1.0
+    point = xxh64_intdigest(request_id.encode(), seed=decision.order % 2**63)
+    return point / 2.0**64 < share
+
+
+class Traffic:
+    """Requests of a service since the order, by route, and their rates."""
+
+    __slots__ = ("seen", "sent", "samples")
+
+    def __init__(self) -> None:
+        self.seen: dict[tuple[str, bool], int] = {}
+        # Never fall, also if a host that reported a part of them ends.
+        self.sent: dict[tuple[str, bool], int] = {}
+        self.samples: deque[tuple[float, dict[tuple[str, bool], int]]] = (
+            deque()
+        )
+
+    def feed(self, at_s: float, tallies: Tallies) -> None:
+        for key, tally in tallies.items():
+            grown = max(0, tally.sent - self.seen.get(key, 0))
+            self.seen[key] = tally.sent
+            self.sent[key] = self.sent.get(key, 0) + grown
+        self.samples.append((at_s, dict(self.sent)))
+        while (
+            len(self.samples) > 2
+            and self.samples[1][0] <= at_s - RATE_WINDOW_S
+        ):
+            self.samples.popleft()
+
+    def total(self, target: bool | None = None) -> int:
+        return sum(
+            count
+            for (_, side), count in self.sent.items()
+            if target is None or side == target
+        )
+
+    def rates(self) -> dict[str, float]:
+        """Return requests per second by route; empty while not known."""
+        if not self.samples:
+            return {}
+        first_s, first = self.samples[0]
+        last_s, last = self.samples[-1]
+        if last_s - first_s < MIN_RATE_WINDOW_S:
+            return {}
+        rates: dict[str, float] = {}
+        for (route, side), count in last.items():
+            grown = count - first.get((route, side), 0)
+            rates[route] = rates.get(route, 0.0) + grown / (last_s - first_s)
+        return rates
+
+
+class RolloutPlan:
+    """State of one order at the holder of the duty.
+
+    ``targets_s``: latency target by route.  ``serving``: the target has the
+    service's traffic already, as when an order to go back replaces one that
+    was in progress: then nothing is judged.
+    """
+
+    __slots__ = (
+        "order",
+        "limits",
+        "targets_s",
+        "decision",
+        "verdict",
+        "traffic",
+        "serving",
+        "lag_s",
+        "in_force",
+        "stepped",
+        "step_end_s",
+        "answers_s",
+    )
+
+    def __init__(
+        self,
+        order: RolloutOrder,
+        limits: RolloutLimits,
+        targets_s: dict[str, float],
+        *,
+        elapsed_s: float,
+        previous: RolloutDecision | None,
+        serving: bool = False,
+    ) -> None:
+        self.order = order
+        self.limits = limits
+        self.targets_s = targets_s
+        self.decision = previous
+        self.verdict = RolloutVerdict()
+        self.traffic = Traffic()
+        self.serving = serving
+        self.lag_s = 0.0
+        self.in_force = False
+        # Whether the step to most of the traffic has begun, and its end.
+        self.stepped = bool(
+            previous is not None and previous.stage >= RolloutStage.RAMP
+        )
+        self.step_end_s = elapsed_s
+        self.answers_s: dict[str, float] = {}
+
+    @property
+    def stage(self) -> RolloutStage | None:
+        return self.decision.stage if self.decision else None
+
+    @property
+    def shares(self) -> dict[str, float]:
+        return dict(self.decision.shares) if self.decision else {}
+
+    def withdraw(self, elapsed_s: float) -> RolloutDecision | None:
+        """Return the decision for an order that the operator took away."""
+        if self.stage in ENDED:
+            return None
+        return self._roll_back(elapsed_s, "order withdrawn")
+
+    def step(
+        self,
+        elapsed_s: float,
+        tallies: Tallies,
+        *,
+        news_age_s: float,
+        hosts_in_force: bool,
+        target_engines: int,
+        old_engines: int,
+    ) -> RolloutDecision | None:
+        """Return the next decision, None if nothing changes.
+
+        ``news_age_s``: age of the oldest live host's tallies.
+        ``hosts_in_force``: all live hosts reported that they apply the
+        decision.
+        """
+        if self.stage in ENDED:
+            return None
+        full = self.stage == RolloutStage.FULL
+        self.traffic.feed(elapsed_s, tallies)
+        self._observe_lag(elapsed_s, news_age_s, hosts_in_force)
+        self.verdict.feed(
+            elapsed_s,
+            tallies,
+            frozenset(
+                route
+                for route, _ in tallies
+                if full or self.shares.get(route, 0.0) >= 1.0
+            ),
+        )
+        self._observe_answers()
+        old_runs = any(
+            tally.running > 0
+            for (_, target), tally in tallies.items()
+            if not target
+        )
+        if not target_engines:
+            return self._without_engines(elapsed_s, old_engines)
+        if self.verdict.reason and not self.serving:
+            return self._roll_back(elapsed_s, self.verdict.reason)
+        if full:
+            return self._complete(
+                elapsed_s, news_age_s, hosts_in_force, old_runs, old_engines
+            )
+        if self.decision is None and not old_engines and not old_runs:
+            return self._decide(
+                elapsed_s, RolloutStage.COMPLETED, {}, "no other engines"
+            )
+        if self.serving:
+            return self._decide(
+                elapsed_s, RolloutStage.FULL, {}, "the target serves already"
+            )
+        if self.decision is not None and news_age_s > NEWS_LIMIT_S:
+            return self._pause(elapsed_s, f"news {news_age_s:.1f} s old")
+        return self._advance(elapsed_s, news_age_s)
+
+    def _observe_lag(
+        self, elapsed_s: float, news_age_s: float, hosts_in_force: bool
+    ) -> None:
+        """Follow the time from a decision to the report of all hosts."""
+        largest = MAX_LAG_PART * self.order.duration_s
+        if self.decision is None:
+            self.lag_s = min(largest, news_age_s + DELIVERY_S)
+        elif not self.in_force:
+            self.in_force = hosts_in_force
+            taken = elapsed_s - self.decision.elapsed_s
+            self.lag_s = min(largest, max(self.lag_s, taken))
+
+    def _observe_answers(self) -> None:
+        for route, evidence in self.verdict.routes.items():
+            number = quantile_class(
+                evidence.old.recent().latencies, DRAIN_PART
+            )
+            if number is not None:
+                self.answers_s[route] = class_end_s(number)
+
+    def _decide(
+        self,
+        elapsed_s: float,
+        stage: RolloutStage,
+        shares: dict[str, float],
+        reason: str,
+    ) -> RolloutDecision:
+        self.in_force = False
+        self.decision = RolloutDecision(
+            self.order.service,
+            self.order.target,
+            self.order.position,
+            self.decision.number + 1 if self.decision else 1,
+            stage,
+            tuple(sorted(shares.items())),
+            elapsed_s,
+            reason,
+        )
+        return self.decision
+
+    def _roll_back(self, elapsed_s: float, reason: str) -> RolloutDecision:
+        return self._decide(elapsed_s, RolloutStage.ROLLED_BACK, {}, reason)
+
+    def _pause(self, elapsed_s: float, reason: str) -> RolloutDecision | None:
+        """Send nothing to the target for now."""
+        if self.decision is None or not any(self.shares.values()):
+            return None
+        return self._decide(elapsed_s, self.decision.stage, {}, reason)
+
+    def _without_engines(
+        self, elapsed_s: float, old_engines: int
+    ) -> RolloutDecision | None:
+        reason = "the target has no engines"
+        if self.stage == RolloutStage.FULL:
+            return self._roll_back(elapsed_s, reason) if old_engines else None
+        if elapsed_s >= self.order.duration_s:
+            return self._roll_back(elapsed_s, reason)
+        return self._pause(elapsed_s, reason)
+
+    def _complete(
+        self,
+        elapsed_s: float,
+        news_age_s: float,
+        hosts_in_force: bool,
+        old_runs: bool,
+        old_engines: int,
+    ) -> RolloutDecision | None:
+        """Complete once nothing runs on old engines, late if need be.
+
+        Until shortly before the time limit the target is judged on.
+        """
+        if (
+            not hosts_in_force
+            or old_runs
+            or news_age_s > NEWS_LIMIT_S
+            or self.verdict.suspected
+            and elapsed_s < self.order.duration_s
+            or elapsed_s < self.order.duration_s - COMPLETION_MARGIN_S
+            and not self.serving
+        ):
+            return None
+        return self._decide(
+            elapsed_s,
+            RolloutStage.COMPLETED,
+            {},
+            f"nothing runs on {old_engines} old engines",
+        )
+
+    def _budget(self, elapsed_s: float, news_age_s: float) -> float:
+        """Return how many requests the target may get until the limit."""
+        rate = sum(self.traffic.rates().values())
+        seen = self.traffic.total()
+        seen_s = max(MIN_RATE_WINDOW_S, elapsed_s - news_age_s)
+        left_s = max(0.0, self.order.duration_s - seen_s)
+        expected = seen + min(rate, seen / seen_s) * left_s
+        return BUDGET_PART * (
+            self.limits.exposure_share * expected
+            + self.limits.exposure_tolerance
+        )
+
+    def _exposed(self, news_age_s: float) -> float:
+        """Return how many requests the target has got, at most, by now."""
+        rates = self.traffic.rates()
+        unseen = sum(
+            rates.get(route, 0.0) * share
+            for route, share in self.shares.items()
+        )
+        return self.traffic.total(True) + unseen * (news_age_s + DELIVERY_S)
+
+    def _canary(self, budget: float) -> dict[str, float]:
+        """Return a share of each route with about as many requests."""
+        rates = self.traffic.rates()
+        routes = sorted(self.targets_s.keys() | rates.keys())
+        if not rates:
+            share = CANARY_PART * self.limits.exposure_share
+            return {route: min(share, MAX_CANARY_SHARE) for route in routes}
+        left = CANARY_PART * budget / self.order.duration_s
+        shares = {}
+        # What a small route can't use goes to the others.
+        for number, route in enumerate(
+            sorted(routes, key=lambda route: rates.get(route, 0.0))
+        ):
+            rate = rates.get(route, 0.0)
+            part = left / (len(routes) - number)
+            share = min(MAX_CANARY_SHARE, part / rate if rate else 1.0)
+            shares[route] = round(share, 4)
+            left -= share * rate
+        return shares
+
+    def _advance(
+        self, elapsed_s: float, news_age_s: float
+    ) -> RolloutDecision | None:
+        """Return the next decision before all requests go to the target."""
+        rates = self.traffic.rates()
+        budget = self._budget(elapsed_s, news_age_s)
+        shares = self._canary(budget)
+        if self.decision is None:
+            return self._decide(elapsed_s, RolloutStage.CANARY, shares, "new")
+        left = budget - self._exposed(news_age_s)
+        stepping = [route for route in shares if self._steps(route)]
+        answer_s = max(map(self._answer_s, stepping), default=0.0)
+        full_s = (
+            self.order.duration_s
+            - COMPLETION_MARGIN_S
+            - self.lag_s
+            - answer_s
+        )
+        canary = sum(rates.get(name, 0.0) * shares[name] for name in shares)
+        left -= canary * max(0.0, full_s - elapsed_s)
+        judged_s = self.step_end_s + answer_s + self.lag_s
+        if self.stepped and elapsed_s >= max(full_s, judged_s):
+            return self._go_full(elapsed_s)
+        step_rate = STEP_SHARE * sum(rates.get(name, 0.0) for name in stepping)
+        step_s = min(
+            MAX_STEP_PART * self.order.duration_s,
+            STEP_PART * left / step_rate if step_rate else 0.0,
+        )
+        if not self.stepped and elapsed_s >= (
+            full_s - answer_s - self.lag_s - max(0.0, step_s)
+        ):
+            self.stepped = True
+            self.step_end_s = elapsed_s + max(0.0, step_s)
+        if self.stepped and elapsed_s < self.step_end_s:
+            shares |= dict.fromkeys(stepping, STEP_SHARE)
+        shares |= self._early(elapsed_s, full_s, left, shares)
+        if left <= 0:
+            return self._pause(elapsed_s, "exposure budget is spent")
+        return self._change(elapsed_s, shares)
+
+    def _answer_s(self, route: str) -> float:
+        return self.answers_s.get(route, self.targets_s.get(route, 0.0))
+
+    def _steps(self, route: str) -> bool:
+        """Tell whether answers of a route are judged soon after a step."""
+        longest = STEP_ANSWER_PART * self.order.duration_s
+        return self._answer_s(route) <= longest
+
+    def _early(
+        self,
+        elapsed_s: float,
+        full_s: float,
+        left: float,
+        shares: dict[str, float],
+    ) -> dict[str, float]:
+        """Return the routes whose answers last so long that they go first."""
+        rates = self.traffic.rates()
+        left *= EARLY_PART
+        early: dict[str, float] = {}
+        for route in sorted(shares, key=self._answer_s, reverse=True):
+            start_s = (
+                self.order.duration_s
+                - COMPLETION_MARGIN_S
+                - self.lag_s
+                - self._answer_s(route)
+            )
+            if self._steps(route):
+                continue
+            cost = rates.get(route, 0.0) * max(0.0, full_s - elapsed_s)
+            if self.shares.get(route, 0.0) >= 1.0 or (
+                elapsed_s >= start_s and cost <= left
+            ):
+                early[route] = 1.0
+                left -= cost
+        return early
+
+    def _go_full(self, elapsed_s: float) -> RolloutDecision | None:
+        if not self.verdict.suspected:
+            return self._decide(
+                elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
+            )
+        if elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART):
+            return self._roll_back(
+                elapsed_s, "still under suspicion after the time limit"
+            )
+        return None
+
+    def _change(
+        self, elapsed_s: float, shares: dict[str, float]
+    ) -> RolloutDecision | None:
+        """Decide on other shares if they differ enough."""
+        if self.decision is None:
+            return None
+        present = self.shares
+        stage = RolloutStage.RAMP if self.stepped else RolloutStage.CANARY
+        moved = [
+            max(share, present.get(route, 0.0))
+            / max(1e-9, min(share, present.get(route, 0.0)))
+            for route, share in shares.items()
+            if share != present.get(route, 0.0)
+        ]
+        # A step begins and ends on time.
+        large = STEP_SHARE / MAX_CANARY_SHARE
+        due = elapsed_s - self.decision.elapsed_s >= SHARE_INTERVAL_S
+        if max(moved, default=1.0) < (SHARE_CHANGE if due else large):
+            return None
+        early = any(share >= 1.0 for share in shares.values())
+        stage = max(self.decision.stage, RolloutStage.RAMP if early else stage)
+        reason = (
+            "step to most requests"
+            if elapsed_s < self.step_end_s
+            else "canary share"
+        )
+        return self._decide(elapsed_s, stage, shares, reason)
