--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -23,6 +23,7 @@
 from xxhash import xxh64_intdigest
 
 from magnoliaflow.policy.rolloutverdict import class_end_s
+from magnoliaflow.policy.rolloutverdict import CONTROL_S
 from magnoliaflow.policy.rolloutverdict import latency_class
 from magnoliaflow.policy.rolloutverdict import LATENCY_CLASSES
 from magnoliaflow.policy.rolloutverdict import quantile_class
@@ -46,16 +47,16 @@
 
 # Part of the exposure budget that is planned with: rates may fall, and
 # requests that are repeated may go to the target too.
-BUDGET_PART = 0.85
+BUDGET_PART = 0.9
 # Part of the budget that the canary share takes until the time limit.
-CANARY_PART = 0.3
+CANARY_PART = 0.35
 # The old version has as many requests of each route, for a comparison.
 MAX_CANARY_SHARE = 0.5
 # Share during the step, and the part of the budget left that it may take.
 # Its longest duration and the longest answers (95th percentile) of the routes
 # that take part, as parts of the order's duration.
 STEP_SHARE = 0.75
-STEP_PART = 0.5
+STEP_PART = 0.65
 MAX_STEP_PART = 1 / 12
 STEP_ANSWER_PART = 1 / 8
 # Part of the budget left that routes with long answers may take before all
@@ -64,6 +65,8 @@
 # Requests are counted over this time for the rates.
 RATE_WINDOW_S = 3.0
 MIN_RATE_WINDOW_S = 0.8
+# A rate above the mean since the order by this factor is a burst.
+BURST_RATIO = 1.5
 # Time between a decision and its arrival at all hosts, until it was observed,
 # and its largest value, as a part of the order's duration.
 DELIVERY_S = 0.5
@@ -81,6 +84,12 @@
 # A version under suspicion at the time limit is judged for this part of the
 # order's duration more, then rolled back.
 SUSPICION_PART = 0.5
+# Answers count as the latest for this part of the order's duration: a step
+# and the answers to it.
+LATEST_PART = 1 / 3
+# The answers to a step are waited for as many times as they last: slower ones
+# are judged too.
+JUDGED_ANSWERS = 2.0
 # Part of the answers of a route that is waited for in plans.
 DRAIN_PART = 0.95
 
@@ -242,6 +251,8 @@
         "stepped",
         "step_end_s",
         "answers_s",
+        "exposed",
+        "exposed_s",
     )
 
     def __init__(
@@ -258,7 +269,9 @@
         self.limits = limits
         self.targets_s = targets_s
         self.decision = previous
-        self.verdict = RolloutVerdict()
+        self.verdict = RolloutVerdict(
+            max(CONTROL_S, LATEST_PART * order.duration_s)
+        )
         self.traffic = Traffic()
         self.serving = serving
         self.lag_s = 0.0
@@ -269,6 +282,9 @@
         )
         self.step_end_s = elapsed_s
         self.answers_s: dict[str, float] = {}
+        # Requests to the target, and when they were counted.
+        self.exposed = 0.0
+        self.exposed_s = elapsed_s
 
     @property
     def stage(self) -> RolloutStage | None:
@@ -304,15 +320,18 @@
             return None
         full = self.stage == RolloutStage.FULL
         self.traffic.feed(elapsed_s, tallies)
+        self._expose(elapsed_s)
         self._observe_lag(elapsed_s, news_age_s, hosts_in_force)
         self.verdict.feed(
             elapsed_s,
             tallies,
-            frozenset(
+            news_age_s=news_age_s,
+            alone=frozenset(
                 route
                 for route, _ in tallies
                 if full or self.shares.get(route, 0.0) >= 1.0
             ),
+            burst=self._burst(elapsed_s),
         )
         self._observe_answers()
         old_runs = any(
@@ -352,6 +371,13 @@
             taken = elapsed_s - self.decision.elapsed_s
             self.lag_s = min(largest, max(self.lag_s, taken))
 
+    def _burst(self, elapsed_s: float) -> bool:
+        """Tell whether the rate is above its mean since the order."""
+        rate = sum(self.traffic.rates().values())
+        return rate > BURST_RATIO * self.traffic.total() / max(
+            MIN_RATE_WINDOW_S, elapsed_s
+        )
+
     def _observe_answers(self) -> None:
         for route, evidence in self.verdict.routes.items():
             number = quantile_class(
@@ -411,12 +437,13 @@
 
         Until shortly before the time limit the target is judged on.
         """
+        if self.verdict.suspected and elapsed_s >= self.order.duration_s:
+            return self._roll_back(elapsed_s, "under suspicion at the limit")
         if (
             not hosts_in_force
             or old_runs
             or news_age_s > NEWS_LIMIT_S
             or self.verdict.suspected
-            and elapsed_s < self.order.duration_s
             or elapsed_s < self.order.duration_s - COMPLETION_MARGIN_S
             and not self.serving
         ):
@@ -440,22 +467,25 @@
             + self.limits.exposure_tolerance
         )
 
-    def _exposed(self, news_age_s: float) -> float:
-        """Return how many requests the target has got, at most, by now."""
+    def _expose(self, elapsed_s: float) -> None:
+        """Follow how many requests the target got, also unreported ones."""
         rates = self.traffic.rates()
-        unseen = sum(
+        rate = sum(
             rates.get(route, 0.0) * share
             for route, share in self.shares.items()
         )
-        return self.traffic.total(True) + unseen * (news_age_s + DELIVERY_S)
+        self.exposed += rate * max(0.0, elapsed_s - self.exposed_s)
+        self.exposed = max(self.exposed, self.traffic.total(True))
+        self.exposed_s = elapsed_s
 
     def _canary(self, budget: float) -> dict[str, float]:
         """Return a share of each route with about as many requests."""
         rates = self.traffic.rates()
         routes = sorted(self.targets_s.keys() | rates.keys())
         if not rates:
-            share = CANARY_PART * self.limits.exposure_share
-            return {route: min(share, MAX_CANARY_SHARE) for route in routes}
+            # Within the bound at any rate.
+            share = min(self.limits.exposure_share, MAX_CANARY_SHARE)
+            return dict.fromkeys(routes, share)
         left = CANARY_PART * budget / self.order.duration_s
         shares = {}
         # What a small route can't use goes to the others.
@@ -478,7 +508,8 @@
         shares = self._canary(budget)
         if self.decision is None:
             return self._decide(elapsed_s, RolloutStage.CANARY, shares, "new")
-        left = budget - self._exposed(news_age_s)
+        left = budget - self.exposed
+        spent = left <= 0
         stepping = [route for route in shares if self._steps(route)]
         answer_s = max(map(self._answer_s, stepping), default=0.0)
         full_s = (
@@ -489,29 +520,61 @@
         )
         canary = sum(rates.get(name, 0.0) * shares[name] for name in shares)
         left -= canary * max(0.0, full_s - elapsed_s)
-        judged_s = self.step_end_s + answer_s + self.lag_s
-        if self.stepped and elapsed_s >= max(full_s, judged_s):
-            return self._go_full(elapsed_s)
+        judged_s = JUDGED_ANSWERS * answer_s + self.lag_s
+        judged = elapsed_s >= self.step_end_s + judged_s
+        suspected = self.verdict.suspected
+        if self.stepped and judged and elapsed_s >= full_s:
+            if not suspected:
+                return self._decide(
+                    elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
+                )
+            if elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART):
+                return self._roll_back(
+                    elapsed_s, "under suspicion after the time limit"
+                )
+        reserve = min(
+            EARLY_PART * left,
+            sum(
+                rates.get(name, 0.0)
+                * (full_s - max(elapsed_s, self._early_s(name)))
+                for name in shares
+                if not self._steps(name)
+            ),
+        )
         step_rate = STEP_SHARE * sum(rates.get(name, 0.0) for name in stepping)
         step_s = min(
             MAX_STEP_PART * self.order.duration_s,
-            STEP_PART * left / step_rate if step_rate else 0.0,
+            STEP_PART * (left - reserve) / step_rate if step_rate else 0.0,
         )
-        if not self.stepped and elapsed_s >= (
-            full_s - answer_s - self.lag_s - max(0.0, step_s)
+        step_due_s = full_s - judged_s - max(0.0, step_s)
+        # A suspicion may come from the load of a step: it takes another one.
+        if elapsed_s >= step_due_s and (
+            judged and suspected if self.stepped else True
         ):
             self.stepped = True
             self.step_end_s = elapsed_s + max(0.0, step_s)
         if self.stepped and elapsed_s < self.step_end_s:
             shares |= dict.fromkeys(stepping, STEP_SHARE)
-        shares |= self._early(elapsed_s, full_s, left, shares)
-        if left <= 0:
+        if not suspected:
+            if not self.stepped:
+                left -= max(0.0, step_s) * step_rate
+            shares |= self._early(elapsed_s, full_s, left, shares)
+        if spent:
             return self._pause(elapsed_s, "exposure budget is spent")
         return self._change(elapsed_s, shares)
 
     def _answer_s(self, route: str) -> float:
         return self.answers_s.get(route, self.targets_s.get(route, 0.0))
 
+    def _early_s(self, route: str) -> float:
+        """Return when a route goes to the target to end in time."""
+        return (
+            self.order.duration_s
+            - COMPLETION_MARGIN_S
+            - self.lag_s
+            - self._answer_s(route)
+        )
+
     def _steps(self, route: str) -> bool:
         """Tell whether answers of a route are judged soon after a step."""
         longest = STEP_ANSWER_PART * self.order.duration_s
@@ -526,36 +589,18 @@
     ) -> dict[str, float]:
         """Return the routes whose answers last so long that they go first."""
         rates = self.traffic.rates()
-        left *= EARLY_PART
         early: dict[str, float] = {}
         for route in sorted(shares, key=self._answer_s, reverse=True):
-            start_s = (
-                self.order.duration_s
-                - COMPLETION_MARGIN_S
-                - self.lag_s
-                - self._answer_s(route)
-            )
             if self._steps(route):
                 continue
             cost = rates.get(route, 0.0) * max(0.0, full_s - elapsed_s)
             if self.shares.get(route, 0.0) >= 1.0 or (
-                elapsed_s >= start_s and cost <= left
+                elapsed_s >= self._early_s(route) and cost <= left
             ):
                 early[route] = 1.0
                 left -= cost
         return early
 
-    def _go_full(self, elapsed_s: float) -> RolloutDecision | None:
-        if not self.verdict.suspected:
-            return self._decide(
-                elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
-            )
-        if elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART):
-            return self._roll_back(
-                elapsed_s, "still under suspicion after the time limit"
-            )
-        return None
-
     def _change(
         self, elapsed_s: float, shares: dict[str, float]
     ) -> RolloutDecision | None:
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -27,31 +27,37 @@
 from math import log2
 
 # Latencies: class 0 ends at FIRST_CLASS_S, each further one lasts longer by
-# half an octave, the last has no end.
+# a third of an octave, the last has no end.
 FIRST_CLASS_S = 0.002
-CLASSES_AN_OCTAVE = 2
-LATENCY_CLASSES = 36
-# A slow answer is this many classes above the old version's median: between
-# 2 and 2.8 times its latency.
-SLOW_CLASSES = 3
+CLASSES_AN_OCTAVE = 3
+LATENCY_CLASSES = 52
+# A slow answer is this many classes above the old version's median: it lasts
+# longer than 2 to 2.5 times its latency.
+SLOW_CLASSES = 4
 # Chance that a version as good as the old one is rolled back by the test.
 ERROR_CHANCE = 0.003
-ODDS = (4.0, 25.0)
+ODDS = (6.0, 60.0)
 # Besides, the share of bad answers has to exceed the old version's by this
-# much over the whole rollout: answers end at other times than they start, so
-# that a change of the share alone shifts the shares of single strata.
+# much, over all strata or the latest: answers end at other times than they
+# start, so that a change of the share alone shifts the shares of one stratum.
 MIN_FAILED_EXCESS = 0.02
 MIN_SLOW_EXCESS = 0.1
+# A request that may be younger than the news say is overdue later, by the age
+# of the news, but not later than after as many of them.
+NEWS_AGES = 2.0
 STRATUM_S = 0.4
 # The old version's share of bad answers of late weighs as this many answers.
 RATE_ANSWERS = 5.0
-# The old version's latest answers, for its median and for the time when all
-# new requests go to the target.
+# The latest answers: of the old version, for its median and for the time when
+# all new requests go to the target; of both, for the excess.
 CONTROL_S = 4.0
-# Without a control over the same time, failures alone are judged: by a look
-# at the exact test with this chance, and with this excess.
+# Evidence at which a completion waits for more answers.
+SUSPICION = 8.0
+# Without a control over the same time, the last answers of the old version
+# are: by a look at the exact test with this chance, and with this excess.
 UNPAIRED_CHANCE = 1e-6
-MIN_UNPAIRED_EXCESS = 0.1
+UNPAIRED_SUSPICION = 1e-3
+MIN_UNPAIRED_EXCESS = {"failed": 0.1, "slow": 0.3}
 MIN_CONTROL = 20
 # A version gets nothing later than the time of a rollback after this many bad
 # answers; it goes back at a part of them, if the old one is better.
@@ -124,7 +130,7 @@
     """Return the class of a latency, below LATENCY_CLASSES.
 
     >>> [latency_class(s) for s in (0, 0.002, 0.025, 0.5, 2.0, 1e9)]
-    [0, 0, 8, 16, 20, 35]
+    [0, 0, 11, 24, 30, 51]
     """
     if seconds <= FIRST_CLASS_S:
         return 0
@@ -233,6 +239,10 @@
         stratum.expected = stratum.target * self.rate
         self.add(stratum)
 
+    def chance(self) -> float:
+        """Return the chance of as many bad ones if both sides are alike."""
+        return tail(self.target_bad, self.target, self.old_bad, self.old)
+
     def shares(self) -> tuple[float, float]:
         """Return the shares of bad answers: the target's, the expected."""
         answers = max(1, self.target)
@@ -279,10 +289,19 @@
         return max(0, self.sent[0][1] - self.seen.finished)
 
     def slow_growth(
-        self, at_s: float, grown: VersionTally, slow_class: int
+        self,
+        at_s: float,
+        grown: VersionTally,
+        slow_class: int,
+        news_age_s: float,
     ) -> tuple[int, int]:
         """Return the growth of (slow answers, answers), with overdue ones."""
-        overdue = self.overdue(at_s, class_end_s(slow_class - 1))
+        longest_s = class_end_s(slow_class - 1)
+        # Hosts report at other times than this is called.
+        after_s = max(
+            longest_s, min(longest_s + news_age_s, NEWS_AGES * news_age_s)
+        )
+        overdue = self.overdue(at_s, after_s)
         self.slow += sum(grown.latencies[slow_class:])
         self.total += sum(grown.latencies)
         slow, total = self.counted
@@ -297,99 +316,154 @@
 class RouteEvidence:
     """Strata of one route."""
 
-    __slots__ = ("target", "old", "slow_class", "unpaired", "unpaired_old")
+    __slots__ = ("target", "old", "slow_class", "unpaired", "alone")
 
     def __init__(self) -> None:
         self.target = SideHistory()
         self.old = SideHistory()
         self.slow_class: int | None = None
-        # Answers since all requests go to the target, and the control then.
-        self.unpaired = Counts()
-        self.unpaired_old: VersionTally | None = None
+        # Whether all requests go to the target; its answers since then, and
+        # the old version's last ones before.
+        self.alone = False
+        self.unpaired = {"failed": Counts(), "slow": Counts()}
 
     def feed(
-        self, at_s: float, target: VersionTally, old: VersionTally, full: bool
-    ) -> tuple[Counts, Counts]:
-        """Close a stratum; return its counts of failures and slow answers."""
+        self,
+        at_s: float,
+        target: VersionTally,
+        old: VersionTally,
+        *,
+        news_age_s: float,
+        alone: bool,
+        burst: bool,
+    ) -> dict[str, Counts]:
+        """Close a stratum; return its counts by kind."""
         target_grown = self.target.feed(at_s, target)
         old_grown = self.old.feed(at_s, old)
         recent = self.old.recent()
-        if sum(recent.latencies) >= MIN_CONTROL or self.slow_class is None:
-            median = quantile_class(recent.latencies, 0.5)
-            if median is not None:
-                self.slow_class = min(
-                    LATENCY_CLASSES - 1, median + SLOW_CLASSES
-                )
-        failed = Counts(
-            target_grown.finished,
-            target_grown.failed,
-            old_grown.finished,
-            old_grown.failed,
-        )
-        self._feed_unpaired(target_grown, recent, full)
-        if self.slow_class is None:
-            return failed, Counts()
-        target_slow = self.target.slow_growth(
-            at_s, target_grown, self.slow_class
-        )
-        old_slow = self.old.slow_growth(at_s, old_grown, self.slow_class)
-        if full and not old_slow[1]:
+        self._set_slow_class(recent)
+        kinds = {
+            "failed": Counts(
+                target_grown.finished,
+                target_grown.failed,
+                old_grown.finished,
+                old_grown.failed,
+            ),
+            "slow": Counts(),
+        }
+        if self.slow_class is not None:
+            target_slow, target_ended = self.target.slow_growth(
+                at_s, target_grown, self.slow_class, news_age_s
+            )
+            old_slow, old_ended = self.old.slow_growth(
+                at_s, old_grown, self.slow_class, news_age_s
+            )
+            kinds["slow"] = Counts(
+                target_ended, target_slow, old_ended, old_slow
+            )
+        self._feed_unpaired(kinds, recent, alone, burst)
+        if alone and not kinds["slow"].old:
             # Nothing of the same time shows whether all are slow.
-            return failed, Counts()
-        slow = Counts(target_slow[1], target_slow[0], old_slow[1], old_slow[0])
-        return failed, slow
+            kinds["slow"] = Counts()
+        return kinds
+
+    def _set_slow_class(self, recent: VersionTally) -> None:
+        if self.alone or (
+            sum(recent.latencies) < MIN_CONTROL and self.slow_class is not None
+        ):
+            return
+        median = quantile_class(recent.latencies, 0.5)
+        if median is not None:
+            self.slow_class = min(LATENCY_CLASSES - 1, median + SLOW_CLASSES)
 
     def _feed_unpaired(
-        self, grown: VersionTally, control: VersionTally, full: bool
+        self,
+        kinds: dict[str, Counts],
+        recent: VersionTally,
+        alone: bool,
+        burst: bool,
     ) -> None:
-        if not full:
-            self.unpaired, self.unpaired_old = Counts(), None
+        if alone and not self.alone:
+            slow = self.slow_class or LATENCY_CLASSES
+            self.unpaired = {
+                "failed": Counts(old=recent.finished, old_bad=recent.failed),
+                "slow": Counts(
+                    old=sum(recent.latencies),
+                    old_bad=sum(recent.latencies[slow:]),
+                ),
+            }
+        self.alone = alone
+        if not alone or burst:
             return
-        if self.unpaired_old is None:
-            self.unpaired_old = control
-        self.unpaired.add(
-            Counts(target=grown.finished, target_bad=grown.failed)
-        )
-        self.unpaired.old = self.unpaired_old.finished
-        self.unpaired.old_bad = self.unpaired_old.failed
+        for kind, counts in kinds.items():
+            self.unpaired[kind].target += counts.target
+            self.unpaired[kind].target_bad += counts.target_bad
 
 
 class RolloutVerdict:
-    """Evidence against the target, over all routes."""
+    """Evidence against the target, over all routes.
 
-    __slots__ = ("routes", "products", "sums", "fed_s", "reason")
+    ``window_s``: how long answers count as the latest.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "window_s",
+        "routes",
+        "products",
+        "sums",
+        "latest",
+        "fed_s",
+        "reason",
+    )
+
+    def __init__(self, window_s: float = CONTROL_S) -> None:
+        self.window_s = window_s
         self.routes: dict[str, RouteEvidence] = {}
         # Log of the likelihood ratio, by route ("" for all), kind and odds.
         self.products: dict[tuple[str, str, float], float] = {}
         # Counts by route ("" for all) and kind.
         self.sums: dict[tuple[str, str], Counts] = {}
+        self.latest: deque[tuple[float, str, str, Counts]] = deque()
         self.fed_s = -inf
         self.reason = ""
 
     def feed(
-        self, at_s: float, tallies: Tallies, full: frozenset[str] = frozenset()
+        self,
+        at_s: float,
+        tallies: Tallies,
+        *,
+        news_age_s: float = 0.0,
+        alone: frozenset[str] = frozenset(),
+        burst: bool = False,
     ) -> None:
-        """Take the counts in; ``full``: routes that go to the target alone."""
+        """Take the counts in.
+
+        ``alone``: routes of which all new requests go to the target;
+        ``burst``: the service gets more requests than before.
+        """
         if at_s - self.fed_s < STRATUM_S:
             return
         self.fed_s = at_s
+        while self.latest and self.latest[0][0] < at_s - self.window_s:
+            self.latest.popleft()
         for route in sorted({route for route, _ in tallies}):
             evidence = self.routes.setdefault(route, RouteEvidence())
             kinds = evidence.feed(
                 at_s,
                 tallies.get((route, True), evidence.target.seen),
                 tallies.get((route, False), evidence.old.seen),
-                route in full,
+                news_age_s=news_age_s,
+                alone=route in alone,
+                burst=burst,
             )
-            for kind, counts in zip(("failed", "slow"), kinds, strict=True):
+            for kind, counts in kinds.items():
                 self._add(route, kind, counts)
         self.reason = self.reason or self._judge()
 
     def _add(self, route: str, kind: str, counts: Counts) -> None:
         self.sums.setdefault((route, kind), Counts()).follow(counts)
         self.sums.setdefault(("", kind), Counts()).add(counts)
+        self.latest.append((self.fed_s, route, kind, counts))
         for odds in ODDS:
             ratio = log_ratio(
                 counts.target_bad,
@@ -412,8 +486,9 @@
     @property
     def suspected(self) -> bool:
         """Tell whether a completion had better wait for more answers."""
-        return self.evidence > -log(ERROR_CHANCE) / 2 and any(
-            self._exceeds(scope, kind) for scope, kind in self.sums
+        return bool(self._unpaired(UNPAIRED_SUSPICION)) or (
+            self.evidence > log(SUSPICION)
+            and any(self._exceeds(scope, kind) for scope, kind in self.sums)
         )
 
     def bad_answers(self) -> int:
@@ -424,17 +499,34 @@
             if not scope
         )
 
+    def _latest(self, scope: str, kind: str) -> Counts:
+        latest = Counts()
+        for _, route, latest_kind, counts in self.latest:
+            if latest_kind == kind and scope in ("", route):
+                latest.add(counts)
+        return latest
+
     def _exceeds(self, scope: str, kind: str) -> bool:
-        target, old = self.sums[scope, kind].shares()
         margin = MIN_FAILED_EXCESS if kind == "failed" else MIN_SLOW_EXCESS
-        return target - old >= margin
+        return any(
+            target - old >= margin
+            for target, old in (
+                self.sums[scope, kind].shares(),
+                self._latest(scope, kind).shares(),
+            )
+        )
 
     def _judge(self) -> str:
         """Return why the target is worse, "" while it is not."""
         threshold = -log(ERROR_CHANCE) + log(max(1, len(self.products)))
         for (scope, kind), counts in self.sums.items():
-            proven = any(
-                self.products[scope, kind, odds] >= threshold for odds in ODDS
+            product = max(self.products[scope, kind, odds] for odds in ODDS)
+            # A step is short: the answers to it are compared over the latest
+            # strata as one too, if the strata alone give a suspicion.
+            proven = product >= threshold or (
+                scope
+                and product >= threshold + log(ERROR_CHANCE * SUSPICION)
+                and self._latest(scope, kind).chance() <= UNPAIRED_CHANCE
             )
             if proven and self._exceeds(scope, kind):
                 return describe(scope, kind, counts)
@@ -447,22 +539,20 @@
                     and target > BAD_RATIO * old
                 ):
                     return describe(scope, kind, counts)
+        return self._unpaired(UNPAIRED_CHANCE)
+
+    def _unpaired(self, chance: float) -> str:
+        """Return why the target is worse than the old version was before."""
         for route, evidence in self.routes.items():
-            counts = evidence.unpaired
-            target = counts.target_bad / max(1, counts.target)
-            old = counts.old_bad / max(1, counts.old)
-            if (
-                counts.old >= MIN_CONTROL
-                and target - old >= MIN_UNPAIRED_EXCESS
-                and tail(
-                    counts.target_bad,
-                    counts.target,
-                    counts.old_bad,
-                    counts.old,
-                )
-                <= UNPAIRED_CHANCE
-            ):
-                return describe(route, "failed", counts)
+            for kind, counts in evidence.unpaired.items():
+                target = counts.target_bad / max(1, counts.target)
+                old = counts.old_bad / max(1, counts.old)
+                if (
+                    counts.old >= MIN_CONTROL
+                    and target - old >= MIN_UNPAIRED_EXCESS[kind]
+                    and counts.chance() <= chance
+                ):
+                    return describe(route, kind, counts)
         return ""
 
 
