--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -129,7 +129,6 @@
         self.fault_count -= 1
         return self.fault
 
-
     def _weak_fault(self, path: str) -> str:
         weakness, number = self.weakness, len(self.received)
         is_bad = (
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -17,24 +17,25 @@
 from entrysite import wait_until
 from magnoliaflow_standins.batchengine import Weakness
 
-DURATION_S = 8.0
-SHARE, TOLERANCE = 0.1, 50
+DURATION_S = 10.0
+SHARE, TOLERANCE, ROLLBACK_S = 0.1, 50, 5.0
 LINES = (
     "contracts=base,rollout,platform",
     f"bounds.exposureShare={SHARE}",
     f"bounds.exposureTolerance={TOLERANCE}",
-    "bounds.rollbackTimeoutMs=5000",
+    f"bounds.rollbackTimeoutMs={ROLLBACK_S * 1000:.0f}",
 )
-PACE_S = 0.033
-PAUSE_S = 0.02
+PACE_S = 0.04
+# Longer than the pauses between the requests of one service.
+PAUSE_S = 0.12
 WORKERS = 64
 WEAKNESSES = {
     "good": Weakness(),
-    "failing": Weakness(share=0.5),
-    "later": Weakness(share=0.5, after=12),
-    "slow": Weakness(share=0.6, delay_s=0.4),
-    "loaded": Weakness(share=0.6, load=2),
-    "oneroute": Weakness(share=0.7, prefix="/oneroute-b/"),
+    "failing": Weakness(share=0.6),
+    "later": Weakness(share=0.8, after=10),
+    "slow": Weakness(share=0.8, delay_s=0.9),
+    "loaded": Weakness(share=1.0, load=2),
+    "oneroute": Weakness(share=0.9, prefix="/oneroute-b/"),
 }
 
 
@@ -69,18 +70,71 @@
         for name in services:
             for number in (1, 2):
                 self.add_version(name, number, "v1")
-        for number in range(hosts):
-            seeds = [
-                f"127.0.0.1:{ports['controlPlane']}"
-                for ports in self.entry_ports
-            ]
-            with open(folder / f"e-{number}.log", "w") as log:
-                self.start(f"e-{number}", seeds, log=log, lines=LINES)
-        self.callers = [
+        self.targets = []
+        for _ in range(hosts):
+            self.add_host()
+        self.threads = [
             Thread(target=self.call, args=(name,)) for name in services
         ]
-        for caller in self.callers:
-            caller.start()
+        self.threads.append(Thread(target=self.stop_engines))
+        for thread in self.threads:
+            thread.start()
+
+    def add_host(self):
+        """Start an entry process, which gets requests once it is ready."""
+        name = f"e-{len(self.entry_ports)}"
+        seeds = [
+            f"127.0.0.1:{ports['controlPlane']}" for ports in self.entry_ports
+        ]
+        with open(self.folder / f"{name}.log", "w") as log:
+            ports = self.start(name, seeds, log=log, lines=LINES)
+        self.targets.append(ports["frontend"])
+
+    def kill_holder(self):
+        """Kill the process that holds the duties."""
+        acquired = {
+            line["time"]: number
+            for number in range(len(self.processes))
+            for line in self.log_lines(number)
+            if line["event_name"] == "LEASE_ACQUIRED"
+        }
+        number = acquired[max(acquired)]
+        self.targets.remove(self.entry_ports[number]["frontend"])
+        self.processes[number].kill()
+
+    def log_lines(self, number):
+        text = (self.folder / f"e-{number}.log").read_text()
+        return [loads(line) for line in text.splitlines() if line[-1:] == "}"]
+
+    def set_store(self, *, down):
+        self.store.down = down
+
+    def stop_engines(self):
+        """Stop engines as the operator does when a roll-out has ended.
+
+        The old ones of a completed one stop at once; the new ones of one that
+        went back drain.
+        """
+        done = set()
+        while not self.stopped.wait(0.02):
+            for service in self.services:
+                end = self.end_of(service)
+                if not end or service in done:
+                    continue
+                done.add(service)
+                for number in (1, 2):
+                    old = f"{service}-v1-{number}"
+                    if end == "completed":
+                        self.engines[old].restart_s = 60.0
+                        self.engines[old].crash()
+                        self.store.put("keyed.servers", old, b"")
+                    else:
+                        self.register(
+                            f"{service}-v2-{number}",
+                            service,
+                            version="v2",
+                            state="draining",
+                        )
 
     def add_version(self, service, number, version):
         self.add_engine(
@@ -96,18 +150,24 @@
         number = 0
         while not self.stopped.wait(PACE_S):
             number += 1
-            ports = self.entry_ports[number % len(self.entry_ports)]
-            self.pool.submit(self.call_once, service, number, ports)
+            port = self.targets[number // 2 % len(self.targets)]
+            letter = "ab"[number % 2]
+            self.pool.submit(self.call_once, service, letter, port)
 
-    def call_once(self, service, number, ports):
-        letter = "ab"[number % 2]
+    def call_once(self, service, letter, port):
+        path = f"/{service}-{letter}/x"
         try:
-            status = send_request(
-                ports["frontend"], "POST", f"/{service}-{letter}/x", b"hi"
-            )[0]
+            status = send_request(port, "POST", path, b"hi")[0]
         except OSError:
             status = 0
-        self.answers.append((monotonic(), service, status))
+        self.answers.append((service, status))
+
+    def bad_answers(self, service):
+        return [
+            status
+            for name, status in self.answers
+            if name == service and status != 200
+        ]
 
     def order(self, service, weakness):
         """Order a version, whose engines start beside the old ones."""
@@ -122,9 +182,12 @@
             self.add_version(service, number, "v2")
             self.engines[f"{service}-v2-{number}"].weakness = weakness
 
-    def status(self, service):
+    def end_of(self, service):
+        """Return the state of a roll-out that has ended, else ''."""
         entry = self.store.newest("keyed.status").get(f"rollout/{service}")
-        return loads(entry[1]) if entry else {}
+        status = loads(entry[1]) if entry else {"state": "", "to": "v2"}
+        assert status["to"] == "v2"
+        return status["state"] if status["state"] != "in_progress" else ""
 
     def received(self, service, version):
         return sorted(
@@ -135,8 +198,8 @@
 
     def close(self):
         self.stopped.set()
-        for caller in self.callers:
-            caller.join()
+        for thread in self.threads:
+            thread.join()
         self.pool.shutdown()
         super().close()
 
@@ -154,15 +217,60 @@
         site.close()
 
 
-def test_kinds(open_site):
-    site = open_site(WEAKNESSES)
+def play(site, weaknesses, at=None):
+    """Order each version and wait for its status; return how it went.
+
+    ``at`` maps seconds after the orders to what is done then.
+    """
     sleep(1.0)
-    begin = monotonic()
-    for name, weakness in WEAKNESSES.items():
+    ordered_at = monotonic()
+    for name, weakness in weaknesses.items():
         site.order(name, weakness)
-    while monotonic() < begin + DURATION_S + 4:
-        sleep(1)
-        print(round(monotonic() - begin, 1), {n: (site.status(n).get("state"), len(site.received(n, "v1")), len(site.received(n, "v2"))) for n in WEAKNESSES})
-    bad = [a for a in site.answers if a[2] != 200]
-    print(len(site.answers), len(bad), {s: sum(1 for a in bad if a[1]==s) for s in WEAKNESSES})
-    assert 0
+    for after_s, act in (at or {}).items():
+        sleep(max(0.0, ordered_at + after_s - monotonic()))
+        act()
+    wait_until(
+        lambda: all(site.end_of(name) for name in weaknesses),
+        "every roll-out has ended",
+    )
+    sleep(max(1.0, ordered_at + DURATION_S - monotonic()))
+    return ordered_at
+
+
+def check(site, weaknesses, ordered_at):
+    """Check the ends, and the requests that each bad version got."""
+    ends = {name: site.end_of(name) for name in weaknesses}
+    assert ends == {
+        name: "rolled_back" if weakness.share else "completed"
+        for name, weakness in weaknesses.items()
+    }
+    limit_at = ordered_at + DURATION_S
+    for name in [name for name in weaknesses if weaknesses[name].share]:
+        new, old = site.received(name, "v2"), site.received(name, "v1")
+        exposed = sum(at < limit_at for at, _, _ in new)
+        served = exposed + sum(ordered_at < at < limit_at for at, _, _ in old)
+        assert exposed <= SHARE * served + TOLERANCE, name
+        bad = [at for at, _, end in new if end == "bad"]
+        assert len(bad) < 50 or new[-1][0] < bad[49] + ROLLBACK_S, name
+
+
+def test_good_versions_complete_and_bad_ones_go_back(open_site):
+    """Guards against a bad version in full traffic, and a good one refused."""
+    site = open_site(WEAKNESSES)
+    check(site, WEAKNESSES, play(site, WEAKNESSES))
+    assert site.bad_answers("good") == []
+
+
+@pytest.mark.parametrize("fault", ["holder killed", "store down"])
+def test_a_fault_between_order_and_end_changes_no_verdict(open_site, fault):
+    """Guards against a decision that is lost with its holder or the store."""
+    weaknesses = {name: WEAKNESSES[name] for name in ("good", "failing")}
+    site = open_site(weaknesses)
+    faults = {
+        "holder killed": {3.0: site.kill_holder, 4.0: site.add_host},
+        "store down": {
+            3.0: lambda: site.set_store(down=True),
+            6.0: lambda: site.set_store(down=False),
+        },
+    }
+    check(site, weaknesses, play(site, weaknesses, faults[fault]))
