--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -53,6 +53,9 @@
         if known is not None:
             if not self._supersedes(entry, known, alive):
                 return None
+            if not entry.version and entry.born == known.born:
+                # It was passed on by a build that does not know of versions.
+                entry = replace(entry, version=known.version)
             if known.gone and entry.gone:
                 return None
             if _is_unchanged(known, entry):
--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -178,6 +178,10 @@
         """Return the name of this host's group."""
         return self._groups_by_host[self.host]
 
+    def group_of(self, host: str) -> str:
+        """Return the name of a host's group, '' if the host is unknown."""
+        return self._groups_by_host.get(host, "")
+
     def meet(self, fact: HostFact, heard_at: float) -> None:
         """Record a host that was alive at a time."""
         if fact.host == self.host:
--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -234,11 +234,12 @@
 def fresh_members(
     state: EntryState, now: float
 ) -> list[tuple[HostCounts, bool]]:
-    """Return the counts of hosts, and whether they are of late."""
+    """Return the counts of the own group's hosts, and which are of late."""
+    view = state.view
     return [
         (row, now - row.received_at < FRESH_S)
         for name, row in state.rollouts.counts.items()
-        if not row.group and name != state.host_settings.host
+        if not row.group and view.group_of(name) == view.group
     ]
 
 
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -271,15 +271,16 @@
         decision = book.decision_for(known.order)
         tallies = book.tallies(service)
         live = {fact.host for fact in state.live_hosts(now)}
+        groups = {state.view.group_of(host) for host in live}
         hosts, age_s, in_force = 1, 0.0, True
         for name, row in self._rows():
             is_fresh = now - row.received_at < FRESH_S
-            is_live = name in live or bool(row.group)
+            is_live = name in live or (row.group and row.group in groups)
             count = row.counts.get(service)
             if count is None or count.order != position:
                 in_force = in_force and not (is_live and is_fresh)
                 continue
-            add_rows(tallies, count.tallies, is_live=is_live or is_fresh)
+            add_rows(tallies, count.tallies, is_live=bool(is_live or is_fresh))
             if not is_live:
                 continue
             hosts += row.hosts
@@ -296,7 +297,6 @@
         """Return the counts that together cover every host once."""
         state = self.state
         rows = state.rollouts.counts.items()
-        own = state.host_settings.host
         if not state.uses_groups():
             return [(name, row) for name, row in rows if not row.group]
         view = state.view
@@ -304,11 +304,10 @@
         return [
             (name, row)
             for name, row in rows
-            if name != own
-            and (
-                row.group != view.group
-                if row.group and publishes
-                else bool(row.group) or publishes
+            if (
+                not (publishes and row.group == view.group)
+                if row.group
+                else publishes and view.group_of(name) == view.group
             )
         ]
 
