--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -258,11 +258,8 @@
         )
 
     def _serves_model(self) -> bool:
-        service = (
-            self.route_table.services.get(self.service)
-            if self.route_table
-            else None
-        )
+        table = self.route_table
+        service = table.services.get(self.service) if table else None
         return service is not None and service.model
 
     def _routing_request(self, left_s: float) -> RoutingRequest:
--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -102,6 +102,13 @@
             self.server.crash()
         Timer(self.restart_s, self._restart).start()
 
+    def end(self) -> None:
+        """End with all open answers, for good."""
+        with self.lock:
+            self.closed = True
+            self.down.set()
+            self.server.crash()
+
     def _restart(self) -> None:
         with self.lock:
             if self.closed:
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -1,8 +1,11 @@
 """Roll-outs by real processes: what engines and callers see."""
 
 from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPException
 from json import dumps
 from json import loads
+from signal import SIGCONT
+from signal import SIGSTOP
 from threading import Event
 from threading import Thread
 from time import monotonic
@@ -28,9 +31,16 @@
 PACE_S = 0.04
 # Longer than the pauses between the requests of one service.
 PAUSE_S = 0.12
-WORKERS = 64
+EVENTS = 15
+WORKERS = 96
+# Kinds of the two routes of a service, and of one whose answers are streams.
+ROUTES = {
+    False: (("a", "idempotent"), ("b", "non_idempotent")),
+    True: (("a", "streaming"), ("b", "streaming")),
+}
 WEAKNESSES = {
     "good": Weakness(),
+    "streams": Weakness(),
     "failing": Weakness(share=0.6),
     "later": Weakness(share=0.8, after=10),
     "slow": Weakness(share=0.8, delay_s=0.9),
@@ -56,10 +66,7 @@
                 routes=[
                     make_route(f"{name}-{letter}", kind, service=name)
                     for name in services
-                    for letter, kind in (
-                        ("a", "idempotent"),
-                        ("b", "non_idempotent"),
-                    )
+                    for letter, kind in ROUTES[name == "streams"]
                 ],
                 services=[
                     {"name": name, "healthPath": "/h", "connectionLimit": 90}
@@ -92,6 +99,18 @@
 
     def kill_holder(self):
         """Kill the process that holds the duties."""
+        self.processes[self.take_holder()].kill()
+
+    def freeze_holder(self):
+        """Stop the process that holds the duties, until it is thawed."""
+        self.frozen = self.processes[self.take_holder()]
+        self.frozen.send_signal(SIGSTOP)
+
+    def thaw(self):
+        self.frozen.send_signal(SIGCONT)
+
+    def take_holder(self):
+        """Send no more requests to the holder, and return its number."""
         acquired = {
             line["time"]: number
             for number in range(len(self.processes))
@@ -100,7 +119,7 @@
         }
         number = acquired[max(acquired)]
         self.targets.remove(self.entry_ports[number]["frontend"])
-        self.processes[number].kill()
+        return number
 
     def log_lines(self, number):
         text = (self.folder / f"e-{number}.log").read_text()
@@ -125,8 +144,7 @@
                 for number in (1, 2):
                     old = f"{service}-v1-{number}"
                     if end == "completed":
-                        self.engines[old].restart_s = 60.0
-                        self.engines[old].crash()
+                        self.engines[old].end()
                         self.store.put("keyed.servers", old, b"")
                     else:
                         self.register(
@@ -143,7 +161,8 @@
             version=version,
             slots=16,
         )
-        self.engines[f"{service}-{version}-{number}"].pause_s = PAUSE_S
+        engine = self.engines[f"{service}-{version}-{number}"]
+        engine.pause_s, engine.event_count = PAUSE_S, EVENTS
 
     def call(self, service):
         """Send requests at a steady pace to hosts in turn."""
@@ -155,11 +174,14 @@
             self.pool.submit(self.call_once, service, letter, port)
 
     def call_once(self, service, letter, port):
-        path = f"/{service}-{letter}/x"
+        end = "s" if service == "streams" else "x"
+        path = f"/{service}-{letter}/{end}"
         try:
-            status = send_request(port, "POST", path, b"hi")[0]
-        except OSError:
-            status = 0
+            status, _, body = send_request(port, "POST", path, b"hi")
+        except (OSError, HTTPException) as exc:
+            status, body = repr(exc), b""
+        if end == "s" and body.count(b"data:") != EVENTS:
+            status = f"{status}, {len(body)} bytes of a stream"
         self.answers.append((service, status))
 
     def bad_answers(self, service):
@@ -258,16 +280,19 @@
     """Guards against a bad version in full traffic, and a good one refused."""
     site = open_site(WEAKNESSES)
     check(site, WEAKNESSES, play(site, WEAKNESSES))
-    assert site.bad_answers("good") == []
+    assert site.bad_answers("good") + site.bad_answers("streams") == []
 
 
-@pytest.mark.parametrize("fault", ["holder killed", "store down"])
+@pytest.mark.parametrize(
+    "fault", ["holder killed", "holder frozen", "store down"]
+)
 def test_a_fault_between_order_and_end_changes_no_verdict(open_site, fault):
     """Guards against a decision that is lost with its holder or the store."""
     weaknesses = {name: WEAKNESSES[name] for name in ("good", "failing")}
     site = open_site(weaknesses)
     faults = {
         "holder killed": {3.0: site.kill_holder, 4.0: site.add_host},
+        "holder frozen": {3.0: site.freeze_holder, 6.5: site.thaw},
         "store down": {
             3.0: lambda: site.set_store(down=True),
             6.0: lambda: site.set_store(down=False),
