--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -13,9 +13,10 @@
 from math import inf
 
 from magnoliaflow.cluster.positions import era_of
+from magnoliaflow.cluster.rolloutsteps import concerns
+from magnoliaflow.cluster.rolloutsteps import ENDED
+from magnoliaflow.cluster.rolloutsteps import tally_rows
 from magnoliaflow.common.messages import RolloutCount
-from magnoliaflow.common.messages import RolloutTally
-from magnoliaflow.common.records import RolloutStep
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import RolloutStage
@@ -28,18 +29,21 @@
 # written before the engines of its version register, and passes up to two
 # hosts.
 UNORDERED_WAIT_S = 2.0
-ENDED = (RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK)
+# Time after the end of a roll-out in which the engines of the other version
+# stop: the drain of the platform and a few heartbeats.
+SETTLE_S = 10.0
 # No restriction on the versions of engines.
 ALL_VERSIONS: tuple[tuple[str, ...], ...] = ()
 
 
 @dataclass(slots=True)
 class KnownDecision:
-    """A decision and when it was last confirmed, by this host's clock."""
+    """A decision, when it was last confirmed and since when it is known."""
 
     decision: RolloutDecision
     fence: int
     confirmed_at: float = -inf
+    since: float = -inf
 
 
 @dataclass(slots=True)
@@ -172,7 +176,7 @@
                 known.confirmed_at = max(known.confirmed_at, confirmed_at)
             return False
         self.decisions[decision.service] = KnownDecision(
-            decision, fence, confirmed_at
+            decision, fence, confirmed_at, now
         )
         self._follow(decision)
         self.changed_at = max(self.changed_at, now)
@@ -218,6 +222,13 @@
         target, _, stage = self.target_of(service)
         return bool(target) and stage not in ENDED
 
+    def has_two_versions(self, service: str, now: float) -> bool:
+        """Return whether a roll-out is in progress or has just ended."""
+        known = self.decisions.get(service)
+        return self.in_progress(service) or (
+            known is not None and now < known.since + SETTLE_S
+        )
+
     def any_in_progress(self) -> bool:
         """Return whether any order has not ended."""
         services = self.orders.keys() | self.decisions.keys()
@@ -352,91 +363,6 @@
         return counts
 
 
-def tally_rows(tallies: Tallies) -> tuple[RolloutTally, ...]:
-    """Return tallies as rows of a message."""
-    return tuple(
-        RolloutTally(
-            route,
-            is_target,
-            tally.sent,
-            tally.finished,
-            tally.failed,
-            tally.running,
-            tuple(tally.latencies),
-        )
-        for (route, is_target), tally in sorted(tallies.items())
-    )
-
-
-def add_rows(
-    tallies: Tallies, rows: tuple[RolloutTally, ...], *, is_live: bool
-) -> None:
-    """Add rows of another host; nothing runs at one that has ended."""
-    for row in rows:
-        tallies.setdefault((row.route, row.target), VersionTally()).add(
-            VersionTally(
-                row.sent,
-                row.finished,
-                row.failed,
-                row.running if is_live else 0,
-                list(row.latencies),
-            )
-        )
-
-
-def make_step(
-    decision: RolloutDecision, fence: int, written_at: float
-) -> RolloutStep:
-    """Return a decision as a record."""
-    return RolloutStep(
-        fence,
-        decision.service,
-        decision.target,
-        decision.order,
-        decision.number,
-        int(decision.stage),
-        tuple(route for route, _ in decision.shares),
-        tuple(share for _, share in decision.shares),
-        decision.elapsed_s,
-        decision.reason,
-        written_at,
-    )
-
-
-def decision_of(step: RolloutStep) -> RolloutDecision | None:
-    """Return the decision in a record, None if its stage is unknown."""
-    try:
-        stage = RolloutStage(step.stage)
-    except ValueError:
-        return None
-    return RolloutDecision(
-        step.backend,
-        step.target,
-        step.order,
-        step.number,
-        stage,
-        tuple(zip(step.routes, step.shares)),
-        step.elapsed,
-        step.reason,
-    )
-
-
-def concerns(decision: RolloutDecision, order: RolloutOrder) -> bool:
-    """Return whether a decision was made on an order.
-
-    An order of a later era to the same version is taken for a copy.
-    """
-    return decision.order == order.position or (
-        decision.target == order.target
-        and era_of(order.position) > era_of(decision.order)
-    )
-
-
-def moved_to(decision: RolloutDecision, position: int) -> RolloutDecision:
-    """Return a decision with its order at another position."""
-    return replace(decision, order=position)
-
-
 def _is_copy(order: RolloutOrder, known: RolloutOrder) -> bool:
     return (
         era_of(order.position) > era_of(known.position)
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -49,9 +49,6 @@
 # retry delay above and the time that a reclaimable engine takes to start.
 CAPACITY_SHORTAGE_S = 8.0
 FAILED_RETRY_DELAY_S = 0.5
-# Time after the end of a roll-out in which the engines of the other version
-# stop: the drain of the platform and a few heartbeats.
-ROLLOUT_SETTLE_S = 10.0
 
 
 @dataclass(slots=True)
@@ -86,7 +83,6 @@
         "recent_loads",
         "state",
         "spot_totals",
-        "unsettled_until",
     )
 
     def __init__(self, state: EntryState, cloud: CloudClient) -> None:
@@ -102,7 +98,6 @@
         self.orders: dict[tuple[str, str, bool], Order] = {}
         self.spot_totals: dict[str, int] = {}
         self.assumed_engines: dict[str, int] = {}
-        self.unsettled_until: dict[str, float] = {}
         self.recent_loads: dict[str, list[tuple[float, Load]]] = {}
 
     def tick(self, now: float) -> None:
@@ -129,7 +124,10 @@
             self.orders.clear()
             self.spot_totals.clear()
         for service in scaled:
-            self._observe_rollout(service.name, now)
+            if self.state.rollouts.has_two_versions(service.name, now):
+                # Engines that stop at its end are no loss.
+                for (name, _, _), order in self.orders.items():
+                    order.fulfilled &= name != service.name
             self._plan(service, now)
 
     def _record_registrations(self, now: float) -> None:
@@ -197,19 +195,6 @@
             )
             self._order_engines(service, scaling, wanted, supply, now)
 
-    def _observe_rollout(self, name: str, now: float) -> None:
-        """Note when a service has engines of two versions.
-
-        Until one of them has stopped, none is given back, and the orders of
-        before say nothing about a loss.
-        """
-        if self.state.rollouts.in_progress(name):
-            self.unsettled_until[name] = now + ROLLOUT_SETTLE_S
-        elif now >= self.unsettled_until.get(name, inf):
-            del self.unsettled_until[name]
-            for key in [key for key in self.orders if key[0] == name]:
-                del self.orders[key]
-
     def _known_on_demand(self, name: str) -> int:
         """Return how many on-demand engines were ever registered.
 
@@ -334,7 +319,8 @@
             uncertain = self._engines_uncertain(now)
             if not spot and count <= registered and uncertain:
                 continue
-            if count <= registered and service.name in self.unsettled_until:
+            doubled = self.state.rollouts.has_two_versions(service.name, now)
+            if count <= registered and doubled:
                 continue
             if order is not None:
                 if order.pending or now < order.retry_at:
--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -10,11 +10,11 @@
 from magnoliaflow.cluster.leasemanager import host_of
 from magnoliaflow.cluster.peers import PeerLinks
 from magnoliaflow.cluster.positions import make_position
-from magnoliaflow.cluster.rollouts import add_rows
-from magnoliaflow.cluster.rollouts import decision_of
 from magnoliaflow.cluster.rollouts import HostCounts
-from magnoliaflow.cluster.rollouts import make_step
-from magnoliaflow.cluster.rollouts import tally_rows
+from magnoliaflow.cluster.rolloutsteps import add_rows
+from magnoliaflow.cluster.rolloutsteps import decision_of
+from magnoliaflow.cluster.rolloutsteps import make_step
+from magnoliaflow.cluster.rolloutsteps import tally_rows
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.eventlog import LogEvent
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -10,12 +10,12 @@
 
 from twisted.internet.defer import inlineCallbacks
 
-from magnoliaflow.cluster.rollouts import add_rows
-from magnoliaflow.cluster.rollouts import ENDED
 from magnoliaflow.cluster.rollouts import HostCounts
 from magnoliaflow.cluster.rollouts import KnownOrder
-from magnoliaflow.cluster.rollouts import make_step
-from magnoliaflow.cluster.rollouts import moved_to
+from magnoliaflow.cluster.rolloutsteps import add_rows
+from magnoliaflow.cluster.rolloutsteps import ENDED
+from magnoliaflow.cluster.rolloutsteps import make_step
+from magnoliaflow.cluster.rolloutsteps import moved_to
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.eventlog import LogEvent
@@ -23,9 +23,9 @@
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.followers import record_store_failure
 from magnoliaflow.entry.rolloutnews import FRESH_S
+from magnoliaflow.entry.rolloutstatus import StatusWriter
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.rollouts import decode_final
-from magnoliaflow.platform.rollouts import encode_status
 from magnoliaflow.platform.rollouts import status_key
 from magnoliaflow.platform.store import STATUS_TOPIC
 from magnoliaflow.platform.store import StoreClient
@@ -74,7 +74,7 @@
         self.plans: dict[str, RolloutPlan] = {}
         self.pending: dict[str, RolloutDecision] = {}
         self.checked: dict[str, int] = {}
-        self.status: dict[str, tuple[int, RolloutStage, int, bool]] = {}
+        self.status = StatusWriter(state, store)
 
     def tick(self, now: float) -> None:
         """Decide on every order, then write the status that is due."""
@@ -100,14 +100,16 @@
                 self._start(self._append(decision))
             if self.busy:
                 return
-        self._write_status(now)
+        self.status.tick(
+            now, self.duty_log.era, settled_at=self.holds_since + RESTATE_S
+        )
 
     def _reset(self) -> None:
         """Forget what only a holder has; the next one begins anew."""
         if self.holds_since < inf:
             self.plans.clear()
             self.pending.clear()
-            self.status.clear()
+            self.status.written.clear()
             self.checked.clear()
             self.holds_since = inf
 
@@ -357,48 +359,6 @@
                 _ended(_first(known), final[0], "status in the store")
             )
 
-    def _write_status(self, now: float) -> None:
-        """Write one status that the store lacks as far as is known."""
-        is_settled = now >= self.holds_since + RESTATE_S
-        for service, known in self.state.rollouts.decisions.items():
-            decision = known.decision
-            stage = (
-                decision.stage
-                if decision.stage in ENDED
-                else RolloutStage.CANARY
-            )
-            wanted = (decision.order, stage, self.duty_log.era, is_settled)
-            written = self.status.get(service)
-            if written is not None and wanted[:3] == written[:3]:
-                if written[3] or not is_settled:
-                    continue
-            self._start(self._put_status(decision, wanted))
-            return
-
-    @inlineCallbacks
-    def _put_status(
-        self,
-        decision: RolloutDecision,
-        wanted: tuple[int, RolloutStage, int, bool],
-    ) -> Any:
-        try:
-            yield self.store.put(
-                STATUS_TOPIC,
-                status_key(decision.service),
-                encode_status(wanted[1], decision.target),
-            )
-        except PortError as exc:
-            record_store_failure(self.state, "status", exc)
-            self.next_step_at = boot_time() + RETRY_DELAY_S
-            return
-        self.status[decision.service] = wanted
-        self.state.log(
-            LogEvent.ROLLOUT_STATUS_WRITTEN,
-            service=decision.service,
-            to=decision.target,
-            stage=wanted[1].name,
-        )
-
 
 def _first(known: KnownOrder) -> RolloutDecision:
     """Return what stands for an order without a decision."""
--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -513,10 +513,7 @@
         stepping = [route for route in shares if self._steps(route)]
         answer_s = max(map(self._answer_s, stepping), default=0.0)
         full_s = (
-            self.order.duration_s
-            - COMPLETION_MARGIN_S
-            - self.lag_s
-            - answer_s
+            self.order.duration_s - COMPLETION_MARGIN_S - self.lag_s - answer_s
         )
         canary = sum(rates.get(name, 0.0) * shares[name] for name in shares)
         left -= canary * max(0.0, full_s - elapsed_s)
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -16,8 +16,8 @@
 Times are in seconds of one clock, handed in by the caller.
 """
 
-from collections import deque
 from collections.abc import Iterable
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from math import exp
@@ -117,9 +117,7 @@
             ],
         )
         counts = (grown.sent, grown.finished, grown.failed, *grown.latencies)
-        return (
-            VersionTally(running=self.running) if min(counts) < 0 else grown
-        )
+        return VersionTally(running=self.running) if min(counts) < 0 else grown
 
 
 # By route name, and whether it is the target's side.
@@ -190,9 +188,7 @@
         return 0.0
     weights = log_weights(target, old, bad)
     tilted = log_sum(way + count * log(odds) for count, way in weights)
-    return (
-        target_bad * log(odds) + log_choose(target + old, bad) - tilted
-    )
+    return target_bad * log(odds) + log_choose(target + old, bad) - tilted
 
 
 def tail(target_bad: int, target: int, old_bad: int, old: int) -> float:
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -27,6 +27,7 @@
 from magnoliaflow.entry.rolloutnews import take_order_entry
 from magnoliaflow.entry import rollouts
 from magnoliaflow.entry.rollouts import RolloutDuty
+from magnoliaflow.entry import rolloutstatus
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.updates import apply_registration
 from magnoliaflow.platform.nodefile import decode_host_settings
@@ -146,7 +147,7 @@
 @pytest.fixture
 def clock(monkeypatch):
     clock = Clock()
-    for module in (duties, rollouts, rolloutnews):
+    for module in (duties, rollouts, rolloutnews, rolloutstatus):
         monkeypatch.setattr(module, "boot_time", clock)
     return clock
 
