--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -52,6 +52,8 @@
 CANARY_PART = 0.35
 # The old version has as many requests of each route, for a comparison.
 MAX_CANARY_SHARE = 0.5
+# Weight of a route with long answers within the canary share.
+LONG_WEIGHT = 2
 # Share during the step, and the part of the budget left that it may take.
 # Its longest duration and the longest answers (95th percentile) of the routes
 # that take part, as parts of the order's duration.
@@ -487,16 +489,22 @@
             share = min(self.limits.exposure_share, MAX_CANARY_SHARE)
             return dict.fromkeys(routes, share)
         left = CANARY_PART * budget / self.order.duration_s
+        # Routes that take no part in the step are judged by this alone.
+        weights = {
+            route: 1 if self._steps(route) else LONG_WEIGHT for route in routes
+        }
+        weight = sum(weights.values())
         shares = {}
         # What a small route can't use goes to the others.
-        for number, route in enumerate(
-            sorted(routes, key=lambda route: rates.get(route, 0.0))
+        for route in sorted(
+            routes, key=lambda route: rates.get(route, 0.0) / weights[route]
         ):
             rate = rates.get(route, 0.0)
-            part = left / (len(routes) - number)
+            part = left * weights[route] / weight
             share = min(MAX_CANARY_SHARE, part / rate if rate else 1.0)
             shares[route] = round(share, 4)
             left -= share * rate
+            weight -= weights[route]
         return shares
 
     def _advance(
@@ -523,8 +531,11 @@
         judged_s = JUDGED_ANSWERS * answer_s + self.lag_s
         judged = elapsed_s >= self.step_end_s + judged_s
         suspected = self.verdict.suspected
+        doubted = suspected or (
+            self.verdict.doubted and elapsed_s < self.order.duration_s
+        )
         if self.stepped and judged and elapsed_s >= full_s:
-            if not suspected:
+            if not doubted:
                 return self._decide(
                     elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
                 )
@@ -555,7 +566,7 @@
             self.step_end_s = elapsed_s + max(0.0, step_s)
         if self.stepped and elapsed_s < self.step_end_s:
             shares |= dict.fromkeys(stepping, STEP_SHARE)
-        if not suspected:
+        if not doubted:
             if not self.stepped:
                 left -= max(0.0, step_s) * step_rate
             shares |= self._early(elapsed_s, full_s, left, shares)
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -51,8 +51,10 @@
 # The latest answers: of the old version, for its median and for the time when
 # all new requests go to the target; of both, for the excess.
 CONTROL_S = 4.0
-# Evidence at which a completion waits for more answers.
+# Evidence at which a completion waits for more answers, and at which it waits
+# until the time limit.
 SUSPICION = 8.0
+DOUBT = 3.5
 # Without a control over the same time, the last answers of the old version
 # are: by a look at the exact test with this chance, and with this excess.
 UNPAIRED_CHANCE = 1e-6
@@ -485,10 +487,19 @@
 
     @property
     def suspected(self) -> bool:
-        """Tell whether a completion had better wait for more answers."""
-        return bool(self._unpaired(UNPAIRED_SUSPICION)) or (
-            self.evidence > log(SUSPICION)
-            and any(self._exceeds(scope, kind) for scope, kind in self.sums)
+        """Tell whether the target is not to be completed for now."""
+        return bool(
+            self._unpaired(UNPAIRED_SUSPICION)
+        ) or self._evident(SUSPICION)
+
+    @property
+    def doubted(self) -> bool:
+        """Tell whether more answers are wanted if there is time."""
+        return self._evident(DOUBT)
+
+    def _evident(self, ratio: float) -> bool:
+        return self.evidence > log(ratio) and any(
+            self._exceeds(scope, kind) for scope, kind in self.sums
         )
 
     def bad_answers(self) -> int:
