--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -253,6 +253,8 @@
         "stepped",
         "step_end_s",
         "answers_s",
+        "burst_end_s",
+        "counted",
         "exposed",
         "exposed_s",
     )
@@ -277,7 +279,7 @@
         self.traffic = Traffic()
         self.serving = serving
         self.lag_s = 0.0
-        self.in_force = False
+        self.in_force = previous is not None
         # Whether the step to most of the traffic has begun, and its end.
         self.stepped = bool(
             previous is not None and previous.stage >= RolloutStage.RAMP
@@ -285,6 +287,9 @@
         self.step_end_s = elapsed_s
         self.answers_s: dict[str, float] = {}
         # Requests to the target, and when they were counted.
+        self.burst_end_s = 0.0
+        # All requests until the time limit.
+        self.counted = 0
         self.exposed = 0.0
         self.exposed_s = elapsed_s
 
@@ -366,7 +371,7 @@
     ) -> None:
         """Follow the time from a decision to the report of all hosts."""
         largest = MAX_LAG_PART * self.order.duration_s
-        if self.decision is None:
+        if self.decision is None or not self.lag_s:
             self.lag_s = min(largest, news_age_s + DELIVERY_S)
         elif not self.in_force:
             self.in_force = hosts_in_force
@@ -374,11 +379,18 @@
             self.lag_s = min(largest, max(self.lag_s, taken))
 
     def _burst(self, elapsed_s: float) -> bool:
-        """Tell whether the rate is above its mean since the order."""
+        """Tell whether the rate is above its mean since the order, or was.
+
+        Requests of a burst are answered after it.
+        """
         rate = sum(self.traffic.rates().values())
-        return rate > BURST_RATIO * self.traffic.total() / max(
-            MIN_RATE_WINDOW_S, elapsed_s
-        )
+        passed_s = max(MIN_RATE_WINDOW_S, elapsed_s)
+        if rate > BURST_RATIO * self.traffic.total() / passed_s and (
+            elapsed_s > RATE_WINDOW_S
+        ):
+            longest_s = max(self.answers_s.values(), default=0.0)
+            self.burst_end_s = elapsed_s + self.lag_s + longest_s
+        return elapsed_s < self.burst_end_s
 
     def _observe_answers(self) -> None:
         for route, evidence in self.verdict.routes.items():
@@ -460,8 +472,10 @@
     def _budget(self, elapsed_s: float, news_age_s: float) -> float:
         """Return how many requests the target may get until the limit."""
         rate = sum(self.traffic.rates().values())
-        seen = self.traffic.total()
         seen_s = max(MIN_RATE_WINDOW_S, elapsed_s - news_age_s)
+        if seen_s <= self.order.duration_s:
+            self.counted = self.traffic.total()
+        seen = self.counted or self.traffic.total()
         left_s = max(0.0, self.order.duration_s - seen_s)
         expected = seen + min(rate, seen / seen_s) * left_s
         return BUDGET_PART * (
@@ -516,6 +530,8 @@
         shares = self._canary(budget)
         if self.decision is None:
             return self._decide(elapsed_s, RolloutStage.CANARY, shares, "new")
+        if not rates:
+            return self._hold(elapsed_s)
         left = budget - self.exposed
         spent = left <= 0
         stepping = [route for route in shares if self._steps(route)]
@@ -539,7 +555,11 @@
                 return self._decide(
                     elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
                 )
-            if elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART):
+            if suspected and (
+                elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
+                or elapsed_s >= self.order.duration_s
+                and spent
+            ):
                 return self._roll_back(
                     elapsed_s, "under suspicion after the time limit"
                 )
@@ -559,14 +579,14 @@
         )
         step_due_s = full_s - judged_s - max(0.0, step_s)
         # A suspicion may come from the load of a step: it takes another one.
-        if elapsed_s >= step_due_s and (
+        if elapsed_s >= max(step_due_s, self.burst_end_s) and (
             judged and suspected if self.stepped else True
         ):
             self.stepped = True
             self.step_end_s = elapsed_s + max(0.0, step_s)
         if self.stepped and elapsed_s < self.step_end_s:
             shares |= dict.fromkeys(stepping, STEP_SHARE)
-        if not doubted:
+        if not doubted and elapsed_s >= self.burst_end_s:
             if not self.stepped:
                 left -= max(0.0, step_s) * step_rate
             shares |= self._early(elapsed_s, full_s, left, shares)
@@ -574,6 +594,21 @@
             return self._pause(elapsed_s, "exposure budget is spent")
         return self._change(elapsed_s, shares)
 
+    def _hold(self, elapsed_s: float) -> RolloutDecision | None:
+        """End the step of another holder; else nothing changes."""
+        present = self.shares
+        held = {
+            route: (
+                self.limits.exposure_share if share == STEP_SHARE else share
+            )
+            for route, share in present.items()
+        }
+        if held == present:
+            return None
+        return self._decide(
+            elapsed_s, RolloutStage.RAMP, held, "step of another holder"
+        )
+
     def _answer_s(self, route: str) -> float:
         return self.answers_s.get(route, self.targets_s.get(route, 0.0))
 
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -364,7 +364,7 @@
                 target_ended, target_slow, old_ended, old_slow
             )
         self._feed_unpaired(kinds, recent, alone, burst)
-        if alone and not kinds["slow"].old:
+        if alone and (burst or not kinds["slow"].old):
             # Nothing of the same time shows whether all are slow.
             kinds["slow"] = Counts()
         return kinds
