--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -19,6 +19,9 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import IntEnum
+from math import exp
+from math import inf
+from math import sqrt
 
 from xxhash import xxh64_intdigest
 
@@ -67,8 +70,15 @@
 # Requests are counted over this time for the rates.
 RATE_WINDOW_S = 3.0
 MIN_RATE_WINDOW_S = 0.8
-# A rate above the mean since the order by this factor is a burst.
+# A count above the mean over USUAL_S by this factor, and by as many standard
+# deviations, is a burst.  Its answers may last as many times longer.
+USUAL_S = 10.0
 BURST_RATIO = 1.5
+BURST_SPREAD = 3.0
+BURST_ANSWERS = 3.0
+# A share that moves by this factor makes the sides answer requests of other
+# times.
+MOVED = 2.0
 # Time between a decision and its arrival at all hosts, until it was observed,
 # and its largest value, as a part of the order's duration.
 DELIVERY_S = 0.5
@@ -253,7 +263,10 @@
         "stepped",
         "step_end_s",
         "answers_s",
-        "burst_end_s",
+        "moved_s",
+        "burst_s",
+        "usual",
+        "usual_s",
         "counted",
         "exposed",
         "exposed_s",
@@ -287,7 +300,13 @@
         self.step_end_s = elapsed_s
         self.answers_s: dict[str, float] = {}
         # Requests to the target, and when they were counted.
-        self.burst_end_s = 0.0
+        # When the share of a route last moved by much.
+        self.moved_s: dict[str, float] = {}
+        # When the last burst was seen.
+        self.burst_s = -inf
+        # Mean rate, below 0 while not known, and when it was set.
+        self.usual = -1.0
+        self.usual_s = elapsed_s
         # All requests until the time limit.
         self.counted = 0
         self.exposed = 0.0
@@ -338,7 +357,7 @@
                 for route, _ in tallies
                 if full or self.shares.get(route, 0.0) >= 1.0
             ),
-            burst=self._burst(elapsed_s),
+            uneven=self._observe_burst(elapsed_s),
         )
         self._observe_answers()
         old_runs = any(
@@ -378,19 +397,31 @@
             taken = elapsed_s - self.decision.elapsed_s
             self.lag_s = min(largest, max(self.lag_s, taken))
 
-    def _burst(self, elapsed_s: float) -> bool:
-        """Tell whether the rate is above its mean since the order, or was.
+    def _observe_burst(self, elapsed_s: float) -> frozenset[str]:
+        """Return the routes whose share moved beside a burst of requests.
 
-        Requests of a burst are answered after it.
+        Until the answers to it have come: they last longer, and one side
+        answers more of them than of others.
         """
-        rate = sum(self.traffic.rates().values())
-        passed_s = max(MIN_RATE_WINDOW_S, elapsed_s)
-        if rate > BURST_RATIO * self.traffic.total() / passed_s and (
-            elapsed_s > RATE_WINDOW_S
-        ):
-            longest_s = max(self.answers_s.values(), default=0.0)
-            self.burst_end_s = elapsed_s + self.lag_s + longest_s
-        return elapsed_s < self.burst_end_s
+        rates = self.traffic.rates()
+        if rates:
+            rate = sum(rates.values())
+            if self.usual < 0.0:
+                self.usual = rate
+            weight = 1.0 - exp((self.usual_s - elapsed_s) / USUAL_S)
+            self.usual += weight * (rate - self.usual)
+            usual = self.usual * RATE_WINDOW_S
+            spread = BURST_SPREAD * (1 + sqrt(usual))
+            if rate * RATE_WINDOW_S > BURST_RATIO * usual + spread:
+                self.burst_s = elapsed_s
+        self.usual_s = elapsed_s
+        longest_s = max(self.answers_s.values(), default=0.0)
+        since_s = elapsed_s - self.lag_s - BURST_ANSWERS * longest_s
+        if self.burst_s < since_s:
+            return frozenset()
+        return frozenset(
+            route for route, at_s in self.moved_s.items() if at_s >= since_s
+        )
 
     def _observe_answers(self) -> None:
         for route, evidence in self.verdict.routes.items():
@@ -408,6 +439,12 @@
         reason: str,
     ) -> RolloutDecision:
         self.in_force = False
+        for route in self.targets_s.keys() | self.traffic.rates().keys():
+            now, then = shares.get(route, 0.0), self.shares.get(route, 0.0)
+            if stage == RolloutStage.FULL:
+                now = 1.0
+            if max(now, then) > MOVED * min(now, then):
+                self.moved_s[route] = elapsed_s
         self.decision = RolloutDecision(
             self.order.service,
             self.order.target,
@@ -451,13 +488,15 @@
 
         Until shortly before the time limit the target is judged on.
         """
-        if self.verdict.suspected and elapsed_s >= self.order.duration_s:
+        late = elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
+        if self.verdict.closing and elapsed_s >= self.order.duration_s:
             return self._roll_back(elapsed_s, "under suspicion at the limit")
         if (
             not hosts_in_force
             or old_runs
             or news_age_s > NEWS_LIMIT_S
             or self.verdict.suspected
+            and not late
             or elapsed_s < self.order.duration_s - COMPLETION_MARGIN_S
             and not self.serving
         ):
@@ -551,14 +590,13 @@
             self.verdict.doubted and elapsed_s < self.order.duration_s
         )
         if self.stepped and judged and elapsed_s >= full_s:
-            if not doubted:
+            late = elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
+            if not doubted or late and not self.verdict.closing:
                 return self._decide(
                     elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
                 )
             if suspected and (
-                elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
-                or elapsed_s >= self.order.duration_s
-                and spent
+                late or elapsed_s >= self.order.duration_s and spent
             ):
                 return self._roll_back(
                     elapsed_s, "under suspicion after the time limit"
@@ -577,16 +615,17 @@
             MAX_STEP_PART * self.order.duration_s,
             STEP_PART * (left - reserve) / step_rate if step_rate else 0.0,
         )
+        calm_s = self.burst_s + self.lag_s
         step_due_s = full_s - judged_s - max(0.0, step_s)
         # A suspicion may come from the load of a step: it takes another one.
-        if elapsed_s >= max(step_due_s, self.burst_end_s) and (
+        if elapsed_s >= max(step_due_s, calm_s) and (
             judged and suspected if self.stepped else True
         ):
             self.stepped = True
             self.step_end_s = elapsed_s + max(0.0, step_s)
         if self.stepped and elapsed_s < self.step_end_s:
             shares |= dict.fromkeys(stepping, STEP_SHARE)
-        if not doubted and elapsed_s >= self.burst_end_s:
+        if not doubted and elapsed_s >= calm_s:
             if not self.stepped:
                 left -= max(0.0, step_s) * step_rate
             shares |= self._early(elapsed_s, full_s, left, shares)
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -47,18 +47,20 @@
 NEWS_AGES = 2.0
 STRATUM_S = 0.4
 # The old version's share of bad answers of late weighs as this many answers.
-RATE_ANSWERS = 5.0
+RATE_ANSWERS = 20.0
 # The latest answers: of the old version, for its median and for the time when
 # all new requests go to the target; of both, for the excess.
 CONTROL_S = 4.0
-# Evidence at which a completion waits for more answers, and at which it waits
-# until the time limit.
+# Evidence at which a completion waits for more answers, at which it waits
+# until the time limit, and at which the target goes back when time is over.
 SUSPICION = 8.0
 DOUBT = 3.5
+CLOSING = 30.0
 # Without a control over the same time, the last answers of the old version
 # are: by a look at the exact test with this chance, and with this excess.
 UNPAIRED_CHANCE = 1e-6
 UNPAIRED_SUSPICION = 1e-3
+UNPAIRED_CLOSING = 1e-4
 MIN_UNPAIRED_EXCESS = {"failed": 0.1, "slow": 0.3}
 MIN_CONTROL = 20
 # A version gets nothing later than the time of a rollback after this many bad
@@ -337,7 +339,7 @@
         *,
         news_age_s: float,
         alone: bool,
-        burst: bool,
+        uneven: bool,
     ) -> dict[str, Counts]:
         """Close a stratum; return its counts by kind."""
         target_grown = self.target.feed(at_s, target)
@@ -363,9 +365,9 @@
             kinds["slow"] = Counts(
                 target_ended, target_slow, old_ended, old_slow
             )
-        self._feed_unpaired(kinds, recent, alone, burst)
-        if alone and (burst or not kinds["slow"].old):
-            # Nothing of the same time shows whether all are slow.
+        self._feed_unpaired(kinds, recent, alone, uneven)
+        if uneven or alone and not kinds["slow"].old:
+            # Nothing sent at the same time shows whether all are slow.
             kinds["slow"] = Counts()
         return kinds
 
@@ -383,7 +385,7 @@
         kinds: dict[str, Counts],
         recent: VersionTally,
         alone: bool,
-        burst: bool,
+        uneven: bool,
     ) -> None:
         if alone and not self.alone:
             slow = self.slow_class or LATENCY_CLASSES
@@ -395,7 +397,7 @@
                 ),
             }
         self.alone = alone
-        if not alone or burst:
+        if not alone or uneven:
             return
         for kind, counts in kinds.items():
             self.unpaired[kind].target += counts.target
@@ -436,12 +438,13 @@
         *,
         news_age_s: float = 0.0,
         alone: frozenset[str] = frozenset(),
-        burst: bool = False,
+        uneven: frozenset[str] = frozenset(),
     ) -> None:
         """Take the counts in.
 
         ``alone``: routes of which all new requests go to the target;
-        ``burst``: the service gets more requests than before.
+        ``uneven``: routes whose sides answer requests of other times, of
+        which a part are of a burst.
         """
         if at_s - self.fed_s < STRATUM_S:
             return
@@ -456,7 +459,7 @@
                 tallies.get((route, False), evidence.old.seen),
                 news_age_s=news_age_s,
                 alone=route in alone,
-                burst=burst,
+                uneven=route in uneven,
             )
             for kind, counts in kinds.items():
                 self._add(route, kind, counts)
@@ -497,6 +500,11 @@
         """Tell whether more answers are wanted if there is time."""
         return self._evident(DOUBT)
 
+    @property
+    def closing(self) -> bool:
+        """Tell whether the target goes back if no more answers come."""
+        return bool(self._unpaired(UNPAIRED_CLOSING)) or self._evident(CLOSING)
+
     def _evident(self, ratio: float) -> bool:
         return self.evidence > log(ratio) and any(
             self._exceeds(scope, kind) for scope, kind in self.sums
@@ -544,6 +552,7 @@
         if self.bad_answers() >= BAD_PART * BAD_ANSWERS:
             for (scope, kind), counts in self.sums.items():
                 target, old = counts.shares()
+                old = max(old, counts.old_bad / max(1, counts.old))
                 if (
                     not scope
                     and self._exceeds(scope, kind)
