--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -51,6 +51,8 @@
 # Part of the exposure budget that is planned with: rates may fall, and
 # requests that are repeated may go to the target too.
 BUDGET_PART = 0.9
+# The share until the rates are known, as a part of the exposure share.
+START_PART = 0.7
 # Part of the budget that the canary share takes until the time limit.
 CANARY_PART = 0.35
 # The old version has as many requests of each route, for a comparison.
@@ -71,8 +73,9 @@
 RATE_WINDOW_S = 3.0
 MIN_RATE_WINDOW_S = 0.8
 # A count above the mean over USUAL_S by this factor, and by as many standard
-# deviations, is a burst.  Its answers may last as many times longer.
+# deviations, is a burst, SETTLE_S after the first count.  Its answers may last as many times longer.
 USUAL_S = 10.0
+SETTLE_S = 4.0
 BURST_RATIO = 1.5
 BURST_SPREAD = 3.0
 BURST_ANSWERS = 3.0
@@ -208,11 +211,14 @@
             deque()
         )
 
-    def feed(self, at_s: float, tallies: Tallies) -> None:
+    def feed(self, at_s: float, tallies: Tallies, news_age_s: float) -> None:
         for key, tally in tallies.items():
             grown = max(0, tally.sent - self.seen.get(key, 0))
             self.seen[key] = tally.sent
             self.sent[key] = self.sent.get(key, 0) + grown
+        if at_s < news_age_s:
+            # Some hosts have not reported since the order.
+            return
         self.samples.append((at_s, dict(self.sent)))
         while (
             len(self.samples) > 2
@@ -263,6 +269,7 @@
         "stepped",
         "step_end_s",
         "answers_s",
+        "began_s",
         "moved_s",
         "burst_s",
         "usual",
@@ -300,6 +307,7 @@
         self.step_end_s = elapsed_s
         self.answers_s: dict[str, float] = {}
         # Requests to the target, and when they were counted.
+        self.began_s = elapsed_s
         # When the share of a route last moved by much.
         self.moved_s: dict[str, float] = {}
         # When the last burst was seen.
@@ -345,7 +353,7 @@
         if self.stage in ENDED:
             return None
         full = self.stage == RolloutStage.FULL
-        self.traffic.feed(elapsed_s, tallies)
+        self.traffic.feed(elapsed_s, tallies, news_age_s)
         self._expose(elapsed_s)
         self._observe_lag(elapsed_s, news_age_s, hosts_in_force)
         self.verdict.feed(
@@ -406,7 +414,7 @@
         rates = self.traffic.rates()
         if rates:
             rate = sum(rates.values())
-            if self.usual < 0.0:
+            if self.usual < 0.0 or elapsed_s < self.began_s + SETTLE_S:
                 self.usual = rate
             weight = 1.0 - exp((self.usual_s - elapsed_s) / USUAL_S)
             self.usual += weight * (rate - self.usual)
@@ -425,9 +433,7 @@
 
     def _observe_answers(self) -> None:
         for route, evidence in self.verdict.routes.items():
-            number = quantile_class(
-                evidence.old.recent().latencies, DRAIN_PART
-            )
+            number = quantile_class(evidence.old.recent.latencies, DRAIN_PART)
             if number is not None:
                 self.answers_s[route] = class_end_s(number)
 
@@ -539,7 +545,7 @@
         routes = sorted(self.targets_s.keys() | rates.keys())
         if not rates:
             # Within the bound at any rate.
-            share = min(self.limits.exposure_share, MAX_CANARY_SHARE)
+            share = START_PART * min(1.0, self.limits.exposure_share)
             return dict.fromkeys(routes, share)
         left = CANARY_PART * budget / self.order.duration_s
         # Routes that take no part in the step are judged by this alone.
@@ -576,10 +582,7 @@
         stepping = [route for route in shares if self._steps(route)]
         answer_s = max(map(self._answer_s, stepping), default=0.0)
         full_s = (
-            self.order.duration_s
-            - COMPLETION_MARGIN_S
-            - self.lag_s
-            - answer_s
+            self.order.duration_s - COMPLETION_MARGIN_S - self.lag_s - answer_s
         )
         canary = sum(rates.get(name, 0.0) * shares[name] for name in shares)
         left -= canary * max(0.0, full_s - elapsed_s)
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import zip_longest
 from math import exp
 from math import inf
 from math import lgamma
@@ -92,7 +93,8 @@
         width = max(len(self.latencies), len(other.latencies))
         self.latencies += [0] * (width - len(self.latencies))
         for number, count in enumerate(other.latencies):
-            self.latencies[number] += count
+            if count:
+                self.latencies[number] += count
 
     def copy(self) -> "VersionTally":
         return VersionTally(
@@ -103,27 +105,28 @@
             list(self.latencies),
         )
 
-    def grown(self, before: "VersionTally") -> "VersionTally":
-        """Return the growth since ``before``; nothing if a count fell.
-
-        A count falls when the host that reported it has ended.
-        """
-        grown = VersionTally(
-            self.sent - before.sent,
-            self.finished - before.finished,
-            self.failed - before.failed,
+    def less(self, other: "VersionTally") -> "VersionTally":
+        return VersionTally(
+            self.sent - other.sent,
+            self.finished - other.finished,
+            self.failed - other.failed,
             self.running,
             [
-                now - then
-                for now, then in zip(
-                    self.latencies, before.latencies, strict=True
+                mine - others
+                for mine, others in zip_longest(
+                    self.latencies, other.latencies, fillvalue=0
                 )
             ],
         )
-        counts = (grown.sent, grown.finished, grown.failed, *grown.latencies)
-        return (
-            VersionTally(running=self.running) if min(counts) < 0 else grown
-        )
+
+    def grown(self, before: "VersionTally") -> "VersionTally":
+        """Return the growth since ``before``; nothing if a count fell.
+
+        A count falls when the host that reported it has ended.
+        """
+        grown = self.less(before)
+        least = min(grown.sent, grown.finished, grown.failed, *grown.latencies)
+        return VersionTally(running=self.running) if least < 0 else grown
 
 
 # By route name, and whether it is the target's side.
@@ -194,9 +197,7 @@
         return 0.0
     weights = log_weights(target, old, bad)
     tilted = log_sum(way + count * log(odds) for count, way in weights)
-    return (
-        target_bad * log(odds) + log_choose(target + old, bad) - tilted
-    )
+    return target_bad * log(odds) + log_choose(target + old, bad) - tilted
 
 
 def tail(target_bad: int, target: int, old_bad: int, old: int) -> float:
@@ -256,12 +257,21 @@
 class SideHistory:
     """Answers of one side of a route that ended or are overdue."""
 
-    __slots__ = ("seen", "latest", "sent", "slow", "total", "counted")
+    __slots__ = (
+        "seen",
+        "latest",
+        "recent",
+        "sent",
+        "slow",
+        "total",
+        "counted",
+    )
 
     def __init__(self) -> None:
         self.seen = VersionTally()
         # Growth by stratum, for the latest answers.
         self.latest: deque[tuple[float, VersionTally]] = deque()
+        self.recent = VersionTally()
         self.sent: deque[tuple[float, int]] = deque([(0.0, 0)])
         self.slow = self.total = 0
         self.counted = (0, 0)
@@ -274,16 +284,11 @@
         self.seen = tally.copy()
         self.latest.append((at_s, grown))
         self.sent.append((at_s, tally.sent))
+        self.recent.add(grown)
         while self.latest[0][0] < at_s - CONTROL_S:
-            self.latest.popleft()
+            self.recent = self.recent.less(self.latest.popleft()[1])
         return grown
 
-    def recent(self) -> VersionTally:
-        recent = VersionTally()
-        for _, grown in self.latest:
-            recent.add(grown)
-        return recent
-
     def overdue(self, at_s: float, after_s: float) -> int:
         """Return how many requests have lasted longer, at least."""
         while len(self.sent) > 1 and self.sent[1][0] <= at_s - after_s:
@@ -344,7 +349,7 @@
         """Close a stratum; return its counts by kind."""
         target_grown = self.target.feed(at_s, target)
         old_grown = self.old.feed(at_s, old)
-        recent = self.old.recent()
+        recent = self.old.recent
         self._set_slow_class(recent)
         kinds = {
             "failed": Counts(
@@ -491,9 +496,9 @@
     @property
     def suspected(self) -> bool:
         """Tell whether the target is not to be completed for now."""
-        return bool(
-            self._unpaired(UNPAIRED_SUSPICION)
-        ) or self._evident(SUSPICION)
+        return bool(self._unpaired(UNPAIRED_SUSPICION)) or self._evident(
+            SUSPICION
+        )
 
     @property
     def doubted(self) -> bool:
--- a/tests/rolloutload.py
+++ b/tests/rolloutload.py
@@ -140,9 +140,7 @@
             level = recent.sum(axis=0) / (5 * TICK_S * full_rate)
             active = (now >= bad.from_s) & (level >= bad.load)
             active = np.broadcast_to(active, (runs,))
-        where = np.repeat(
-            np.arange(sent.size), sent.ravel()
-        )
+        where = np.repeat(np.arange(sent.size), sent.ravel())
         run, _, route, side = np.unravel_index(where, shape)
         latency = rng.uniform(lows[route], highs[route])
         latency *= load.burst[1] if loaded else 1.0
@@ -252,6 +250,10 @@
                 results[one].ended_s = now
                 old = counts[one, :, :, 0, :].sum(axis=(0, 1))
                 results[one].old_running = int(old[SENT] - old[FINISHED])
-        if now > load.duration_s and not pending and all(plan.stage in ENDED for plan in plans):
+        if (
+            now > load.duration_s
+            and not pending
+            and all(plan.stage in ENDED for plan in plans)
+        ):
             break
     return results
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -25,9 +25,7 @@
 from magnoliaflow.policy.rolloutverdict import tail
 from magnoliaflow.policy.rolloutverdict import VersionTally
 
-STREAMS = Load(
-    (136.0, 149.0, 32.0), ((0.4, 0.6), (0.4, 0.6), (1.5, 3.0))
-)
+STREAMS = Load((136.0, 149.0, 32.0), ((0.4, 0.6), (0.4, 0.6), (1.5, 3.0)))
 COUNTER = Load((79.0, 32.0), ((0.02, 0.03), (0.02, 0.03)))
 LOADS = {"streams": STREAMS, "counter": COUNTER}
 BAD = {
