--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -19,6 +19,9 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import IntEnum
+from math import exp
+from math import inf
+from math import sqrt
 
 from xxhash import xxh64_intdigest
 
@@ -48,10 +51,14 @@
 # Part of the exposure budget that is planned with: rates may fall, and
 # requests that are repeated may go to the target too.
 BUDGET_PART = 0.9
+# The share until the rates are known, as a part of the exposure share.
+START_PART = 0.7
 # Part of the budget that the canary share takes until the time limit.
 CANARY_PART = 0.35
 # The old version has as many requests of each route, for a comparison.
 MAX_CANARY_SHARE = 0.5
+# Weight of a route with long answers within the canary share.
+LONG_WEIGHT = 2
 # Share during the step, and the part of the budget left that it may take.
 # Its longest duration and the longest answers (95th percentile) of the routes
 # that take part, as parts of the order's duration.
@@ -65,8 +72,16 @@
 # Requests are counted over this time for the rates.
 RATE_WINDOW_S = 3.0
 MIN_RATE_WINDOW_S = 0.8
-# A rate above the mean since the order by this factor is a burst.
+# A count above the mean over USUAL_S by this factor, and by as many standard
+# deviations, is a burst, SETTLE_S after the first count.  Its answers may last as many times longer.
+USUAL_S = 10.0
+SETTLE_S = 4.0
 BURST_RATIO = 1.5
+BURST_SPREAD = 3.0
+BURST_ANSWERS = 3.0
+# A share that moves by this factor makes the sides answer requests of other
+# times.
+MOVED = 2.0
 # Time between a decision and its arrival at all hosts, until it was observed,
 # and its largest value, as a part of the order's duration.
 DELIVERY_S = 0.5
@@ -196,11 +211,14 @@
             deque()
         )
 
-    def feed(self, at_s: float, tallies: Tallies) -> None:
+    def feed(self, at_s: float, tallies: Tallies, news_age_s: float) -> None:
         for key, tally in tallies.items():
             grown = max(0, tally.sent - self.seen.get(key, 0))
             self.seen[key] = tally.sent
             self.sent[key] = self.sent.get(key, 0) + grown
+        if at_s < news_age_s:
+            # Some hosts have not reported since the order.
+            return
         self.samples.append((at_s, dict(self.sent)))
         while (
             len(self.samples) > 2
@@ -251,6 +269,12 @@
         "stepped",
         "step_end_s",
         "answers_s",
+        "began_s",
+        "moved_s",
+        "burst_s",
+        "usual",
+        "usual_s",
+        "counted",
         "exposed",
         "exposed_s",
     )
@@ -275,7 +299,7 @@
         self.traffic = Traffic()
         self.serving = serving
         self.lag_s = 0.0
-        self.in_force = False
+        self.in_force = previous is not None
         # Whether the step to most of the traffic has begun, and its end.
         self.stepped = bool(
             previous is not None and previous.stage >= RolloutStage.RAMP
@@ -283,6 +307,16 @@
         self.step_end_s = elapsed_s
         self.answers_s: dict[str, float] = {}
         # Requests to the target, and when they were counted.
+        self.began_s = elapsed_s
+        # When the share of a route last moved by much.
+        self.moved_s: dict[str, float] = {}
+        # When the last burst was seen.
+        self.burst_s = -inf
+        # Mean rate, below 0 while not known, and when it was set.
+        self.usual = -1.0
+        self.usual_s = elapsed_s
+        # All requests until the time limit.
+        self.counted = 0
         self.exposed = 0.0
         self.exposed_s = elapsed_s
 
@@ -319,7 +353,7 @@
         if self.stage in ENDED:
             return None
         full = self.stage == RolloutStage.FULL
-        self.traffic.feed(elapsed_s, tallies)
+        self.traffic.feed(elapsed_s, tallies, news_age_s)
         self._expose(elapsed_s)
         self._observe_lag(elapsed_s, news_age_s, hosts_in_force)
         self.verdict.feed(
@@ -331,7 +365,7 @@
                 for route, _ in tallies
                 if full or self.shares.get(route, 0.0) >= 1.0
             ),
-            burst=self._burst(elapsed_s),
+            uneven=self._observe_burst(elapsed_s),
         )
         self._observe_answers()
         old_runs = any(
@@ -364,25 +398,42 @@
     ) -> None:
         """Follow the time from a decision to the report of all hosts."""
         largest = MAX_LAG_PART * self.order.duration_s
-        if self.decision is None:
+        if self.decision is None or not self.lag_s:
             self.lag_s = min(largest, news_age_s + DELIVERY_S)
         elif not self.in_force:
             self.in_force = hosts_in_force
             taken = elapsed_s - self.decision.elapsed_s
             self.lag_s = min(largest, max(self.lag_s, taken))
 
-    def _burst(self, elapsed_s: float) -> bool:
-        """Tell whether the rate is above its mean since the order."""
-        rate = sum(self.traffic.rates().values())
-        return rate > BURST_RATIO * self.traffic.total() / max(
-            MIN_RATE_WINDOW_S, elapsed_s
+    def _observe_burst(self, elapsed_s: float) -> frozenset[str]:
+        """Return the routes whose share moved beside a burst of requests.
+
+        Until the answers to it have come: they last longer, and one side
+        answers more of them than of others.
+        """
+        rates = self.traffic.rates()
+        if rates:
+            rate = sum(rates.values())
+            if self.usual < 0.0 or elapsed_s < self.began_s + SETTLE_S:
+                self.usual = rate
+            weight = 1.0 - exp((self.usual_s - elapsed_s) / USUAL_S)
+            self.usual += weight * (rate - self.usual)
+            usual = self.usual * RATE_WINDOW_S
+            spread = BURST_SPREAD * (1 + sqrt(usual))
+            if rate * RATE_WINDOW_S > BURST_RATIO * usual + spread:
+                self.burst_s = elapsed_s
+        self.usual_s = elapsed_s
+        longest_s = max(self.answers_s.values(), default=0.0)
+        since_s = elapsed_s - self.lag_s - BURST_ANSWERS * longest_s
+        if self.burst_s < since_s:
+            return frozenset()
+        return frozenset(
+            route for route, at_s in self.moved_s.items() if at_s >= since_s
         )
 
     def _observe_answers(self) -> None:
         for route, evidence in self.verdict.routes.items():
-            number = quantile_class(
-                evidence.old.recent().latencies, DRAIN_PART
-            )
+            number = quantile_class(evidence.old.recent.latencies, DRAIN_PART)
             if number is not None:
                 self.answers_s[route] = class_end_s(number)
 
@@ -394,6 +445,12 @@
         reason: str,
     ) -> RolloutDecision:
         self.in_force = False
+        for route in self.targets_s.keys() | self.traffic.rates().keys():
+            now, then = shares.get(route, 0.0), self.shares.get(route, 0.0)
+            if stage == RolloutStage.FULL:
+                now = 1.0
+            if max(now, then) > MOVED * min(now, then):
+                self.moved_s[route] = elapsed_s
         self.decision = RolloutDecision(
             self.order.service,
             self.order.target,
@@ -437,13 +494,15 @@
 
         Until shortly before the time limit the target is judged on.
         """
-        if self.verdict.suspected and elapsed_s >= self.order.duration_s:
+        late = elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
+        if self.verdict.closing and elapsed_s >= self.order.duration_s:
             return self._roll_back(elapsed_s, "under suspicion at the limit")
         if (
             not hosts_in_force
             or old_runs
             or news_age_s > NEWS_LIMIT_S
             or self.verdict.suspected
+            and not late
             or elapsed_s < self.order.duration_s - COMPLETION_MARGIN_S
             and not self.serving
         ):
@@ -458,8 +517,10 @@
     def _budget(self, elapsed_s: float, news_age_s: float) -> float:
         """Return how many requests the target may get until the limit."""
         rate = sum(self.traffic.rates().values())
-        seen = self.traffic.total()
         seen_s = max(MIN_RATE_WINDOW_S, elapsed_s - news_age_s)
+        if seen_s <= self.order.duration_s:
+            self.counted = self.traffic.total()
+        seen = self.counted or self.traffic.total()
         left_s = max(0.0, self.order.duration_s - seen_s)
         expected = seen + min(rate, seen / seen_s) * left_s
         return BUDGET_PART * (
@@ -484,19 +545,25 @@
         routes = sorted(self.targets_s.keys() | rates.keys())
         if not rates:
             # Within the bound at any rate.
-            share = min(self.limits.exposure_share, MAX_CANARY_SHARE)
+            share = START_PART * min(1.0, self.limits.exposure_share)
             return dict.fromkeys(routes, share)
         left = CANARY_PART * budget / self.order.duration_s
+        # Routes that take no part in the step are judged by this alone.
+        weights = {
+            route: 1 if self._steps(route) else LONG_WEIGHT for route in routes
+        }
+        weight = sum(weights.values())
         shares = {}
         # What a small route can't use goes to the others.
-        for number, route in enumerate(
-            sorted(routes, key=lambda route: rates.get(route, 0.0))
+        for route in sorted(
+            routes, key=lambda route: rates.get(route, 0.0) / weights[route]
         ):
             rate = rates.get(route, 0.0)
-            part = left / (len(routes) - number)
+            part = left * weights[route] / weight
             share = min(MAX_CANARY_SHARE, part / rate if rate else 1.0)
             shares[route] = round(share, 4)
             left -= share * rate
+            weight -= weights[route]
         return shares
 
     def _advance(
@@ -508,6 +575,8 @@
         shares = self._canary(budget)
         if self.decision is None:
             return self._decide(elapsed_s, RolloutStage.CANARY, shares, "new")
+        if not rates:
+            return self._hold(elapsed_s)
         left = budget - self.exposed
         spent = left <= 0
         stepping = [route for route in shares if self._steps(route)]
@@ -520,12 +589,18 @@
         judged_s = JUDGED_ANSWERS * answer_s + self.lag_s
         judged = elapsed_s >= self.step_end_s + judged_s
         suspected = self.verdict.suspected
+        doubted = suspected or (
+            self.verdict.doubted and elapsed_s < self.order.duration_s
+        )
         if self.stepped and judged and elapsed_s >= full_s:
-            if not suspected:
+            late = elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
+            if not doubted or late and not self.verdict.closing:
                 return self._decide(
                     elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
                 )
-            if elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART):
+            if suspected and (
+                late or elapsed_s >= self.order.duration_s and spent
+            ):
                 return self._roll_back(
                     elapsed_s, "under suspicion after the time limit"
                 )
@@ -543,16 +618,17 @@
             MAX_STEP_PART * self.order.duration_s,
             STEP_PART * (left - reserve) / step_rate if step_rate else 0.0,
         )
+        calm_s = self.burst_s + self.lag_s
         step_due_s = full_s - judged_s - max(0.0, step_s)
         # A suspicion may come from the load of a step: it takes another one.
-        if elapsed_s >= step_due_s and (
+        if elapsed_s >= max(step_due_s, calm_s) and (
             judged and suspected if self.stepped else True
         ):
             self.stepped = True
             self.step_end_s = elapsed_s + max(0.0, step_s)
         if self.stepped and elapsed_s < self.step_end_s:
             shares |= dict.fromkeys(stepping, STEP_SHARE)
-        if not suspected:
+        if not doubted and elapsed_s >= calm_s:
             if not self.stepped:
                 left -= max(0.0, step_s) * step_rate
             shares |= self._early(elapsed_s, full_s, left, shares)
@@ -560,6 +636,21 @@
             return self._pause(elapsed_s, "exposure budget is spent")
         return self._change(elapsed_s, shares)
 
+    def _hold(self, elapsed_s: float) -> RolloutDecision | None:
+        """End the step of another holder; else nothing changes."""
+        present = self.shares
+        held = {
+            route: (
+                self.limits.exposure_share if share == STEP_SHARE else share
+            )
+            for route, share in present.items()
+        }
+        if held == present:
+            return None
+        return self._decide(
+            elapsed_s, RolloutStage.RAMP, held, "step of another holder"
+        )
+
     def _answer_s(self, route: str) -> float:
         return self.answers_s.get(route, self.targets_s.get(route, 0.0))
 
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -16,10 +16,11 @@
 Times are in seconds of one clock, handed in by the caller.
 """
 
-from collections.abc import Iterable
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import zip_longest
 from math import exp
 from math import inf
 from math import lgamma
@@ -47,16 +48,20 @@
 NEWS_AGES = 2.0
 STRATUM_S = 0.4
 # The old version's share of bad answers of late weighs as this many answers.
-RATE_ANSWERS = 5.0
+RATE_ANSWERS = 20.0
 # The latest answers: of the old version, for its median and for the time when
 # all new requests go to the target; of both, for the excess.
 CONTROL_S = 4.0
-# Evidence at which a completion waits for more answers.
+# Evidence at which a completion waits for more answers, at which it waits
+# until the time limit, and at which the target goes back when time is over.
 SUSPICION = 8.0
+DOUBT = 3.5
+CLOSING = 30.0
 # Without a control over the same time, the last answers of the old version
 # are: by a look at the exact test with this chance, and with this excess.
 UNPAIRED_CHANCE = 1e-6
 UNPAIRED_SUSPICION = 1e-3
+UNPAIRED_CLOSING = 1e-4
 MIN_UNPAIRED_EXCESS = {"failed": 0.1, "slow": 0.3}
 MIN_CONTROL = 20
 # A version gets nothing later than the time of a rollback after this many bad
@@ -88,7 +93,8 @@
         width = max(len(self.latencies), len(other.latencies))
         self.latencies += [0] * (width - len(self.latencies))
         for number, count in enumerate(other.latencies):
-            self.latencies[number] += count
+            if count:
+                self.latencies[number] += count
 
     def copy(self) -> "VersionTally":
         return VersionTally(
@@ -99,25 +105,28 @@
             list(self.latencies),
         )
 
-    def grown(self, before: "VersionTally") -> "VersionTally":
-        """Return the growth since ``before``; nothing if a count fell.
-
-        A count falls when the host that reported it has ended.
-        """
-        grown = VersionTally(
-            self.sent - before.sent,
-            self.finished - before.finished,
-            self.failed - before.failed,
+    def less(self, other: "VersionTally") -> "VersionTally":
+        return VersionTally(
+            self.sent - other.sent,
+            self.finished - other.finished,
+            self.failed - other.failed,
             self.running,
             [
-                now - then
-                for now, then in zip(
-                    self.latencies, before.latencies, strict=True
+                mine - others
+                for mine, others in zip_longest(
+                    self.latencies, other.latencies, fillvalue=0
                 )
             ],
         )
-        counts = (grown.sent, grown.finished, grown.failed, *grown.latencies)
-        return VersionTally(running=self.running) if min(counts) < 0 else grown
+
+    def grown(self, before: "VersionTally") -> "VersionTally":
+        """Return the growth since ``before``; nothing if a count fell.
+
+        A count falls when the host that reported it has ended.
+        """
+        grown = self.less(before)
+        least = min(grown.sent, grown.finished, grown.failed, *grown.latencies)
+        return VersionTally(running=self.running) if least < 0 else grown
 
 
 # By route name, and whether it is the target's side.
@@ -248,12 +257,21 @@
 class SideHistory:
     """Answers of one side of a route that ended or are overdue."""
 
-    __slots__ = ("seen", "latest", "sent", "slow", "total", "counted")
+    __slots__ = (
+        "seen",
+        "latest",
+        "recent",
+        "sent",
+        "slow",
+        "total",
+        "counted",
+    )
 
     def __init__(self) -> None:
         self.seen = VersionTally()
         # Growth by stratum, for the latest answers.
         self.latest: deque[tuple[float, VersionTally]] = deque()
+        self.recent = VersionTally()
         self.sent: deque[tuple[float, int]] = deque([(0.0, 0)])
         self.slow = self.total = 0
         self.counted = (0, 0)
@@ -266,16 +284,11 @@
         self.seen = tally.copy()
         self.latest.append((at_s, grown))
         self.sent.append((at_s, tally.sent))
+        self.recent.add(grown)
         while self.latest[0][0] < at_s - CONTROL_S:
-            self.latest.popleft()
+            self.recent = self.recent.less(self.latest.popleft()[1])
         return grown
 
-    def recent(self) -> VersionTally:
-        recent = VersionTally()
-        for _, grown in self.latest:
-            recent.add(grown)
-        return recent
-
     def overdue(self, at_s: float, after_s: float) -> int:
         """Return how many requests have lasted longer, at least."""
         while len(self.sent) > 1 and self.sent[1][0] <= at_s - after_s:
@@ -331,12 +344,12 @@
         *,
         news_age_s: float,
         alone: bool,
-        burst: bool,
+        uneven: bool,
     ) -> dict[str, Counts]:
         """Close a stratum; return its counts by kind."""
         target_grown = self.target.feed(at_s, target)
         old_grown = self.old.feed(at_s, old)
-        recent = self.old.recent()
+        recent = self.old.recent
         self._set_slow_class(recent)
         kinds = {
             "failed": Counts(
@@ -357,9 +370,9 @@
             kinds["slow"] = Counts(
                 target_ended, target_slow, old_ended, old_slow
             )
-        self._feed_unpaired(kinds, recent, alone, burst)
-        if alone and not kinds["slow"].old:
-            # Nothing of the same time shows whether all are slow.
+        self._feed_unpaired(kinds, recent, alone, uneven)
+        if uneven or alone and not kinds["slow"].old:
+            # Nothing sent at the same time shows whether all are slow.
             kinds["slow"] = Counts()
         return kinds
 
@@ -377,7 +390,7 @@
         kinds: dict[str, Counts],
         recent: VersionTally,
         alone: bool,
-        burst: bool,
+        uneven: bool,
     ) -> None:
         if alone and not self.alone:
             slow = self.slow_class or LATENCY_CLASSES
@@ -389,7 +402,7 @@
                 ),
             }
         self.alone = alone
-        if not alone or burst:
+        if not alone or uneven:
             return
         for kind, counts in kinds.items():
             self.unpaired[kind].target += counts.target
@@ -430,12 +443,13 @@
         *,
         news_age_s: float = 0.0,
         alone: frozenset[str] = frozenset(),
-        burst: bool = False,
+        uneven: frozenset[str] = frozenset(),
     ) -> None:
         """Take the counts in.
 
         ``alone``: routes of which all new requests go to the target;
-        ``burst``: the service gets more requests than before.
+        ``uneven``: routes whose sides answer requests of other times, of
+        which a part are of a burst.
         """
         if at_s - self.fed_s < STRATUM_S:
             return
@@ -450,7 +464,7 @@
                 tallies.get((route, False), evidence.old.seen),
                 news_age_s=news_age_s,
                 alone=route in alone,
-                burst=burst,
+                uneven=route in uneven,
             )
             for kind, counts in kinds.items():
                 self._add(route, kind, counts)
@@ -481,10 +495,24 @@
 
     @property
     def suspected(self) -> bool:
-        """Tell whether a completion had better wait for more answers."""
-        return bool(self._unpaired(UNPAIRED_SUSPICION)) or (
-            self.evidence > log(SUSPICION)
-            and any(self._exceeds(scope, kind) for scope, kind in self.sums)
+        """Tell whether the target is not to be completed for now."""
+        return bool(self._unpaired(UNPAIRED_SUSPICION)) or self._evident(
+            SUSPICION
+        )
+
+    @property
+    def doubted(self) -> bool:
+        """Tell whether more answers are wanted if there is time."""
+        return self._evident(DOUBT)
+
+    @property
+    def closing(self) -> bool:
+        """Tell whether the target goes back if no more answers come."""
+        return bool(self._unpaired(UNPAIRED_CLOSING)) or self._evident(CLOSING)
+
+    def _evident(self, ratio: float) -> bool:
+        return self.evidence > log(ratio) and any(
+            self._exceeds(scope, kind) for scope, kind in self.sums
         )
 
     def bad_answers(self) -> int:
@@ -529,6 +557,7 @@
         if self.bad_answers() >= BAD_PART * BAD_ANSWERS:
             for (scope, kind), counts in self.sums.items():
                 target, old = counts.shares()
+                old = max(old, counts.old_bad / max(1, counts.old))
                 if (
                     not scope
                     and self._exceeds(scope, kind)
