--- a/tests/test_entry_orders.py
+++ b/tests/test_entry_orders.py
@@ -16,6 +16,9 @@
 from magnoliaflow.entry.updates import apply_registration
 from magnoliaflow.entry.updates import DEFAULT_PREFILL_RATE
 from magnoliaflow.platform.nodefile import decode_host_settings
+from magnoliaflow.policy.rollouts import RolloutDecision
+from magnoliaflow.policy.rollouts import RolloutOrder
+from magnoliaflow.policy.rollouts import RolloutStage
 from magnoliaflow.policy.routes import RouteTable
 from magnoliaflow.policy.routes import Scaling
 from magnoliaflow.policy.routes import Service
@@ -298,3 +301,27 @@
     deployment.reclaim("a")
     deployment.simulate(duty, deployment.now + 3.0, DEFAULT_PREFILL_RATE)
     assert len(sent) == len(set(sent)) > 0
+
+
+def test_a_rollout_gives_no_engines_back_and_its_end_is_no_loss(deployment):
+    """Guards against engines stopped for a count that holds two versions."""
+    load = DEFAULT_PREFILL_RATE * 1.2
+    duty = simulate_until_settled(deployment, load)
+    old = dict(deployment.engines)
+    book = deployment.state.rollouts
+    book.learn_order(
+        RolloutOrder("llm", "v2", 12.0, 5), deployment.now, is_new=True
+    )
+    for zone, spot in old.values():
+        deployment.register(zone, spot)
+    until = deployment.now + 12.0
+    assert deployment.simulate(duty, until, load) == 2 * len(old)
+    completed = RolloutDecision(
+        "llm", "v2", 5, 1, RolloutStage.COMPLETED, (), 12.0, ""
+    )
+    book.observe(completed, 1, deployment.now, deployment.now)
+    for name in old:
+        deployment.deregister(name)
+    until = deployment.now + 20.0
+    assert deployment.simulate(duty, until, load) >= len(old)
+    assert deployment.on_demand_count() == 0
