--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -50,15 +50,13 @@
 
 # Part of the exposure budget that is planned with: rates may fall, and
 # requests that are repeated may go to the target too.
-BUDGET_PART = 0.9
-# The share until the rates are known, as a part of the exposure share.
-START_PART = 0.7
+BUDGET_PART = 0.87
 # Part of the budget that the canary share takes until the time limit.
-CANARY_PART = 0.35
+CANARY_PART = 0.4
 # The old version has as many requests of each route, for a comparison.
 MAX_CANARY_SHARE = 0.5
 # Weight of a route with long answers within the canary share.
-LONG_WEIGHT = 2
+LONG_WEIGHT = 3
 # Share during the step, and the part of the budget left that it may take.
 # Its longest duration and the longest answers (95th percentile) of the routes
 # that take part, as parts of the order's duration.
@@ -545,7 +543,7 @@
         routes = sorted(self.targets_s.keys() | rates.keys())
         if not rates:
             # Within the bound at any rate.
-            share = START_PART * min(1.0, self.limits.exposure_share)
+            share = min(MAX_CANARY_SHARE, self.limits.exposure_share)
             return dict.fromkeys(routes, share)
         left = CANARY_PART * budget / self.order.duration_s
         # Routes that take no part in the step are judged by this alone.
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -16,8 +16,8 @@
 Times are in seconds of one clock, handed in by the caller.
 """
 
-from collections import deque
 from collections.abc import Iterable
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from itertools import zip_longest
@@ -55,7 +55,7 @@
 # Evidence at which a completion waits for more answers, at which it waits
 # until the time limit, and at which the target goes back when time is over.
 SUSPICION = 8.0
-DOUBT = 3.5
+DOUBT = 2.5
 CLOSING = 30.0
 # Without a control over the same time, the last answers of the old version
 # are: by a look at the exact test with this chance, and with this excess.
@@ -64,6 +64,10 @@
 UNPAIRED_CLOSING = 1e-4
 MIN_UNPAIRED_EXCESS = {"failed": 0.1, "slow": 0.3}
 MIN_CONTROL = 20
+# More answers are wanted while fewer of a route's requests are answered than
+# by the old version, by this factor, of as many at least.
+ANSWERED_RATIO = 0.5
+MIN_ANSWERED = 5
 # A version gets nothing later than the time of a rollback after this many bad
 # answers; it goes back at a part of them, if the old one is better.
 BAD_ANSWERS = 50
@@ -376,6 +380,15 @@
             kinds["slow"] = Counts()
         return kinds
 
+    def answered(self) -> bool:
+        """Tell whether the target answered about as many of its requests."""
+        target, old = self.target.seen, self.old.seen
+        return (
+            target.sent < MIN_ANSWERED
+            or target.finished * old.sent
+            >= ANSWERED_RATIO * old.finished * target.sent
+        )
+
     def _set_slow_class(self, recent: VersionTally) -> None:
         if self.alone or (
             sum(recent.latencies) < MIN_CONTROL and self.slow_class is not None
@@ -503,7 +516,9 @@
     @property
     def doubted(self) -> bool:
         """Tell whether more answers are wanted if there is time."""
-        return self._evident(DOUBT)
+        return self._evident(DOUBT) or any(
+            not evidence.answered() for evidence in self.routes.values()
+        )
 
     @property
     def closing(self) -> bool:
