--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -39,6 +39,8 @@
 # Counts that are older may be of a host that has ended.
 FRESH_S = 2.0
 UNKNOWN_AGE_S = 1e6
+# Services with an order, whose decisions go to all hosts.
+MAX_ORDERS = 256
 # Longest time for which a decision on the log is taken as older than its
 # reader's clock shows.
 MAX_LOGGED_AGE_S = 3600.0
@@ -328,9 +330,16 @@
     if not service or not state.host_settings.judges_rollouts:
         return
     position = make_position(era, entry.offset)
+    orders = state.rollouts.orders
     if entry.value is None:
         state.rollouts.withdraw_order(service, position)
         return
+    if service not in orders and len(orders) >= MAX_ORDERS:
+        state.log(
+            LogEvent.RECORD_UNREADABLE,
+            reason=f"more than {MAX_ORDERS} services with roll-outs",
+        )
+        return
     try:
         order = decode_order(entry.key, entry.value, position)
     except PortError as exc:
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -50,7 +50,7 @@
     __slots__ = (
         "busy",
         "checked",
-        "complete_at",
+        "complete",
         "duty_log",
         "holds_since",
         "next_step_at",
@@ -70,7 +70,8 @@
         self.busy = False
         self.next_step_at = -inf
         self.holds_since = inf
-        self.complete_at = -inf
+        # Order and time at which the counts last covered all hosts.
+        self.complete: dict[str, tuple[int, float]] = {}
         self.plans: dict[str, RolloutPlan] = {}
         self.pending: dict[str, RolloutDecision] = {}
         self.checked: dict[str, int] = {}
@@ -87,9 +88,12 @@
         if not self.duty_log.caught_up:
             return
         if self.holds_since == inf:
-            self.holds_since = self.complete_at = now
+            self.holds_since = now
         for known in state.rollouts.decisions.values():
             known.confirmed_at = now
+        self.status.tick(
+            now, self.duty_log.era, settled_at=self.holds_since + RESTATE_S
+        )
         if self.busy or self.duty_log.busy or now < self.next_step_at:
             return
         self.next_step_at = now + STEP_INTERVAL_S
@@ -100,9 +104,6 @@
                 self._start(self._append(decision))
             if self.busy:
                 return
-        self.status.tick(
-            now, self.duty_log.era, settled_at=self.holds_since + RESTATE_S
-        )
 
     def _reset(self) -> None:
         """Forget what only a holder has; the next one begins anew."""
@@ -111,6 +112,7 @@
             self.pending.clear()
             self.status.written.clear()
             self.checked.clear()
+            self.complete.clear()
             self.holds_since = inf
 
     def _start(self, work: Any) -> None:
@@ -289,11 +291,15 @@
             age_s = max(age_s, now - row.received_at + count.age)
             if decision is None or count.number < decision.number:
                 in_force = False
+        order, complete_at = self.complete.get(service, (-1, -inf))
+        if order != position:
+            complete_at = max(self.holds_since, known.ordered_at)
         if hosts >= 1 + len(live):
-            self.complete_at = now
+            complete_at = now
         else:
             in_force = False
-        return tallies, max(age_s, now - self.complete_at), in_force
+        self.complete[service] = position, complete_at
+        return tallies, max(age_s, now - complete_at), in_force
 
     def _rows(self) -> list[tuple[str, HostCounts]]:
         """Return the counts that together cover every host once."""
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -180,6 +180,12 @@
             decode_order("rollout/app", value, 1)
         host.order(value)
         assert not host.state.rollouts.orders
+    for number in range(2 * rolloutnews.MAX_ORDERS):
+        entry = Entry(
+            9, f"rollout/s{number}", ORDER.replace(b"app", b"s%d" % number)
+        )
+        take_order_entry(host.state, entry, 1, is_new=True)
+    assert len(host.state.rollouts.orders) == rolloutnews.MAX_ORDERS
     for version in (b"3", b"null", b'""', b'"' + b"v" * 999 + b'"'):
         data = b'{"service":"a","address":"1.2.3.4:5","zone":"z","state":' + (
             b'"ready","version":%s}' % version
