--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -19,7 +19,11 @@
     ("tests/test_crash_judgement.py", "tests/test_restored_judgement.py"),
     ("tests/test_store_restored.py", "tests/test_crashing_requests.py"),
     ("tests/test_log_restored.py",),
-    ("tests/test_process_start.py", "tests/test_planned_stops.py"),
+    (
+        "tests/test_process_start.py",
+        "tests/test_planned_stops.py",
+        "tests/test_rollout_processes.py",
+    ),
 )
 
 
