Step each plan from the decision that is on the log

A decision whose append failed waited and was put on the log as it was; now the plan decides anew on what it has seen since. Tests of an order without engines and of a holder that wakes late.

--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -54,7 +54,6 @@
         "duty_log",
         "holds_since",
         "next_step_at",
-        "pending",
         "plans",
         "state",
         "status",
@@ -73,7 +72,6 @@
         # Order and time at which the counts last covered all hosts.
         self.complete: dict[str, tuple[int, float]] = {}
         self.plans: dict[str, RolloutPlan] = {}
-        self.pending: dict[str, RolloutDecision] = {}
         self.checked: dict[str, int] = {}
         self.status = StatusWriter(state, store)
 
@@ -100,7 +98,6 @@
         for order in state.rollouts.orders.values():
             decision = self._decide(order, now)
             if decision is not None:
-                self.pending[decision.service] = decision
                 self._start(self._append(decision))
             if self.busy:
                 return
@@ -109,7 +106,6 @@
         """Forget what only a holder has; the next one begins anew."""
         if self.holds_since < inf:
             self.plans.clear()
-            self.pending.clear()
             self.status.written.clear()
             self.checked.clear()
             self.complete.clear()
@@ -157,12 +153,6 @@
             if self.checked.get(service) != order.position:
                 self._start(self._read_status(known))
                 return None
-        pending = self.pending.get(service)
-        if pending is not None and (
-            pending.order,
-            pending.number,
-        ) > (order.position, decision.number if decision else 0):
-            return pending
         return self._step(known, decision, now)
 
     def _ended_elsewhere(
@@ -192,9 +182,11 @@
         service = order.service
         elapsed_s = max(0.0, now - known.ordered_at)
         plan = self.plans.get(service)
-        if plan is None or plan.order != order or plan.decision != decision:
+        if plan is None or plan.order != order:
             plan = self._make_plan(known, decision, elapsed_s)
             self.plans[service] = plan
+        # A decision whose append failed was never in force.
+        plan.decision = decision
         if known.is_withdrawn:
             return plan.withdraw(elapsed_s)
         tallies, news_age_s, in_force = self._gather(
@@ -335,7 +327,6 @@
         finally:
             self.duty_log.busy = False
         if appended:
-            self.pending.pop(decision.service, None)
             self.next_step_at = -inf
 
     @inlineCallbacks
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -397,3 +397,23 @@
     assert sides(BOTH, 9.0, 1.0) == (("v1",), ("v2",))
     assert sides(BOTH, 9.0, 9.0) == ()
     assert sides({"v3": ["c1"]}, 9.0, 9.0) == ()
+
+
+def test_an_order_to_a_version_without_engines_goes_back(host, store):
+    apply_registration(host.state, "b1", None, 4)
+    host.order()
+    host.run(11.0)
+    assert ("rollout/app", "completed", "v2") not in store.status
+    host.run(2.0)
+    assert store.status[-1] == ("rollout/app", "rolled_back", "v2")
+
+
+def test_a_holder_that_wakes_late_does_nothing(host, store, clock):
+    """Guards against an old decision or status after another holder's."""
+    host.order()
+    host.run(1.0)
+    written, records = list(store.status), list(store.records)
+    clock.now += 5.0
+    host.duty.tick(clock.now)
+    assert (store.status, store.records) == (written, records)
+    assert host.state.rollouts.age_s("app", clock.now) >= 5.0
