--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -50,7 +50,7 @@
 
 # Part of the exposure budget that is planned with: rates may fall, and
 # requests that are repeated may go to the target too.
-BUDGET_PART = 0.87
+BUDGET_PART = 0.86
 # Part of the budget that the canary share takes until the time limit.
 CANARY_PART = 0.4
 # The old version has as many requests of each route, for a comparison.
@@ -61,17 +61,18 @@
 # Its longest duration and the longest answers (95th percentile) of the routes
 # that take part, as parts of the order's duration.
 STEP_SHARE = 0.75
-STEP_PART = 0.65
+STEP_PART = 0.75
 MAX_STEP_PART = 1 / 12
 STEP_ANSWER_PART = 1 / 8
 # Part of the budget left that routes with long answers may take before all
 # requests go to the target.
-EARLY_PART = 0.5
+EARLY_PART = 0.45
 # Requests are counted over this time for the rates.
 RATE_WINDOW_S = 3.0
 MIN_RATE_WINDOW_S = 0.8
 # A count above the mean over USUAL_S by this factor, and by as many standard
-# deviations, is a burst, SETTLE_S after the first count.  Its answers may last as many times longer.
+# deviations, is a burst, SETTLE_S after the first count.  Its answers may last
+# as many times longer.
 USUAL_S = 10.0
 SETTLE_S = 4.0
 BURST_RATIO = 1.5
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -384,7 +384,8 @@
         """Tell whether the target answered about as many of its requests."""
         target, old = self.target.seen, self.old.seen
         return (
-            target.sent < MIN_ANSWERED
+            self.alone
+            or target.sent < MIN_ANSWERED
             or target.finished * old.sent
             >= ANSWERED_RATIO * old.finished * target.sent
         )
