--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -270,7 +270,7 @@
         if not versions.in_force:
             versions.in_force = set(others or usable) - barred
         if not others and target in versions.in_force:
-            return ALL_VERSIONS
+            return ALL_VERSIONS if barred.isdisjoint(usable) else ((target,),)
         if stage is RolloutStage.ROLLED_BACK:
             return (others,)
         if stage is RolloutStage.COMPLETED:
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -42,8 +42,8 @@
 
 SETTINGS = """nodeName=e-{0}
 zone=z1
-listenAddresses.frontend=10.0.0.{0}:1
-listenAddresses.controlPlane=10.0.0.{0}:2
+listenAddresses.frontend=10.0.0.1:1{0:03}
+listenAddresses.controlPlane=10.0.0.1:2{0:03}
 platform.address=10.0.0.9:3
 contracts=base,rollout
 """
@@ -417,3 +417,19 @@
     host.duty.tick(clock.now)
     assert (store.status, store.records) == (written, records)
     assert host.state.rollouts.age_s("app", clock.now) >= 5.0
+
+
+def test_an_order_to_go_back_completes_on_the_old_version(host, store):
+    """Guards against a judgement of the version that has the traffic."""
+    book = host.state.rollouts
+    registered = {"v1": ["a1"], "v2": ["b1"]}
+    before = {"now": 1.0, "orders_read_at": 1.0, "began_on": None}
+    book.sides("app", "look", "r1", {"v1": ["a1"]}, **before)
+    host.order()
+    host.run(1.0)
+    host.order(ORDER.replace(b"v2", b"v1"), offset=6)
+    host.run(4.0)
+    assert store.status[-1] == ("rollout/app", "completed", "v1")
+    assert ("rollout/app", "completed", "v2") not in store.status
+    sides = book.sides("app", "look", "r1", registered, **before)
+    assert sides == (("v1",),)
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -1,6 +1,8 @@
 """Roll-outs over the messages of 4 to 78 hosts, in virtual time."""
 
 from collections import deque
+from json import dumps
+from json import loads
 
 import pytest
 from test_rollout_duty import Clock
@@ -16,6 +18,7 @@
 from magnoliaflow.entry import reports
 from magnoliaflow.entry.reports import ReportSender
 from magnoliaflow.entry import rolloutnews
+from magnoliaflow.entry.rolloutnews import rollout_details
 from magnoliaflow.entry.rolloutnews import RolloutSender
 from magnoliaflow.entry import rollouts
 from magnoliaflow.policy.rollouts import latency_class
@@ -183,6 +186,8 @@
             received[address] = number
     rounds = DURATION_S / 0.4
     assert max(received.values()) <= 25 * (rounds + 2)
+    (row,) = loads(dumps(rollout_details(fleet.hosts[-1].state)))
+    assert row["stage"] == expected.name and row["to"] == "v2"
 
 
 def test_a_group_that_loses_its_publisher_completes(make_fleet):
