--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -73,6 +73,40 @@
     barred: set[str] = field(default_factory=set)
     old: set[str] = field(default_factory=set)
 
+    def note(
+        self, registered: dict[str, list[str]], now: float
+    ) -> tuple[str, ...]:
+        """Return the versions that have engines, and forget others."""
+        present = {name for name, engines in registered.items() if engines}
+        for name in self.first_seen.keys() - present:
+            del self.first_seen[name]
+        for name in present:
+            self.first_seen.setdefault(name, now)
+        if self.in_force & present:
+            self.in_force &= present
+        return tuple(name for name in registered if name in present)
+
+    def without_order(
+        self, usable: tuple[str, ...], due: float
+    ) -> tuple[tuple[str, ...], ...]:
+        """Return the sides while no order is in progress.
+
+        A version seen first after ``due`` may be named by an order that was
+        not read yet: those in force are preferred.
+        """
+        allowed = [name for name in usable if name not in self.barred]
+        allowed = [name for name in allowed if name not in self.old] or allowed
+        if not self.in_force.intersection(allowed):
+            self.in_force = set(allowed)
+        self.in_force |= {
+            name for name in allowed if self.first_seen[name] < due
+        }
+        known = tuple(name for name in allowed if name in self.in_force)
+        if len(known) == len(usable) > 0:
+            return ALL_VERSIONS
+        unordered = tuple(name for name in allowed if name not in known)
+        return (known, unordered) if unordered else (known,)
+
 
 @dataclass(slots=True)
 class HostCounts:
@@ -200,6 +234,10 @@
     def _versions(self, service: str) -> ServiceVersions:
         return self.versions.setdefault(service, ServiceVersions())
 
+    def barred(self, service: str) -> set[str]:
+        """Return the versions of a service that were rolled back."""
+        return self._versions(service).barred
+
     def target_of(self, service: str) -> tuple[str, int, RolloutStage | None]:
         """Return the last ordered version, the order and the stage.
 
@@ -257,12 +295,12 @@
         the request was sent before.
         """
         versions = self._versions(service)
-        usable = [name for name, engines in registered.items() if engines]
-        for name in usable:
-            versions.first_seen.setdefault(name, now)
+        usable = versions.note(registered, now)
         target, _, stage = self.target_of(service)
-        if not target:
-            return self._without_order(versions, usable, now, orders_read_at)
+        if not target or stage in ENDED:
+            return versions.without_order(
+                usable, min(now, orders_read_at) - UNORDERED_WAIT_S
+            )
         barred = versions.barred
         others = tuple(
             name for name in usable if name != target and name not in barred
@@ -271,14 +309,6 @@
             versions.in_force = set(others or usable) - barred
         if not others and target in versions.in_force:
             return ALL_VERSIONS if barred.isdisjoint(usable) else ((target,),)
-        if stage is RolloutStage.ROLLED_BACK:
-            return (others,)
-        if stage is RolloutStage.COMPLETED:
-            newer = tuple(name for name in others if name not in versions.old)
-            older = tuple(name for name in others if name in versions.old)
-            if target in usable:
-                return ((target, *newer),)
-            return (newer, older)
         known = self.decisions.get(service)
         decision = None if known is None or stage is None else known.decision
         is_target = sends_to_target(
@@ -292,30 +322,6 @@
             return (others, (target,))
         return (others,)
 
-    def _without_order(
-        self,
-        versions: ServiceVersions,
-        usable: list[str],
-        now: float,
-        orders_read_at: float,
-    ) -> tuple[tuple[str, ...], ...]:
-        """Prefer the versions in force until no order can name the others."""
-        if not any(name in versions.in_force for name in usable):
-            versions.in_force = set(usable)
-        due = min(now, orders_read_at) - UNORDERED_WAIT_S
-        versions.in_force |= {
-            name for name in usable if versions.first_seen[name] < due
-        }
-        unordered = tuple(
-            name for name in usable if name not in versions.in_force
-        )
-        if not unordered:
-            return ALL_VERSIONS
-        return (
-            tuple(name for name in usable if name in versions.in_force),
-            unordered,
-        )
-
     def tally(self, service: str, route: str, version: str) -> VersionTally:
         """Return the own tally of a version's side since the last order.
 
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -199,14 +199,18 @@
             and not entry.gone
             and not entry.leaving
         ]
+        barred = state.rollouts.barred(service)
         target = sum(entry.version == order.target for entry in engines)
+        old = sum(
+            entry.version not in (order.target, *barred) for entry in engines
+        )
         made = plan.step(
             elapsed_s,
             tallies,
             news_age_s=news_age_s,
             hosts_in_force=in_force,
             target_engines=target,
-            old_engines=len(engines) - target,
+            old_engines=old,
         )
         if made is not None:
             state.log(
@@ -218,7 +222,7 @@
                 shares=dict(made.shares),
                 elapsed_s=round(elapsed_s, 3),
                 news_age_s=round(news_age_s, 3),
-                engines=[target, len(engines) - target],
+                engines=[target, old],
                 answers={
                     f"{route}/{'new' if is_target else 'old'}": [
                         tally.sent,
--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -129,14 +129,15 @@
             not self.crashing_accounts or account in self.crashing_accounts
         )
 
-    def take_fault(self, path: str = "/") -> str:
+    def take_fault(self) -> str:
         """Return the fault of the next request, '' for none."""
         if self.fault_count == 0:
-            return self._weak_fault(path)
+            return ""
         self.fault_count -= 1
         return self.fault
 
-    def _weak_fault(self, path: str) -> str:
+    def take_weakness(self, path: str) -> str:
+        """Record a request; return its fault, '' for none, or wait."""
         weakness, number = self.weakness, len(self.received)
         is_bad = (
             number >= weakness.after
@@ -172,7 +173,8 @@
             return
         engine.running += 1
         try:
-            self._run(body, engine.take_fault(self.path))
+            fault = engine.take_fault() or engine.take_weakness(self.path)
+            self._run(body, fault)
         finally:
             engine.running -= 1
 
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -399,6 +399,28 @@
     assert sides({"v3": ["c1"]}, 9.0, 9.0) == ()
 
 
+def test_a_version_after_a_completed_one_waits_for_its_order():
+    """Guards against requests to a version whose order was not read yet."""
+    book = RolloutBook()
+
+    def sides(registered, now):
+        return book.sides(
+            *("app", "look", "r1", registered),
+            now=now,
+            orders_read_at=now,
+            began_on=None,
+        )
+
+    sides(BOTH, 0.0)
+    book.learn_order(RolloutOrder("app", "v2", 12.0, 5), 1.0, is_new=True)
+    book.observe(decide(RolloutStage.COMPLETED), 1, 1.0, 1.0)
+    three = {**BOTH, "v3": ["c1"]}
+    assert sides(BOTH, 2.0) == (("v2",),)
+    assert sides(three, 3.0) == (("v2",), ("v3",))
+    assert sides(three, 9.0) == (("v2", "v3"),)
+    assert sides({"v2": [], "v3": ["c1"]}, 9.0) == ()
+
+
 def test_an_order_to_a_version_without_engines_goes_back(host, store):
     apply_registration(host.state, "b1", None, 4)
     host.order()
