--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -16,23 +16,22 @@
 Times are in seconds of one clock, handed in by the caller.
 """
 
-from collections import deque
-from dataclasses import dataclass
-from enum import IntEnum
-from math import exp
-from math import inf
-from math import sqrt
-
-from xxhash import xxh64_intdigest
-
-from magnoliaflow.policy.rolloutverdict import class_end_s
-from magnoliaflow.policy.rolloutverdict import CONTROL_S
-from magnoliaflow.policy.rolloutverdict import latency_class
-from magnoliaflow.policy.rolloutverdict import LATENCY_CLASSES
-from magnoliaflow.policy.rolloutverdict import quantile_class
+from magnoliaflow.policy.rolloutdecisions import ENDED
+from magnoliaflow.policy.rolloutdecisions import RolloutDecision
+from magnoliaflow.policy.rolloutdecisions import RolloutLimits
+from magnoliaflow.policy.rolloutdecisions import RolloutOrder
+from magnoliaflow.policy.rolloutdecisions import RolloutStage
+from magnoliaflow.policy.rolloutdecisions import sends_to_target
+from magnoliaflow.policy.rolloutdecisions import share_in_force
+from magnoliaflow.policy.rolloutevidence import CONTROL_S
+from magnoliaflow.policy.rollouttallies import class_end_s
+from magnoliaflow.policy.rollouttallies import latency_class
+from magnoliaflow.policy.rollouttallies import LATENCY_CLASSES
+from magnoliaflow.policy.rollouttallies import quantile_class
+from magnoliaflow.policy.rollouttallies import Tallies
+from magnoliaflow.policy.rollouttallies import VersionTally
+from magnoliaflow.policy.rollouttraffic import Traffic
 from magnoliaflow.policy.rolloutverdict import RolloutVerdict
-from magnoliaflow.policy.rolloutverdict import Tallies
-from magnoliaflow.policy.rolloutverdict import VersionTally
 
 __all__ = [
     "LATENCY_CLASSES",
@@ -67,16 +66,7 @@
 # Part of the budget left that routes with long answers may take before all
 # requests go to the target.
 EARLY_PART = 0.45
-# Requests are counted over this time for the rates.
-RATE_WINDOW_S = 3.0
-MIN_RATE_WINDOW_S = 0.8
-# A count above the mean over USUAL_S by this factor, and by as many standard
-# deviations, is a burst, SETTLE_S after the first count.  Its answers may last
-# as many times longer.
-USUAL_S = 10.0
-SETTLE_S = 4.0
-BURST_RATIO = 1.5
-BURST_SPREAD = 3.0
+# Answers to a burst may last as many times longer.
 BURST_ANSWERS = 3.0
 # A share that moves by this factor makes the sides answer requests of other
 # times.
@@ -87,11 +77,9 @@
 MAX_LAG_PART = 1 / 4
 # A completion is decided this long before the time limit.
 COMPLETION_MARGIN_S = 0.8
-# Before all requests go to the target: the share is 0 while the tallies of a
-# live host are older than this, and at a host that the holder has not
-# confirmed the decision to for longer.  Both are below a rollback's time.
+# Before all requests go to the target, the share is 0 while the tallies of a
+# live host are older; below the time of a rollback.
 NEWS_LIMIT_S = 3.0
-HOLD_S = 2.5
 # Shares change if they differ by this factor, and not more often than this.
 SHARE_CHANGE = 1.3
 SHARE_INTERVAL_S = 1.0
@@ -108,143 +96,28 @@
 DRAIN_PART = 0.95
 
 
-class RolloutStage(IntEnum):
-    """Stages; from FULL on, all new requests go to the target."""
+def canary_shares(
+    rates: dict[str, float], weights: dict[str, int], left: float
+) -> dict[str, float]:
+    """Return the share of each route, for ``left`` requests a second.
 
-    CANARY = 1
-    RAMP = 2
-    FULL = 3
-    COMPLETED = 4
-    ROLLED_BACK = 5
+    What a small route can't use goes to the others.
 
-
-ENDED = frozenset((RolloutStage.COMPLETED, RolloutStage.ROLLED_BACK))
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutOrder:
-    """An operator's order; ``position`` in the store.
-
-    A later order of a service replaces an earlier one.
+    >>> canary_shares({"a": 100.0, "b": 1.0}, {"a": 1, "b": 1}, 10.0)
+    {'b': 0.5, 'a': 0.095}
     """
-
-    service: str
-    target: str
-    duration_s: float
-    position: int
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutLimits:
-    """Bounds of a bad version's requests (part, count) and rollback."""
-
-    exposure_share: float
-    exposure_tolerance: float
-    rollback_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class RolloutDecision:
-    """What all hosts apply.
-
-    ``order``: position of the order; ``number``: from 1, grows with each
-    decision of an order; ``shares``: (route, part of its new requests that go
-    to the target), 0 for others before FULL.
-    """
-
-    service: str
-    target: str
-    order: int
-    number: int
-    stage: RolloutStage
-    shares: tuple[tuple[str, float], ...]
-    elapsed_s: float
-    reason: str
-
-
-def share_in_force(
-    decision: RolloutDecision | None, route: str, age_s: float
-) -> float:
-    """Return the share of a route's new requests that go to the target.
-
-    ``age_s``: time since the holder last confirmed the decision.  A host that
-    it was not confirmed to sends nothing there before FULL; from FULL on the
-    decision holds, since the old engines may have stopped.
-    """
-    if decision is None or decision.stage == RolloutStage.ROLLED_BACK:
-        return 0.0
-    if decision.stage >= RolloutStage.FULL:
-        return 1.0
-    if age_s > HOLD_S:
-        return 0.0
-    return dict(decision.shares).get(route, 0.0)
-
-
-def sends_to_target(
-    decision: RolloutDecision | None,
-    route: str,
-    request_id: str,
-    age_s: float,
-) -> bool:
-    """Tell whether a new request goes to the target, drawn from its id.
-
-    A higher share keeps the requests of a lower one.
-    """
-    share = share_in_force(decision, route, age_s)
-    if decision is None or not 0.0 < share < 1.0:
-        return share >= 1.0
-    point = xxh64_intdigest(request_id.encode(), seed=decision.order % 2**63)
-    return point / 2.0**64 < share
-
-
-class Traffic:
-    """Requests of a service since the order, by route, and their rates."""
-
-    __slots__ = ("seen", "sent", "samples")
-
-    def __init__(self) -> None:
-        self.seen: dict[tuple[str, bool], int] = {}
-        # Never fall, also if a host that reported a part of them ends.
-        self.sent: dict[tuple[str, bool], int] = {}
-        self.samples: deque[tuple[float, dict[tuple[str, bool], int]]] = (
-            deque()
-        )
-
-    def feed(self, at_s: float, tallies: Tallies, news_age_s: float) -> None:
-        for key, tally in tallies.items():
-            grown = max(0, tally.sent - self.seen.get(key, 0))
-            self.seen[key] = tally.sent
-            self.sent[key] = self.sent.get(key, 0) + grown
-        if at_s < news_age_s:
-            # Some hosts have not reported since the order.
-            return
-        self.samples.append((at_s, dict(self.sent)))
-        while (
-            len(self.samples) > 2
-            and self.samples[1][0] <= at_s - RATE_WINDOW_S
-        ):
-            self.samples.popleft()
-
-    def total(self, target: bool | None = None) -> int:
-        return sum(
-            count
-            for (_, side), count in self.sent.items()
-            if target is None or side == target
-        )
-
-    def rates(self) -> dict[str, float]:
-        """Return requests per second by route; empty while not known."""
-        if not self.samples:
-            return {}
-        first_s, first = self.samples[0]
-        last_s, last = self.samples[-1]
-        if last_s - first_s < MIN_RATE_WINDOW_S:
-            return {}
-        rates: dict[str, float] = {}
-        for (route, side), count in last.items():
-            grown = count - first.get((route, side), 0)
-            rates[route] = rates.get(route, 0.0) + grown / (last_s - first_s)
-        return rates
+    weight = sum(weights.values())
+    shares = {}
+    for route in sorted(
+        weights, key=lambda route: rates.get(route, 0.0) / weights[route]
+    ):
+        rate = rates.get(route, 0.0)
+        part = left * weights[route] / weight
+        share = min(MAX_CANARY_SHARE, part / rate if rate else 1.0)
+        shares[route] = round(share, 4)
+        left -= share * rate
+        weight -= weights[route]
+    return shares
 
 
 class RolloutPlan:
@@ -268,14 +141,7 @@
         "stepped",
         "step_end_s",
         "answers_s",
-        "began_s",
         "moved_s",
-        "burst_s",
-        "usual",
-        "usual_s",
-        "counted",
-        "exposed",
-        "exposed_s",
     )
 
     def __init__(
@@ -295,7 +161,7 @@
         self.verdict = RolloutVerdict(
             max(CONTROL_S, LATEST_PART * order.duration_s)
         )
-        self.traffic = Traffic()
+        self.traffic = Traffic(elapsed_s)
         self.serving = serving
         self.lag_s = 0.0
         self.in_force = previous is not None
@@ -305,19 +171,8 @@
         )
         self.step_end_s = elapsed_s
         self.answers_s: dict[str, float] = {}
-        # Requests to the target, and when they were counted.
-        self.began_s = elapsed_s
         # When the share of a route last moved by much.
         self.moved_s: dict[str, float] = {}
-        # When the last burst was seen.
-        self.burst_s = -inf
-        # Mean rate, below 0 while not known, and when it was set.
-        self.usual = -1.0
-        self.usual_s = elapsed_s
-        # All requests until the time limit.
-        self.counted = 0
-        self.exposed = 0.0
-        self.exposed_s = elapsed_s
 
     @property
     def stage(self) -> RolloutStage | None:
@@ -353,7 +208,7 @@
             return None
         full = self.stage == RolloutStage.FULL
         self.traffic.feed(elapsed_s, tallies, news_age_s)
-        self._expose(elapsed_s)
+        self.traffic.observe(elapsed_s, self.shares)
         self._observe_lag(elapsed_s, news_age_s, hosts_in_force)
         self.verdict.feed(
             elapsed_s,
@@ -364,7 +219,7 @@
                 for route, _ in tallies
                 if full or self.shares.get(route, 0.0) >= 1.0
             ),
-            uneven=self._observe_burst(elapsed_s),
+            uneven=self._uneven(elapsed_s),
         )
         self._observe_answers()
         old_runs = any(
@@ -404,27 +259,15 @@
             taken = elapsed_s - self.decision.elapsed_s
             self.lag_s = min(largest, max(self.lag_s, taken))
 
-    def _observe_burst(self, elapsed_s: float) -> frozenset[str]:
+    def _uneven(self, elapsed_s: float) -> frozenset[str]:
         """Return the routes whose share moved beside a burst of requests.
 
         Until the answers to it have come: they last longer, and one side
         answers more of them than of others.
         """
-        rates = self.traffic.rates()
-        if rates:
-            rate = sum(rates.values())
-            if self.usual < 0.0 or elapsed_s < self.began_s + SETTLE_S:
-                self.usual = rate
-            weight = 1.0 - exp((self.usual_s - elapsed_s) / USUAL_S)
-            self.usual += weight * (rate - self.usual)
-            usual = self.usual * RATE_WINDOW_S
-            spread = BURST_SPREAD * (1 + sqrt(usual))
-            if rate * RATE_WINDOW_S > BURST_RATIO * usual + spread:
-                self.burst_s = elapsed_s
-        self.usual_s = elapsed_s
         longest_s = max(self.answers_s.values(), default=0.0)
         since_s = elapsed_s - self.lag_s - BURST_ANSWERS * longest_s
-        if self.burst_s < since_s:
+        if self.traffic.burst_s < since_s:
             return frozenset()
         return frozenset(
             route for route, at_s in self.moved_s.items() if at_s >= since_s
@@ -515,55 +358,27 @@
 
     def _budget(self, elapsed_s: float, news_age_s: float) -> float:
         """Return how many requests the target may get until the limit."""
-        rate = sum(self.traffic.rates().values())
-        seen_s = max(MIN_RATE_WINDOW_S, elapsed_s - news_age_s)
-        if seen_s <= self.order.duration_s:
-            self.counted = self.traffic.total()
-        seen = self.counted or self.traffic.total()
-        left_s = max(0.0, self.order.duration_s - seen_s)
-        expected = seen + min(rate, seen / seen_s) * left_s
+        expected = self.traffic.expected(
+            elapsed_s - news_age_s, self.order.duration_s
+        )
         return BUDGET_PART * (
             self.limits.exposure_share * expected
             + self.limits.exposure_tolerance
         )
 
-    def _expose(self, elapsed_s: float) -> None:
-        """Follow how many requests the target got, also unreported ones."""
-        rates = self.traffic.rates()
-        rate = sum(
-            rates.get(route, 0.0) * share
-            for route, share in self.shares.items()
-        )
-        self.exposed += rate * max(0.0, elapsed_s - self.exposed_s)
-        self.exposed = max(self.exposed, self.traffic.total(True))
-        self.exposed_s = elapsed_s
-
     def _canary(self, budget: float) -> dict[str, float]:
-        """Return a share of each route with about as many requests."""
         rates = self.traffic.rates()
         routes = sorted(self.targets_s.keys() | rates.keys())
         if not rates:
             # Within the bound at any rate.
             share = min(MAX_CANARY_SHARE, self.limits.exposure_share)
             return dict.fromkeys(routes, share)
-        left = CANARY_PART * budget / self.order.duration_s
         # Routes that take no part in the step are judged by this alone.
         weights = {
             route: 1 if self._steps(route) else LONG_WEIGHT for route in routes
         }
-        weight = sum(weights.values())
-        shares = {}
-        # What a small route can't use goes to the others.
-        for route in sorted(
-            routes, key=lambda route: rates.get(route, 0.0) / weights[route]
-        ):
-            rate = rates.get(route, 0.0)
-            part = left * weights[route] / weight
-            share = min(MAX_CANARY_SHARE, part / rate if rate else 1.0)
-            shares[route] = round(share, 4)
-            left -= share * rate
-            weight -= weights[route]
-        return shares
+        rate = CANARY_PART * budget / self.order.duration_s
+        return canary_shares(rates, weights, rate)
 
     def _advance(
         self, elapsed_s: float, news_age_s: float
@@ -576,7 +391,7 @@
             return self._decide(elapsed_s, RolloutStage.CANARY, shares, "new")
         if not rates:
             return self._hold(elapsed_s)
-        left = budget - self.exposed
+        left = budget - self.traffic.exposed
         spent = left <= 0
         stepping = [route for route in shares if self._steps(route)]
         answer_s = max(map(self._answer_s, stepping), default=0.0)
@@ -592,49 +407,61 @@
             self.verdict.doubted and elapsed_s < self.order.duration_s
         )
         if self.stepped and judged and elapsed_s >= full_s:
-            late = elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
-            if not doubted or late and not self.verdict.closing:
-                return self._decide(
-                    elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
-                )
-            if suspected and (
-                late or elapsed_s >= self.order.duration_s and spent
-            ):
-                return self._roll_back(
-                    elapsed_s, "under suspicion after the time limit"
-                )
-        reserve = min(
-            EARLY_PART * left,
-            sum(
-                rates.get(name, 0.0)
-                * (full_s - max(elapsed_s, self._early_s(name)))
-                for name in shares
-                if not self._steps(name)
-            ),
-        )
+            decision = self._end(elapsed_s, doubted, spent)
+            if decision is not None:
+                return decision
         step_rate = STEP_SHARE * sum(rates.get(name, 0.0) for name in stepping)
-        step_s = min(
-            MAX_STEP_PART * self.order.duration_s,
-            STEP_PART * (left - reserve) / step_rate if step_rate else 0.0,
-        )
-        calm_s = self.burst_s + self.lag_s
-        step_due_s = full_s - judged_s - max(0.0, step_s)
+        step_s = self._step_s(elapsed_s, full_s, left, step_rate)
+        calm_s = self.traffic.burst_s + self.lag_s
+        step_due_s = full_s - judged_s - step_s
         # A suspicion may come from the load of a step: it takes another one.
         if elapsed_s >= max(step_due_s, calm_s) and (
             judged and suspected if self.stepped else True
         ):
             self.stepped = True
-            self.step_end_s = elapsed_s + max(0.0, step_s)
+            self.step_end_s = elapsed_s + step_s
         if self.stepped and elapsed_s < self.step_end_s:
             shares |= dict.fromkeys(stepping, STEP_SHARE)
         if not doubted and elapsed_s >= calm_s:
             if not self.stepped:
-                left -= max(0.0, step_s) * step_rate
+                left -= step_s * step_rate
             shares |= self._early(elapsed_s, full_s, left, shares)
         if spent:
             return self._pause(elapsed_s, "exposure budget is spent")
         return self._change(elapsed_s, shares)
 
+    def _end(
+        self, elapsed_s: float, doubted: bool, spent: bool
+    ) -> RolloutDecision | None:
+        """Go to the target for good or back, None if still in doubt."""
+        late = elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART)
+        if not doubted or late and not self.verdict.closing:
+            return self._decide(
+                elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
+            )
+        over = elapsed_s >= self.order.duration_s and spent
+        if self.verdict.suspected and (late or over):
+            return self._roll_back(
+                elapsed_s, "under suspicion after the time limit"
+            )
+        return None
+
+    def _step_s(
+        self, elapsed_s: float, full_s: float, left: float, step_rate: float
+    ) -> float:
+        """Return how long the budget left lets a step last."""
+        rates = self.traffic.rates()
+        early = sum(
+            rate * max(0.0, full_s - max(elapsed_s, self._early_s(name)))
+            for name, rate in rates.items()
+            if not self._steps(name)
+        )
+        left = max(0.0, left - min(EARLY_PART * max(0.0, left), early))
+        return min(
+            MAX_STEP_PART * self.order.duration_s,
+            STEP_PART * left / step_rate if step_rate else 0.0,
+        )
+
     def _hold(self, elapsed_s: float) -> RolloutDecision | None:
         """End the step of another holder; else nothing changes."""
         present = self.shares
--- a/tests/rolloutload.py
+++ b/tests/rolloutload.py
@@ -13,9 +13,9 @@
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import RolloutPlan
 from magnoliaflow.policy.rollouts import RolloutStage
-from magnoliaflow.policy.rolloutverdict import class_end_s
-from magnoliaflow.policy.rolloutverdict import LATENCY_CLASSES
-from magnoliaflow.policy.rolloutverdict import VersionTally
+from magnoliaflow.policy.rollouttallies import class_end_s
+from magnoliaflow.policy.rollouttallies import LATENCY_CLASSES
+from magnoliaflow.policy.rollouttallies import VersionTally
 
 TICK_S = 0.1
 PERIOD = 10
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -12,7 +12,8 @@
 from rolloutload import Load
 from rolloutload import play
 
-from magnoliaflow.policy.rollouts import HOLD_S
+from magnoliaflow.policy.likelihoods import tail
+from magnoliaflow.policy.rolloutdecisions import HOLD_S
 from magnoliaflow.policy.rollouts import NEWS_LIMIT_S
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
@@ -20,10 +21,9 @@
 from magnoliaflow.policy.rollouts import RolloutStage
 from magnoliaflow.policy.rollouts import sends_to_target
 from magnoliaflow.policy.rollouts import share_in_force
-from magnoliaflow.policy.rolloutverdict import latency_class
-from magnoliaflow.policy.rolloutverdict import LATENCY_CLASSES
-from magnoliaflow.policy.rolloutverdict import tail
-from magnoliaflow.policy.rolloutverdict import VersionTally
+from magnoliaflow.policy.rollouttallies import latency_class
+from magnoliaflow.policy.rollouttallies import LATENCY_CLASSES
+from magnoliaflow.policy.rollouttallies import VersionTally
 
 STREAMS = Load((136.0, 149.0, 32.0), ((0.4, 0.6), (0.4, 0.6), (1.5, 3.0)))
 COUNTER = Load((79.0, 32.0), ((0.02, 0.03), (0.02, 0.03)))
