--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -358,8 +358,9 @@
 
     def _budget(self, elapsed_s: float, news_age_s: float) -> float:
         """Return how many requests the target may get until the limit."""
+        # The hosts' reports are between new and as old as the oldest.
         expected = self.traffic.expected(
-            elapsed_s - news_age_s, self.order.duration_s
+            elapsed_s - news_age_s / 2, self.order.duration_s
         )
         return BUDGET_PART * (
             self.limits.exposure_share * expected
