--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -46,6 +46,8 @@
 SUSPICION = 8.0
 DOUBT = 2.5
 CLOSING = 30.0
+# Beside a doubt, this chance by the exact test over all strata is a suspicion.
+SUSPICION_CHANCE = 1e-4
 # A version gets nothing later than the time of a rollback after this many bad
 # answers; it goes back at a part of them, if the old one is better.
 BAD_ANSWERS = 50
@@ -140,8 +142,15 @@
     @property
     def suspected(self) -> bool:
         """Tell whether the target is not to be completed for now."""
-        return bool(self._unpaired(UNPAIRED_SUSPICION)) or self._evident(
-            SUSPICION
+        return (
+            bool(self._unpaired(UNPAIRED_SUSPICION))
+            or self._evident(SUSPICION)
+            or self._evident(DOUBT)
+            and any(
+                counts.chance() <= SUSPICION_CHANCE
+                for (scope, kind), counts in self.sums.items()
+                if self._exceeds(scope, kind)
+            )
         )
 
     @property
