--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -441,7 +441,7 @@
                 elapsed_s, RolloutStage.FULL, {}, "as good as the old one"
             )
         over = elapsed_s >= self.order.duration_s and spent
-        if self.verdict.suspected and (late or over):
+        if self.verdict.closing and (late or over):
             return self._roll_back(
                 elapsed_s, "under suspicion after the time limit"
             )
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -46,8 +46,9 @@
 SUSPICION = 8.0
 DOUBT = 2.5
 CLOSING = 30.0
-# Beside a doubt, this chance by the exact test over all strata is a suspicion.
-SUSPICION_CHANCE = 1e-4
+# Beside a doubt, these chances by the exact test over all strata do the same.
+SUSPICION_CHANCE = 1e-3
+CLOSING_CHANCE = 1e-4
 # A version gets nothing later than the time of a rollback after this many bad
 # answers; it goes back at a part of them, if the old one is better.
 BAD_ANSWERS = 50
@@ -145,12 +146,14 @@
         return (
             bool(self._unpaired(UNPAIRED_SUSPICION))
             or self._evident(SUSPICION)
-            or self._evident(DOUBT)
-            and any(
-                counts.chance() <= SUSPICION_CHANCE
-                for (scope, kind), counts in self.sums.items()
-                if self._exceeds(scope, kind)
-            )
+            or self._unlikely(SUSPICION_CHANCE)
+        )
+
+    def _unlikely(self, chance: float) -> bool:
+        return self._evident(DOUBT) and any(
+            counts.chance() <= chance
+            for (scope, kind), counts in self.sums.items()
+            if self._exceeds(scope, kind)
         )
 
     @property
@@ -163,7 +166,11 @@
     @property
     def closing(self) -> bool:
         """Tell whether the target goes back if no more answers come."""
-        return bool(self._unpaired(UNPAIRED_CLOSING)) or self._evident(CLOSING)
+        return (
+            bool(self._unpaired(UNPAIRED_CLOSING))
+            or self._evident(CLOSING)
+            or self._unlikely(CLOSING_CHANCE)
+        )
 
     def _evident(self, ratio: float) -> bool:
         return self.evidence > log(ratio) and any(
