--- a/src/magnoliaflow/cluster/rolloutsteps.py
+++ b/src/magnoliaflow/cluster/rolloutsteps.py
@@ -5,6 +5,7 @@
 from magnoliaflow.cluster.positions import era_of
 from magnoliaflow.common.messages import RolloutTally
 from magnoliaflow.common.records import RolloutStep
+from magnoliaflow.policy.rollouts import LATENCY_CLASSES
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import RolloutStage
@@ -41,7 +42,7 @@
                 row.finished,
                 row.failed,
                 row.running if is_live else 0,
-                list(row.latencies),
+                list(row.latencies[:LATENCY_CLASSES]),
             )
         )
 
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -1,5 +1,6 @@
 """The duty of roll-outs over a store in memory: decisions, status, faults."""
 
+from dataclasses import replace
 from json import loads
 from logging import getLogger
 from random import Random
@@ -377,6 +378,17 @@
     assert sides(registered, 1.0) == expected
 
 
+def test_the_end_of_an_order_stays():
+    """Guards against a holder that lacks the end of an order."""
+    book = RolloutBook()
+    book.observe(decide(RolloutStage.ROLLED_BACK, 4), 1, 1.0, 1.0)
+    assert not book.observe(decide(RolloutStage.FULL, 9), 8, 2.0, 2.0)
+    assert book.decisions["app"].decision.stage is RolloutStage.ROLLED_BACK
+    later = replace(decide(RolloutStage.CANARY), order=6)
+    assert book.observe(later, 1, 2.0, 2.0)
+    assert not book.observe(decide(RolloutStage.ROLLED_BACK, 9), 9, 3.0, 3.0)
+
+
 def test_a_replacement_without_an_order_is_served():
     """Guards against idle engines of a version that nobody ordered."""
     book = RolloutBook()
