--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -30,7 +30,7 @@
 from magnoliaflow.common.records import UsageReport
 from magnoliaflow.entry.followers import record_store_failure
 from magnoliaflow.entry.followers import record_store_success
-from magnoliaflow.entry.rolloutnews import apply_logged_step
+from magnoliaflow.entry.rolloutentries import apply_logged_step
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.platform.cloud import CloudClient
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -22,7 +22,7 @@
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.common.messages import EngineEntry
-from magnoliaflow.entry.rolloutnews import take_order_entry
+from magnoliaflow.entry.rolloutentries import take_order_entry
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -1,4 +1,4 @@
-"""What hosts tell each other of roll-outs, and read of them in the store.
+"""What hosts tell each other of roll-outs.
 
 Counts go up, decisions come down: between all hosts and the lease holder in a
 small deployment, by the publishers of the groups in a large one.  Decisions
@@ -9,24 +9,19 @@
 
 from magnoliaflow.cluster.leasemanager import host_of
 from magnoliaflow.cluster.peers import PeerLinks
-from magnoliaflow.cluster.positions import make_position
 from magnoliaflow.cluster.rollouts import HostCounts
 from magnoliaflow.cluster.rolloutsteps import add_rows
-from magnoliaflow.cluster.rolloutsteps import decision_of
 from magnoliaflow.cluster.rolloutsteps import make_step
 from magnoliaflow.cluster.rolloutsteps import tally_rows
 from magnoliaflow.common.clocks import boot_time
-from magnoliaflow.common.errors import PortError
-from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.common.messages import RolloutCounts
 from magnoliaflow.common.messages import RolloutNews
 from magnoliaflow.common.records import RolloutStep
+from magnoliaflow.entry.rolloutentries import apply_step
+from magnoliaflow.entry.rolloutentries import learn_order
 from magnoliaflow.entry.state import EntryState
-from magnoliaflow.platform.rollouts import decode_order
-from magnoliaflow.platform.rollouts import service_of
-from magnoliaflow.platform.store import Entry
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import share_in_force
 from magnoliaflow.policy.rollouts import Tallies
@@ -39,11 +34,6 @@
 # Counts that are older may be of a host that has ended.
 FRESH_S = 2.0
 UNKNOWN_AGE_S = 1e6
-# Services with an order, whose decisions go to all hosts.
-MAX_ORDERS = 256
-# Longest time for which a decision on the log is taken as older than its
-# reader's clock shows.
-MAX_LOGGED_AGE_S = 3600.0
 
 
 class RolloutSender:
@@ -236,12 +226,18 @@
 def fresh_members(
     state: EntryState, now: float
 ) -> list[tuple[HostCounts, bool]]:
-    """Return the counts of the own group's hosts, and which are of late."""
+    """Return the counts of the own group's hosts, and which are of late.
+
+    The lease holder's are left out: it adds its own.
+    """
     view = state.view
+    holder = host_of(state.lease_manager.holder_identity())
     return [
         (row, now - row.received_at < FRESH_S)
         for name, row in state.rollouts.counts.items()
-        if not row.group and view.group_of(name) == view.group
+        if not row.group
+        and view.group_of(name) == view.group
+        and name != holder
     ]
 
 
@@ -280,89 +276,6 @@
         apply_step(state, step, made_after - age)
 
 
-def apply_step(
-    state: EntryState, step: RolloutStep, confirmed_at: float
-) -> None:
-    """Take in a decision, confirmed as the newest at a time."""
-    now = boot_time()
-    decision = decision_of(step)
-    if decision is None:
-        state.log(
-            LogEvent.RECORD_UNREADABLE,
-            reason=f"roll-out of {step.backend[:64]!r}: stage {step.stage}",
-        )
-        return
-    if state.rollouts.observe(decision, step.fence, confirmed_at, now):
-        state.log(
-            LogEvent.ROLLOUT_APPLIED,
-            service=decision.service,
-            to=decision.target,
-            stage=decision.stage.name,
-            number=decision.number,
-            shares=dict(decision.shares),
-            order=decision.order,
-            fence=step.fence,
-            reason=decision.reason,
-        )
-
-
-def apply_logged_step(state: EntryState, step: RolloutStep, era: int) -> None:
-    """Take in a decision that is on the log of the duties."""
-    if not state.host_settings.judges_rollouts:
-        return
-    now = boot_time()
-    apply_step(state, step, -inf)
-    decision = decision_of(step)
-    if decision is None:
-        return
-    state.rollouts.logged[step.backend] = (era, decision)
-    age = min(
-        MAX_LOGGED_AGE_S, max(0.0, state.true_time(now) - step.written_at)
-    )
-    state.rollouts.date_order(decision, now - age - step.elapsed)
-
-
-def take_order_entry(
-    state: EntryState, entry: Entry, era: int, *, is_new: bool
-) -> None:
-    """Take in an entry beside the configuration if it orders a roll-out."""
-    service = service_of(entry.key)
-    if not service or not state.host_settings.judges_rollouts:
-        return
-    position = make_position(era, entry.offset)
-    orders = state.rollouts.orders
-    if entry.value is None:
-        state.rollouts.withdraw_order(service, position)
-        return
-    if service not in orders and len(orders) >= MAX_ORDERS:
-        state.log(
-            LogEvent.RECORD_UNREADABLE,
-            reason=f"more than {MAX_ORDERS} services with roll-outs",
-        )
-        return
-    try:
-        order = decode_order(entry.key, entry.value, position)
-    except PortError as exc:
-        state.log(LogEvent.RECORD_UNREADABLE, reason=str(exc)[:200])
-        return
-    learn_order(state, order, boot_time(), is_new=is_new)
-
-
-def learn_order(
-    state: EntryState, order: RolloutOrder, ordered_at: float, *, is_new: bool
-) -> None:
-    """Take in an order and log it once."""
-    if state.rollouts.learn_order(order, ordered_at, is_new=is_new):
-        state.log(
-            LogEvent.ROLLOUT_ORDERED,
-            service=order.service,
-            to=order.target,
-            duration_s=order.duration_s,
-            order=order.position,
-            is_new=is_new,
-        )
-
-
 def rollout_details(state: EntryState) -> list[dict[str, object]]:
     """Return what this host has of roll-outs, for ``explain``."""
     now = boot_time()
