--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -165,9 +165,12 @@
         self.serving = serving
         self.lag_s = 0.0
         self.in_force = previous is not None
-        # Whether the step to most of the traffic has begun, and its end.
-        self.stepped = bool(
-            previous is not None and previous.stage >= RolloutStage.RAMP
+        # Whether the step to most of the traffic has begun, and its end; the
+        # step of another holder that did not end it is taken again.
+        self.stepped = (
+            previous is not None
+            and previous.stage >= RolloutStage.RAMP
+            and STEP_SHARE not in dict(previous.shares).values()
         )
         self.step_end_s = elapsed_s
         self.answers_s: dict[str, float] = {}
