--- a/src/magnoliaflow/policy/rolloutevidence.py
+++ b/src/magnoliaflow/policy/rolloutevidence.py
@@ -32,7 +32,7 @@
 UNPAIRED_CLOSING = 1e-4
 MIN_UNPAIRED_EXCESS = {"failed": 0.1, "slow": 0.3}
 MIN_CONTROL = 20
-# More answers are wanted while fewer of a route's requests are answered than
+# More answers are needed while fewer of a route's requests are answered than
 # by the old version, by this factor, of as many at least.
 ANSWERED_RATIO = 0.5
 MIN_ANSWERED = 5
--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -154,6 +154,9 @@
         previous: RolloutDecision | None,
         serving: bool = False,
     ) -> None:
+        if previous is not None and previous.order != order.position:
+            # A later order of the service replaces an earlier one.
+            previous = None
         self.order = order
         self.limits = limits
         self.targets_s = targets_s
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -31,7 +31,11 @@
 from magnoliaflow.policy.rolloutevidence import UNPAIRED_CHANCE
 from magnoliaflow.policy.rolloutevidence import UNPAIRED_CLOSING
 from magnoliaflow.policy.rolloutevidence import UNPAIRED_SUSPICION
+from magnoliaflow.policy.rollouttallies import latency_class
 from magnoliaflow.policy.rollouttallies import Tallies
+from magnoliaflow.policy.rollouttallies import VersionTally
+
+__all__ = ["RolloutVerdict", "Tallies", "VersionTally", "latency_class"]
 
 # Chance that a version as good as the old one is rolled back by the test.
 ERROR_CHANCE = 0.003
@@ -158,7 +162,7 @@
 
     @property
     def doubted(self) -> bool:
-        """Tell whether more answers are wanted if there is time."""
+        """Tell whether more answers are needed if there is time."""
         return self._evident(DOUBT) or any(
             not evidence.answered() for evidence in self.routes.values()
         )
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -175,6 +175,12 @@
     assert step(plan, 2.5, tallies).stage == RolloutStage.COMPLETED
 
 
+def test_later_order_starts_anew():
+    earlier = replace(make_decision(RolloutStage.FULL), order=6)
+    decision = step(make_plan(earlier), 0.0)
+    assert (decision.stage, decision.number) == (RolloutStage.CANARY, 1)
+
+
 def test_withdrawn_order_goes_back_once():
     plan = make_plan()
     step(plan, 0.0)
