--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -2,7 +2,7 @@
 
 Counts go up, decisions come down: between all hosts and the lease holder in a
 small deployment, by the publishers of the groups in a large one.  Decisions
-name the last counts received from their receiver, who so knows their age.
+name the last counts received from their receiver, which bounds their age.
 """
 
 from math import inf
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -158,7 +158,7 @@
     def _ended_elsewhere(
         self, known: KnownOrder, decision: RolloutDecision | None
     ) -> RolloutDecision | None:
-        """Return the end of an order that hosts have and the log lacks."""
+        """Return the end of an order that is at hosts but not on the log."""
         order = known.order
         for row in self.state.rollouts.counts.values():
             count = row.counts.get(order.service)
@@ -362,7 +362,7 @@
 
 
 def _first(known: KnownOrder) -> RolloutDecision:
-    """Return what stands for an order without a decision."""
+    """Return the base of the first decision on an order."""
     order = known.order
     return RolloutDecision(
         *(order.service, order.target, order.position, 0),
--- a/src/magnoliaflow/entry/rolloutstatus.py
+++ b/src/magnoliaflow/entry/rolloutstatus.py
@@ -47,7 +47,7 @@
         self.written: dict[str, Status] = {}
 
     def tick(self, now: float, era: int, *, settled_at: float) -> None:
-        """Write one status that the store lacks as far as is known.
+        """Write one status that the store has not confirmed yet.
 
         The caller holds the lease.
         """
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -386,7 +386,7 @@
 
 
 def test_the_end_of_an_order_stays():
-    """Guards against a holder that lacks the end of an order."""
+    """Guards against a holder that has not read the end of an order."""
     book = RolloutBook()
     book.observe(decide(RolloutStage.ROLLED_BACK, 4), 1, 1.0, 1.0)
     assert not book.observe(decide(RolloutStage.FULL, 9), 8, 2.0, 2.0)
