--- a/src/magnoliaflow/cluster/hostsettings.py
+++ b/src/magnoliaflow/cluster/hostsettings.py
@@ -12,7 +12,10 @@
 
     ``first_start`` tells whether the whole deployment starts for the first
     time.  ``memory_mb`` and ``descriptors`` are 0 if they are not stated; the
-    shares of them are what is for callers.
+    shares of them are what is for callers.  ``judges_rollouts``: this
+    deployment moves traffic to a new version when it is ordered;
+    ``exposure_share``, ``exposure_tolerance`` (requests) and ``rollback_s``
+    bound what a bad version gets.
     """
 
     host: str
@@ -47,3 +50,7 @@
     descriptors: float = 0.0
     caller_memory_share: float = CALLER_MEMORY_SHARE
     caller_descriptor_share: float = CALLER_DESCRIPTOR_SHARE
+    judges_rollouts: bool = False
+    exposure_share: float = 0.1
+    exposure_tolerance: float = 50.0
+    rollback_s: float = 5.0
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -67,6 +67,10 @@
     REQUEST_RELEASED = 645
     SPEEDS_LEARNED = 646
     ENGINES_PLANNED = 647
+    ROLLOUT_ORDERED = 650
+    ROLLOUT_DECIDED = 651
+    ROLLOUT_APPLIED = 652
+    ROLLOUT_STATUS_WRITTEN = 653
 
 
 EXPLANATIONS = {
@@ -123,6 +127,10 @@
     LogEvent.REQUEST_RELEASED: "A request is no longer held back.",
     LogEvent.SPEEDS_LEARNED: "Prefill rates learned of a service's engines.",
     LogEvent.ENGINES_PLANNED: "A plan of engines, and the load that came.",
+    LogEvent.ROLLOUT_ORDERED: "An order to move a service was read.",
+    LogEvent.ROLLOUT_DECIDED: "A share or an end was decided; with inputs.",
+    LogEvent.ROLLOUT_APPLIED: "A decision on a roll-out took hold here.",
+    LogEvent.ROLLOUT_STATUS_WRITTEN: "A roll-out's status was written.",
 }
 
 
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -32,6 +32,7 @@
 from magnoliaflow.entry.findings import hold_retry_after
 from magnoliaflow.entry.limits import next_send_at
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.versions import find_sides
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import json_answer_headers
 from magnoliaflow.policy.crashes import Hold
@@ -257,11 +258,8 @@
         )
 
     def _serves_model(self) -> bool:
-        service = (
-            self.route_table.services.get(self.service)
-            if self.route_table
-            else None
-        )
+        table = self.route_table
+        service = table.services.get(self.service) if table else None
         return service is not None and service.model
 
     def _routing_request(self, left_s: float) -> RoutingRequest:
@@ -278,6 +276,7 @@
             target_s=self.route.target_s,
             avoid=frozenset(self.tried_engines),
             sizes=tuple(tokens for _, tokens in parts),
+            sides=find_sides(self),
         )
 
     def _wait_for_engine(self, now: float) -> None:
--- a/src/magnoliaflow/entry/orders.py
+++ b/src/magnoliaflow/entry/orders.py
@@ -126,6 +126,10 @@
             self.orders.clear()
             self.spot_totals.clear()
         for service in scaled:
+            if self.state.rollouts.has_two_versions(service.name, now):
+                # Engines that stop at its end are no loss.
+                for (name, _, _), order in self.orders.items():
+                    order.fulfilled &= name != service.name
             self._plan(service, now)
 
     def _record_registrations(self, now: float) -> None:
@@ -330,6 +334,9 @@
             uncertain = self._engines_uncertain(now)
             if not spot and count <= registered and uncertain:
                 continue
+            doubled = self.state.rollouts.has_two_versions(service.name, now)
+            if count <= registered and doubled:
+                continue
             if order is not None:
                 if order.pending or now < order.retry_at:
                     continue
--- a/src/magnoliaflow/platform/nodefile.py
+++ b/src/magnoliaflow/platform/nodefile.py
@@ -120,6 +120,10 @@
         caller_descriptor_share=get(
             "callers.descriptorShare", float, CALLER_DESCRIPTOR_SHARE
         ),
+        judges_rollouts="rollout" in values.get("contracts", "").split(","),
+        exposure_share=get("bounds.exposureShare", float, 0.1),
+        exposure_tolerance=get("bounds.exposureTolerance", float, 50),
+        rollback_s=get("bounds.rollbackTimeoutMs", float, 5000) / MS,
     )
     if faults:
         raise SettingsError("; ".join(faults))
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype306, _size303) = iprot.readListBegin()
-                    for _i307 in range(_size303):
-                        _elem308 = PeerMessage()
-                        _elem308.read(iprot)
-                        self.messages.append(_elem308)
+                    (_etype355, _size352) = iprot.readListBegin()
+                    for _i356 in range(_size352):
+                        _elem357 = PeerMessage()
+                        _elem357.read(iprot)
+                        self.messages.append(_elem357)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter309 in self.messages:
-                iter309.write(oprot)
+            for iter358 in self.messages:
+                iter358.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -4,6 +4,7 @@
 """
 
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPConnection
 from itertools import count
 from json import dumps
@@ -22,6 +23,7 @@
 ROOT = Path(__file__).parent.parent
 HOST = "desk.example"
 WAIT_S = 15.0
+MAX_CLOSERS = 16
 # Unix millisecond at which the first run of an engine has started.
 FIRST_BORN = 7
 REQUEST_NUMBERS = count(1)
@@ -123,7 +125,7 @@
             self.add_engine(name, service)
         self.store.put("keyed.op", "config", make_config(1))
 
-    def add_engine(self, name, service):
+    def add_engine(self, name, service, **overrides):
         """Start an engine, or stop its former run, and register it."""
         if name in self.engines:
             self.engines[name].close()
@@ -132,7 +134,7 @@
             name, service, born=FIRST_BORN + engine.ends
         )
         self.engines[name] = engine
-        self.register(name, service)
+        self.register(name, service, **overrides)
 
     def register(self, name, service, **overrides):
         """Write an engine's record to the store, as its heartbeat does."""
@@ -215,8 +217,9 @@
         for process in self.launched:
             process.kill()
             process.wait()
-        for engine in self.engines.values():
-            engine.close()
+        # Each close waits for its server's next poll.
+        with ThreadPoolExecutor(MAX_CLOSERS) as pool:
+            list(pool.map(BatchEngine.close, self.engines.values()))
         self.store.close()
 
     def executed_ids(self):
