Report usage with the counts of all hosts

A process that started after a window began never reported it. One aggregator had copies of the counts of hosts that ended, up to 1.6 s old. Change: counts name the time up to which they are complete and go to a new holder at once; a report waits for incomplete ones for three quarters of the allowed delay, up to 0.9 after a change of the holder (policy/usage.py).

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -146,7 +146,7 @@
 struct Report {
   1: HostFact fact, 2: i64 number, 3: LoadSums loads, 4: Progress progress,
   5: list<LeaseFact> leases, 6: double true_time, 7: bool wants_view,
-  8: string heard, 9: i64 heard_number
+  8: string heard, 9: i64 heard_number, 10: optional list<UsageCount> usage
 }
 struct Digest {
   1: string group, 2: string publisher, 3: i64 number, 4: i64 roster,
@@ -163,7 +163,7 @@
   4: list<EngineEntry> entries, 5: binary document
 }
 struct UsageCounts {
-  1: string identity, 2: list<UsageCount> usage
+  1: string identity, 2: list<UsageCount> usage, 3: optional double until
 }
 struct EndedEngine {
   1: string engine, 2: string backend, 3: double age
--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -206,6 +206,19 @@
             if self.is_live(host, now)
         ]
 
+    def counting_identities(self, now: float) -> list[str]:
+        """Return the other processes that may have usage counts to send.
+
+        Those that were silent for long are among them, unless they said
+        before that they were about to end.
+        """
+        return [
+            known.fact.identity
+            for known in self.hosts.values()
+            if not known.fact.leaving
+            or now - known.heard_at < DIGEST_TIMEOUT_S
+        ]
+
     def refresh(self, now: float) -> None:
         """Derive the groups and the order of their aggregators."""
         for host, known in list(self.hosts.items()):
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -360,7 +360,8 @@
     ``number`` counts the reports of a process.  ``leases`` is empty unless
     the sender holds the lease.  ``wants_view`` asks for a view in return.
     ``heard`` and ``heard_number`` are the publisher and the number of the
-    last digest of its group that the sender received.
+    last digest of its group that the sender received.  ``usage`` are its
+    counts that changed since its last report.
     """
 
     fact: HostFact
@@ -372,6 +373,7 @@
     wants_view: bool
     heard: str
     heard_number: int
+    usage: tuple[UsageCount, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -434,10 +436,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageCounts:
-    """Usage counts of one process, for the lease holder."""
+    """Usage counts of one process, for the lease holder.
+
+    They are complete up to the true time ``until``, as far as the sender
+    knows; earlier versions send 0.
+    """
 
     identity: str
     usage: tuple[UsageCount, ...]
+    until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -39,7 +39,6 @@
 from magnoliaflow.entry.directory import answer_readiness
 from magnoliaflow.entry.drain import Drain
 from magnoliaflow.entry.duties import DutyLog
-from magnoliaflow.entry.duties import UsageDuty
 from magnoliaflow.entry.findings import FindingsSender
 from magnoliaflow.entry.findings import hold_details
 from magnoliaflow.entry.findings import holds_request
@@ -57,6 +56,8 @@
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.storeera import store_details
 from magnoliaflow.entry.systems import ENTRY_SYSTEMS
+from magnoliaflow.entry.usagecounts import UsageSender
+from magnoliaflow.entry.usageduty import UsageDuty
 from magnoliaflow.platform.cloud import CloudClient
 from magnoliaflow.platform.headers import json_answer_headers
 from magnoliaflow.platform.nodefile import PATH_VARIABLE
@@ -123,6 +124,7 @@
         links = PeerLinks(identity, on_failure=self.on_link_failure)
         self.heartbeat_sender = HeartbeatSender(self.state, links)
         self.report_sender = ReportSender(self.state, links)
+        self.usage_sender = UsageSender(self.state, links)
         self.findings_sender = FindingsSender(self.state, links)
         self.duty_log = DutyLog(self.state, self.store)
         self.usage_duty = UsageDuty(self.state, self.duty_log, self.cloud)
@@ -267,6 +269,7 @@
             self.server_limits.idle_timeout_s = limits.idle_timeout_s
         self._run("heartbeats", self.heartbeat_sender.tick, now)
         self._run("reports", self.report_sender.tick, now)
+        self._run("usage counts", self.usage_sender.tick, now)
         self._run("findings", self.findings_sender.tick, now)
         self._run("registration", self._register, now)
         self._run("discovery", self._discover_peers, now)
@@ -401,7 +404,7 @@
         self.heartbeat_sender.send_round(now)
         if self.state.uses_groups():
             self.report_sender.send_round(now)
-            self.report_sender.send_usage(now)
+            self.usage_sender.send(now)
 
 
 def run_entry(path: Path | None = None, metrics_port: int = 0) -> None:
--- a/src/magnoliaflow/entry/duties.py
+++ b/src/magnoliaflow/entry/duties.py
@@ -1,4 +1,4 @@
-"""The duty lease and the usage reports of its holder.
+"""The log of the duty lease and of the usage reports of its holder.
 
 Lease records and the usage counts of each window are kept in one log.  An
 append succeeds only at the offset up to which its writer has read.  So the
@@ -22,7 +22,6 @@
 from magnoliaflow.common.errors import TrimmedError
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.lifecycle import Phase
-from magnoliaflow.common.records import AccountCount
 from magnoliaflow.common.records import LeaseClaim
 from magnoliaflow.common.records import LeaseRenew
 from magnoliaflow.common.records import Record
@@ -31,14 +30,10 @@
 from magnoliaflow.entry.followers import record_store_success
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.storeera import observe_store_era
-from magnoliaflow.platform.cloud import CloudClient
 from magnoliaflow.platform.store import ConflictError
 from magnoliaflow.platform.store import DUTY_TOPIC
 from magnoliaflow.platform.store import StoreClient
 
-# Share of the allowed delay that a usage report waits after the end of its
-# window, so that heartbeats of all hosts arrive, even over a new connection.
-REPORT_DELAY_SHARE = 0.4
 # Retry delay after a failed call to the store: a few of its usual response
 # times.
 STORE_RETRY_DELAY_S = 0.3
@@ -50,15 +45,10 @@
 # aggregators claim only if every aggregator fails to.
 AGGREGATOR_RENEWAL_CHECK_SHARE = 1.0
 MEMBER_RENEWAL_CHECK_SHARE = 2.0
-# Retry delay after a failed usage report; several fit into the allowed delay.
-REPORT_RETRY_DELAY_S = 0.5
 # Candidates delay their claims by a random part of this time, scaled by the
 # number of peers up to FULL_JITTER_HOSTS.
 MAX_CLAIM_JITTER_S = 0.4
 FULL_JITTER_HOSTS = 16
-# Number of past windows to report: a window that was due two lease holders
-# ago is too late.
-KEPT_WINDOWS = 5
 
 
 class DutyLog:
@@ -74,6 +64,7 @@
         "retry_at",
         "next_offset",
         "ledger",
+        "held_since",
         "holds_lease",
         "last_read_at",
         "state",
@@ -89,6 +80,7 @@
         self.caught_up = False
         self.busy = False
         self.holds_lease = False
+        self.held_since = inf
         self.retry_at = -inf
         self.last_read_at = -inf
         self.claim_jitter = state.rng.random() * MAX_CLAIM_JITTER_S
@@ -161,6 +153,7 @@
         if holds_lease == self.holds_lease:
             return
         self.holds_lease = holds_lease
+        self.held_since = now if holds_lease else inf
         self.state.metrics.lease_held.set(int(holds_lease))
         event = LogEvent.LEASE_ACQUIRED if holds_lease else LogEvent.LEASE_LOST
         self.state.log(
@@ -250,151 +243,3 @@
         self.next_offset = offset + 1
         self._apply_record(offset, record, boot_time())
         return True
-
-
-class UsageDuty:
-    """Reports the usage of each window once."""
-
-    __slots__ = (
-        "busy",
-        "cloud",
-        "reported_windows",
-        "first_window",
-        "duty_log",
-        "retry_at",
-        "state",
-    )
-
-    def __init__(
-        self, state: EntryState, duty_log: DutyLog, cloud: CloudClient
-    ) -> None:
-        self.state = state
-        self.duty_log = duty_log
-        self.cloud = cloud
-        self.busy = False
-        self.retry_at = -inf
-        self.reported_windows: set[int] = set()
-        self.first_window = state.usage.window(state.true_time(boot_time()))
-
-    def tick(self, now: float) -> None:
-        """Report the oldest window that is due."""
-        usage = self.state.usage
-        ledger = self.duty_log.ledger
-        current = usage.window(self.state.true_time(now))
-        oldest = current - KEPT_WINDOWS
-        usage.forget_before(oldest)
-        ledger.forget_before(oldest)
-        self.reported_windows = {
-            window for window in self.reported_windows if window >= oldest
-        }
-        if self.busy or self.duty_log.busy or now < self.retry_at:
-            return
-        if (
-            not self.state.lease_manager.holds(now)
-            or not self.duty_log.caught_up
-        ):
-            return
-        lost = ledger.missing()
-        if lost:
-            self._start(self._write_again(*lost[0]))
-            return
-        for window in range(max(self.first_window, oldest), current):
-            due_at = self._due_at(window)
-            if window in self.reported_windows or (
-                self.state.true_time(now) < due_at
-            ):
-                continue
-            if ledger.counts(window) is None and ledger.may_be_lost(due_at):
-                self._leave_out(window)
-                continue
-            self._start(self._report(window))
-            return
-
-    def _due_at(self, window: int) -> float:
-        """Return the true time at which to report a window."""
-        host_settings = self.state.host_settings
-        end = (window + 1) * host_settings.usage_window_s
-        return end + host_settings.usage_delay_s * REPORT_DELAY_SHARE
-
-    def _leave_out(self, window: int) -> None:
-        """Report nothing for a window that may have been reported."""
-        self.reported_windows.add(window)
-        self.state.log(
-            LogEvent.USAGE_LEFT_OUT, window=window, era=self.duty_log.era
-        )
-
-    def _start(self, work: Any) -> None:
-        self.busy = True
-
-        def finished(result: Any) -> Any:
-            self.busy = False
-            return result
-
-        work.addBoth(finished)
-
-    @inlineCallbacks
-    def _write_again(self, window: int, counts: dict[str, int]) -> Any:
-        """Put counts on the log again that the store has lost."""
-        written = yield self._append_counts(window, counts)
-        if written:
-            self.state.log(
-                LogEvent.RECORD_WRITTEN_AGAIN,
-                record="usage",
-                window=window,
-                era=self.duty_log.era,
-            )
-
-    @inlineCallbacks
-    def _report(self, window: int) -> Any:
-        counts = self.duty_log.ledger.counts(window)
-        if counts is None:
-            counts = yield self._commit_counts(window)
-            if counts is None:
-                return
-        lease_manager = self.state.lease_manager
-        if not lease_manager.holds(boot_time()):
-            return
-        try:
-            yield self.cloud.report_usage(
-                window, counts, fence=lease_manager.fence + 1
-            )
-        except PortError as exc:
-            self.retry_at = boot_time() + REPORT_RETRY_DELAY_S
-            self.state.log(
-                LogEvent.DUTY_FAILED,
-                duty="usage",
-                window=window,
-                reason=str(exc),
-            )
-            return
-        self.reported_windows.add(window)
-        self.state.log(LogEvent.USAGE_REPORTED, window=window, counts=counts)
-
-    @inlineCallbacks
-    def _commit_counts(self, window: int) -> Any:
-        """Append a window's counts to the log and return the logged ones."""
-        counts = self.state.usage.totals(window)
-        appended = yield self._append_counts(window, counts)
-        return self.duty_log.ledger.counts(window) if appended else None
-
-    @inlineCallbacks
-    def _append_counts(self, window: int, counts: dict[str, int]) -> Any:
-        """Append the counts of a window; return whether it succeeded."""
-        record = Record(
-            f"usage-{self.state.identity}-{window}",
-            UsageReport(
-                self.state.lease_manager.fence,
-                window,
-                tuple(
-                    AccountCount(name, window, count)
-                    for name, count in sorted(counts.items())
-                ),
-                self.state.true_time(boot_time()),
-            ),
-        )
-        self.duty_log.busy = True
-        try:
-            appended = yield self.duty_log.append(record)
-        finally:
-            self.duty_log.busy = False
-        return appended
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -21,14 +21,12 @@
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import ServiceLoad
-from magnoliaflow.common.messages import UsageCount
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.common.messages import View
 from magnoliaflow.entry.capshares import update_cap_shares
 from magnoliaflow.entry.findings import handle_findings
 from magnoliaflow.entry.reports import handle_changes
 from magnoliaflow.entry.reports import handle_report
-from magnoliaflow.entry.reports import handle_usage_counts
 from magnoliaflow.entry.reports import handle_view
 from magnoliaflow.entry.reports import OTHERS
 from magnoliaflow.entry.state import DUTY_LEASE
@@ -38,6 +36,9 @@
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
+from magnoliaflow.entry.usagecounts import handle_usage_counts
+from magnoliaflow.entry.usagecounts import merge_usage
+from magnoliaflow.entry.usagecounts import usage_rows
 from magnoliaflow.platform.document import decode_document
 from magnoliaflow.policy.clockbounds import offset_bounds
 
@@ -240,10 +241,7 @@
             for name, rate in state.reported_demands.items()
             if rate > 0.01
         ),
-        usage=tuple(
-            UsageCount(account, window, count)
-            for window, account, count in usage
-        ),
+        usage=usage_rows(usage),
         engines=tuple(
             EngineLoad(engine.name, engine.local_running, engine.unread_tokens)
             for engine in state.routing.engines.values()
@@ -283,7 +281,6 @@
     Report: handle_report,
     View: handle_view,
     Changes: handle_changes,
-    UsageCounts: handle_usage_counts,
     Findings: handle_findings,
 }
 
@@ -295,6 +292,9 @@
     if isinstance(message, Beat):
         handle_heartbeat(state, message)
         return
+    if isinstance(message, UsageCounts):
+        handle_usage_counts(state, message, boot_time())
+        return
     handler = MESSAGE_HANDLERS.get(type(message))
     if handler is not None:
         handler(state, message)
@@ -317,10 +317,7 @@
         state.peer_addresses.setdefault(address, now)
     _apply_config(state, message, made_after)
     _apply_registrations(state, message, made_after)
-    for usage in message.usage:
-        state.usage.merge(
-            message.identity, usage.account, usage.window, usage.count
-        )
+    merge_usage(state, message.identity, message.usage)
     if message.lease_fence >= 0:
         state.lease_manager.lease_table.observe_holder(
             DUTY_LEASE,
--- a/src/magnoliaflow/entry/reports.py
+++ b/src/magnoliaflow/entry/reports.py
@@ -3,7 +3,8 @@
 Small deployments exchange heartbeats between all hosts instead (heartbeats).
 """
 
-from magnoliaflow.cluster.leasemanager import host_of
+from dataclasses import replace
+
 from magnoliaflow.cluster.peers import PeerLinks
 from magnoliaflow.cluster.positions import era_of
 from magnoliaflow.cluster.views import GroupView
@@ -18,8 +19,6 @@
 from magnoliaflow.common.messages import LeaseFact
 from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.messages import Report
-from magnoliaflow.common.messages import UsageCount
-from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.common.messages import View
 from magnoliaflow.entry.capshares import update_cap_shares
 from magnoliaflow.entry.state import DUTY_LEASE
@@ -27,12 +26,11 @@
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
+from magnoliaflow.entry.usagecounts import merge_usage
+from magnoliaflow.entry.usagecounts import usage_rows
 from magnoliaflow.platform.document import decode_document
 from magnoliaflow.policy.clockbounds import offset_bounds
 
-# Usage counts go to the lease holder at this interval, so that several fit
-# into the delay of a usage report.
-USAGE_INTERVAL_S = 1.6
 # Minimum interval of pushed changes: several registrations change at once.
 MIN_PUSH_INTERVAL_S = 0.2
 # Minimum interval of changes sent to one host, while its reports do not yet
@@ -56,7 +54,6 @@
         "last_pushed_version",
         "links",
         "next_round_at",
-        "next_usage_at",
         "sent_changes",
         "state",
     )
@@ -65,7 +62,6 @@
         self.state = state
         self.links = links
         self.next_round_at = 0.0
-        self.next_usage_at = 0.0
         self.last_push_at = 0.0
         self.last_pushed_offset = -1
         self.last_pushed_version = -1
@@ -85,9 +81,6 @@
         if now >= self.next_round_at:
             self.next_round_at = now + REPORT_INTERVAL_S
             self.send_round(now)
-        if now >= self.next_usage_at:
-            self.next_usage_at = now + USAGE_INTERVAL_S
-            self.send_usage(now)
 
     def _answer_requests(self, own_data: bytes | None, now: float) -> None:
         """Send views to the hosts that ask for one."""
@@ -238,49 +231,10 @@
             ),
         )
 
-    def send_usage(self, now: float) -> None:
-        """Send usage counts to the lease holder, and to the publisher.
-
-        The publisher keeps copies, so that the counts of a host that ended
-        survive a change of the lease holder.
-        """
-        state = self.state
-        view = state.view
-        holder = state.lease_manager.holder_identity()
-        hosts = {host_of(holder)} if holder else set()
-        hosts.update(view.aggregators(view.group)[:1])
-        live = {fact.identity for fact in view.live_hosts(now)}
-        identities = [state.identity]
-        if view.rank() == 0:
-            identities += [
-                identity
-                for identity in state.usage.identities()
-                if identity not in live and identity != state.identity
-            ]
-        for host in hosts:
-            known = view.hosts.get(host)
-            if known is None:
-                continue
-            for identity in identities:
-                self.links.send(
-                    known.fact.peer_address, usage_counts(state, identity)
-                )
-
-
-def usage_counts(state: EntryState, identity: str) -> UsageCounts:
-    """Return the usage counts of one process as far as they are known."""
-    return UsageCounts(
-        identity,
-        tuple(
-            UsageCount(account, window, count)
-            for window, account, count in state.usage.counts_for(identity)
-        ),
-    )
-
 
 def make_report(state: EntryState, now: float) -> Report:
     """Return this host's next report."""
-    return state.view.next_report(
+    report = state.view.next_report(
         state.own_fact(now),
         state.own_sums(now).loads(state.spent),
         own_progress(state, now),
@@ -288,6 +242,8 @@
         state.true_time(now),
         now,
     )
+    changed = state.usage.take_changed(state.identity)
+    return replace(report, usage=usage_rows(changed))
 
 
 def own_progress(state: EntryState, now: float) -> Progress:
@@ -337,6 +293,7 @@
     state.peer_addresses[report.fact.peer_address] = now
     _observe_leases(state, report.leases, now)
     _confirm(state, report.progress, made_after)
+    merge_usage(state, report.fact.identity, report.usage)
     if report.fact.host != state.host_settings.host:
         bounds = offset_bounds(report.true_time, made_after, now)
         state.clock_samples[report.fact.host] = (bounds, now)
@@ -386,14 +343,6 @@
     apply_config(state, route_table, changes.document)
 
 
-def handle_usage_counts(state: EntryState, message: UsageCounts) -> None:
-    """Merge the usage counts of another process."""
-    for usage in message.usage:
-        state.usage.merge(
-            message.identity, usage.account, usage.window, usage.count
-        )
-
-
 def apply_view(state: EntryState, now: float) -> None:
     """Apply the others' sums to the engines' loads."""
     sums = state.view.others(now)
--- a/src/magnoliaflow/policy/usage.py
+++ b/src/magnoliaflow/policy/usage.py
@@ -1,7 +1,26 @@
-"""Request counts by time window and client account."""
+"""Request counts by time window and client account.
 
+Answers what takes counts from a report: a holder of the duty that has just
+taken over and has not received the others' counts, hosts that are cut off or
+suspended when a window ends, and hosts that are killed.
+"""
+
+from collections.abc import Iterable
 from collections import defaultdict
 
+# Shares of the allowed delay after the end of a window: a report waits for the
+# first, so that counts of all hosts arrive, even over a new connection; up to
+# the second for processes whose counts are not complete; and up to the third
+# if the lease has just changed hands.
+MIN_DELAY_SHARE = 0.4
+PATIENCE_SHARE = 0.75
+MAX_DELAY_SHARE = 0.9
+# A new holder waits this long for counts: news of it passes three hops of
+# reports and views, and the counts come back.
+TAKEOVER_S = 2.0
+# Hosts that exchange heartbeats with the holder send counts within this time.
+MESH_TAKEOVER_S = 1.0
+
 # Number of windows to keep: reports are delayed by two windows, and a takeover
 # takes one.
 KEPT_WINDOWS = 6
@@ -11,13 +30,16 @@
     """Requests started, counted separately by each process incarnation.
 
     Counts only grow, so the largest count received from an incarnation is
-    its newest.
+    its newest.  ``until`` are the true times up to which counts that were
+    received are complete, by incarnation.
     """
 
-    __slots__ = ("counts", "window_s")
+    __slots__ = ("_changed", "counts", "until", "window_s")
 
     def __init__(self, *, window_s: float) -> None:
         self.window_s = window_s
+        self._changed: dict[tuple[int, str, str], int] = {}
+        self.until: dict[str, float] = {}
         self.counts: dict[int, dict[tuple[str, str], int]] = {}
 
     def window(self, at: float) -> int:
@@ -26,8 +48,12 @@
 
     def add(self, identity: str, account: str, at: float) -> None:
         """Count one request that started at a true time."""
-        counts = self.counts.setdefault(self.window(at), defaultdict(int))
+        window = self.window(at)
+        counts = self.counts.setdefault(window, defaultdict(int))
         counts[(identity, account)] += 1
+        self._changed[(window, identity, account)] = counts[
+            (identity, account)
+        ]
 
     def merge(
         self, identity: str, account: str, window: int, count: int
@@ -46,6 +72,25 @@
             if name == identity
         ]
 
+    def take_changed(self, identity: str) -> list[tuple[int, str, int]]:
+        """Return the rows added to since the last call."""
+        rows = [
+            (window, account, count)
+            for (window, name, account), count in self._changed.items()
+            if name == identity
+        ]
+        self._changed.clear()
+        return rows
+
+    def complete(self, identity: str, until: float) -> None:
+        """Record that an incarnation's counts are complete up to a time."""
+        self.until[identity] = max(until, self.until.get(identity, until))
+
+    def lacking(self, identities: Iterable[str], window: int) -> set[str]:
+        """Return the incarnations whose counts of a window may grow."""
+        end = (window + 1) * self.window_s
+        return {name for name in identities if self.until.get(name, 0.0) < end}
+
     def identities(self) -> set[str]:
         """Return the incarnations with a count in any window."""
         return {name for counts in self.counts.values() for name, _ in counts}
@@ -61,3 +106,26 @@
         """Drop the windows before the given one."""
         for old in [key for key in self.counts if key < window]:
             del self.counts[old]
+        self._changed = {
+            key: count
+            for key, count in self._changed.items()
+            if key[0] >= window
+        }
+        start = window * self.window_s
+        self.until = {
+            name: until for name, until in self.until.items() if until >= start
+        }
+
+
+def is_report_due(
+    now: float, end: float, delay_s: float, held_since: float, *, lacks: bool
+) -> bool:
+    """Return whether to report a window that ended at ``end``.
+
+    Times are true times.  ``held_since``: when the holder got the lease.
+    ``lacks``: counts of some process are not complete.
+    """
+    if now < end + delay_s * MIN_DELAY_SHARE:
+        return False
+    latest = max(end + delay_s * PATIENCE_SHARE, held_since + TAKEOVER_S)
+    return not lacks or now >= min(latest, end + delay_s * MAX_DELAY_SHARE)
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype285, _size282) = iprot.readListBegin()
-                    for _i286 in range(_size282):
-                        _elem287 = PeerMessage()
-                        _elem287.read(iprot)
-                        self.messages.append(_elem287)
+                    (_etype292, _size289) = iprot.readListBegin()
+                    for _i293 in range(_size289):
+                        _elem294 = PeerMessage()
+                        _elem294.read(iprot)
+                        self.messages.append(_elem294)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter288 in self.messages:
-                iter288.write(oprot)
+            for iter295 in self.messages:
+                iter295.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -5268,6 +5268,7 @@
      - wants_view
      - heard
      - heard_number
+     - usage
 
     """
 
@@ -5281,10 +5282,11 @@
         'wants_view',
         'heard',
         'heard_number',
+        'usage',
     )
 
 
-    def __init__(self, fact=None, number=None, loads=None, progress=None, leases=None, true_time=None, wants_view=None, heard=None, heard_number=None,):
+    def __init__(self, fact=None, number=None, loads=None, progress=None, leases=None, true_time=None, wants_view=None, heard=None, heard_number=None, usage=None,):
         self.fact = fact
         self.number = number
         self.loads = loads
@@ -5294,6 +5296,7 @@
         self.wants_view = wants_view
         self.heard = heard
         self.heard_number = heard_number
+        self.usage = usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5358,6 +5361,17 @@
                     self.heard_number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = UsageCount()
+                        _elem174.read(iprot)
+                        self.usage.append(_elem174)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5387,8 +5401,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter169 in self.leases:
-                iter169.write(oprot)
+            for iter175 in self.leases:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5407,6 +5421,13 @@
             oprot.writeFieldBegin('heard_number', TType.I64, 9)
             oprot.writeI64(self.heard_number)
             oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter176 in self.usage:
+                iter176.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5515,31 +5536,31 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = HostFact()
-                        _elem175.read(iprot)
-                        self.hosts.append(_elem175)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = HostFact()
+                        _elem182.read(iprot)
+                        self.hosts.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = iprot.readI64()
-                        self.numbers.append(_elem181)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = iprot.readI64()
+                        self.numbers.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = iprot.readDouble()
-                        self.ages.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = iprot.readDouble()
+                        self.ages.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5558,11 +5579,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = LeaseFact()
-                        _elem193.read(iprot)
-                        self.leases.append(_elem193)
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = LeaseFact()
+                        _elem200.read(iprot)
+                        self.leases.append(_elem200)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5574,20 +5595,20 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.heard = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.heard.append(_elem199)
+                    (_etype204, _size201) = iprot.readListBegin()
+                    for _i205 in range(_size201):
+                        _elem206 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem206)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.heard_numbers = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = iprot.readI64()
-                        self.heard_numbers.append(_elem205)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = iprot.readI64()
+                        self.heard_numbers.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5620,22 +5641,22 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter206 in self.hosts:
-                iter206.write(oprot)
+            for iter213 in self.hosts:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter207 in self.numbers:
-                oprot.writeI64(iter207)
+            for iter214 in self.numbers:
+                oprot.writeI64(iter214)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 7)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter208 in self.ages:
-                oprot.writeDouble(iter208)
+            for iter215 in self.ages:
+                oprot.writeDouble(iter215)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
@@ -5649,8 +5670,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter209 in self.leases:
-                iter209.write(oprot)
+            for iter216 in self.leases:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5660,15 +5681,15 @@
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter210 in self.heard:
-                oprot.writeString(iter210.encode('utf-8') if sys.version_info[0] == 2 else iter210)
+            for iter217 in self.heard:
+                oprot.writeString(iter217.encode('utf-8') if sys.version_info[0] == 2 else iter217)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_numbers is not None:
             oprot.writeFieldBegin('heard_numbers', TType.LIST, 13)
             oprot.writeListBegin(TType.I64, len(self.heard_numbers))
-            for iter211 in self.heard_numbers:
-                oprot.writeI64(iter211)
+            for iter218 in self.heard_numbers:
+                oprot.writeI64(iter218)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5737,31 +5758,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readBinary()
-                        self.digests.append(_elem217)
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = iprot.readBinary()
+                        self.digests.append(_elem224)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = iprot.readDouble()
-                        self.ages.append(_elem223)
+                    (_etype228, _size225) = iprot.readListBegin()
+                    for _i229 in range(_size225):
+                        _elem230 = iprot.readDouble()
+                        self.ages.append(_elem230)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = HostFact()
-                        _elem229.read(iprot)
-                        self.hosts.append(_elem229)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = HostFact()
+                        _elem236.read(iprot)
+                        self.hosts.append(_elem236)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5782,22 +5803,22 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter230 in self.digests:
-                oprot.writeBinary(iter230)
+            for iter237 in self.digests:
+                oprot.writeBinary(iter237)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 3)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter231 in self.ages:
-                oprot.writeDouble(iter231)
+            for iter238 in self.ages:
+                oprot.writeDouble(iter238)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter232 in self.hosts:
-                iter232.write(oprot)
+            for iter239 in self.hosts:
+                iter239.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5879,11 +5900,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype236, _size233) = iprot.readListBegin()
-                    for _i237 in range(_size233):
-                        _elem238 = EngineEntry()
-                        _elem238.read(iprot)
-                        self.entries.append(_elem238)
+                    (_etype243, _size240) = iprot.readListBegin()
+                    for _i244 in range(_size240):
+                        _elem245 = EngineEntry()
+                        _elem245.read(iprot)
+                        self.entries.append(_elem245)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5917,8 +5938,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter239 in self.entries:
-                iter239.write(oprot)
+            for iter246 in self.entries:
+                iter246.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -5955,18 +5976,21 @@
     Attributes:
      - identity
      - usage
+     - until
 
     """
 
     __slots__ = (
         'identity',
         'usage',
+        'until',
     )
 
 
-    def __init__(self, identity=None, usage=None,):
+    def __init__(self, identity=None, usage=None, until=None,):
         self.identity = identity
         self.usage = usage
+        self.until = until
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5985,14 +6009,19 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype243, _size240) = iprot.readListBegin()
-                    for _i244 in range(_size240):
-                        _elem245 = UsageCount()
-                        _elem245.read(iprot)
-                        self.usage.append(_elem245)
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = UsageCount()
+                        _elem252.read(iprot)
+                        self.usage.append(_elem252)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.until = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6010,10 +6039,14 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter246 in self.usage:
-                iter246.write(oprot)
+            for iter253 in self.usage:
+                iter253.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.until is not None:
+            oprot.writeFieldBegin('until', TType.DOUBLE, 3)
+            oprot.writeDouble(self.until)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6249,22 +6282,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = EndedEngine()
-                        _elem252.read(iprot)
-                        self.ends.append(_elem252)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = EndedEngine()
+                        _elem259.read(iprot)
+                        self.ends.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype256, _size253) = iprot.readListBegin()
-                    for _i257 in range(_size253):
-                        _elem258 = SoundAnswer()
-                        _elem258.read(iprot)
-                        self.sound.append(_elem258)
+                    (_etype263, _size260) = iprot.readListBegin()
+                    for _i264 in range(_size260):
+                        _elem265 = SoundAnswer()
+                        _elem265.read(iprot)
+                        self.sound.append(_elem265)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6285,15 +6318,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter259 in self.ends:
-                iter259.write(oprot)
+            for iter266 in self.ends:
+                iter266.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter260 in self.sound:
-                iter260.write(oprot)
+            for iter267 in self.sound:
+                iter267.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6454,33 +6487,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype264, _size261) = iprot.readListBegin()
-                    for _i265 in range(_size261):
-                        _elem266 = SuspectPart()
-                        _elem266.read(iprot)
-                        self.parts.append(_elem266)
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = SuspectPart()
+                        _elem273.read(iprot)
+                        self.parts.append(_elem273)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype270, _size267) = iprot.readListBegin()
-                    for _i271 in range(_size267):
-                        _elem272 = NamedLimit()
-                        _elem272.read(iprot)
-                        self.limits.append(_elem272)
+                    (_etype277, _size274) = iprot.readListBegin()
+                    for _i278 in range(_size274):
+                        _elem279 = NamedLimit()
+                        _elem279.read(iprot)
+                        self.limits.append(_elem279)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype276, _size273) = iprot.readListBegin()
-                    for _i277 in range(_size273):
-                        _elem278 = SuspectPart()
-                        _elem278.read(iprot)
-                        self.requests.append(_elem278)
+                    (_etype283, _size280) = iprot.readListBegin()
+                    for _i284 in range(_size280):
+                        _elem285 = SuspectPart()
+                        _elem285.read(iprot)
+                        self.requests.append(_elem285)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6501,22 +6534,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter279 in self.parts:
-                iter279.write(oprot)
+            for iter286 in self.parts:
+                iter286.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter280 in self.limits:
-                iter280.write(oprot)
+            for iter287 in self.limits:
+                iter287.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter281 in self.requests:
-                iter281.write(oprot)
+            for iter288 in self.requests:
+                iter288.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7262,6 +7295,7 @@
     (7, TType.BOOL, 'wants_view', None, None, ),  # 7
     (8, TType.STRING, 'heard', 'UTF8', None, ),  # 8
     (9, TType.I64, 'heard_number', None, None, ),  # 9
+    (10, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 10
 )
 all_structs.append(Digest)
 Digest.thrift_spec = (
@@ -7302,6 +7336,7 @@
     None,  # 0
     (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 2
+    (3, TType.DOUBLE, 'until', None, None, ),  # 3
 )
 all_structs.append(EndedEngine)
 EndedEngine.thrift_spec = (
