Count each request once, also if its answer is lost

Cause: a request counted for each engine that it ran on, and a stream that lost its answer before its first token not at all. Where no usage is reported counts were never forgotten. Change: a request counts with its first token, or when its answer is lost after it was sent, and once. Counts are forgotten as they are added.

--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -69,7 +69,6 @@
         "is_sound",
         "splitter",
         "uncached",
-        "usage_counted",
     )
 
     def __init__(self, handler: Any, engine: Engine, uncached: int) -> None:
@@ -87,7 +86,6 @@
         self.sent = False
         self.prompt_read = False
         self.ended = False
-        self.usage_counted = False
         self.event_count = 0
         self.is_sound = False
         self.first_event_at = 0.0
@@ -259,8 +257,6 @@
             self.engine.failures += TOLERATED_FAILURES
             self._fail(Failure.UNSENT, reason, engine_fault=True)
             return
-        if self.handler.route.kind is not RouteKind.STREAM:
-            self._count_usage(self.opened_at)
         record_broken_answer(self)
         self._fail(Failure.MAY_HAVE_RUN, reason, engine_fault=True)
 
@@ -276,6 +272,9 @@
     def _fail(
         self, failure: Failure, reason: str, *, engine_fault: bool = False
     ) -> None:
+        if failure is Failure.MAY_HAVE_RUN and not self.ended:
+            streams = self.handler.route.kind is RouteKind.STREAM
+            self._count_usage(boot_time() if streams else self.opened_at)
         self.abandon()
         if engine_fault:
             self._record_failure()
@@ -317,11 +316,18 @@
         self._count_usage(now)
 
     def _count_usage(self, at: float) -> None:
-        """Count the request in the usage window in which it began to run."""
-        if self.usage_counted:
+        """Count the request in the usage window in which it began to run.
+
+        It counts once, however many engines it runs on.
+        """
+        handler = self.handler
+        if handler.usage_counted or handler.account is None:
             return
-        self.usage_counted = True
-        self.handler.count_usage(at)
+        handler.usage_counted = True
+        state = handler.state
+        state.usage.add(
+            state.identity, handler.account.name, state.true_time(at)
+        )
 
     def _release_engine(self) -> None:
         """Stop counting the request in its engine's load."""
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -100,6 +100,7 @@
         "deadline_timer",
         "tried_engines",
         "unsent",
+        "usage_counted",
     )
 
     def __init__(self, state: EntryState, inbound: InboundRequest) -> None:
@@ -122,6 +123,7 @@
         self.code = Code.ACCEPTED
         self.done = False
         self.attempts_sent = 0
+        self.usage_counted = False
         self.first_byte_at = 0.0
         self.hedge_timer: Any = None
         self.last_event = -1
@@ -384,15 +386,6 @@
             if budget is not None:
                 budget.earn()
 
-    def count_usage(self, at: float) -> None:
-        """Count the request in its account's usage at a boot time."""
-        if self.account is not None:
-            self.state.usage.add(
-                self.state.identity,
-                self.account.name,
-                self.state.true_time(at),
-            )
-
     def _start_hedge_timer(self) -> None:
         """Start the timer that repeats an unanswered idempotent call."""
         assert self.route is not None
--- a/src/magnoliaflow/policy/usage.py
+++ b/src/magnoliaflow/policy/usage.py
@@ -49,6 +49,8 @@
     def add(self, identity: str, account: str, at: float) -> None:
         """Count one request that started at a true time."""
         window = self.window(at)
+        if window not in self.counts:
+            self.forget_before(window - KEPT_WINDOWS)
         counts = self.counts.setdefault(window, defaultdict(int))
         counts[(identity, account)] += 1
         self._changed[(window, identity, account)] = counts[
--- a/tests/test_entry_attempts.py
+++ b/tests/test_entry_attempts.py
@@ -2,6 +2,7 @@
 
 from logging import getLogger
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
@@ -13,6 +14,7 @@
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.nodefile import decode_host_settings
 from magnoliaflow.policy.engines import new_engine
+from magnoliaflow.policy.routes import RouteKind
 
 BOOT_FILE = """nodeName=e-1
 zone=a
@@ -40,6 +42,9 @@
     def __init__(self, state):
         self.state = state
         self.attempts_sent = 0
+        self.usage_counted = False
+        self.account = SimpleNamespace(name="a1")
+        self.route = SimpleNamespace(kind=RouteKind.STREAM)
         self.failures = []
 
     def may_send(self):
@@ -111,3 +116,26 @@
     sound._buffer(b"x" * 2)
     assert attempt.handler.failures == [Failure.MAY_HAVE_RUN]
     assert sound.handler.failures == [] and state.buffers.total == 802
+
+
+@pytest.mark.parametrize("kind", [RouteKind.STREAM, RouteKind.IDEMPOTENT])
+def test_a_request_counts_once_also_if_its_answers_are_lost(
+    attempt, kind, monkeypatch
+):
+    """Engines began it, whatever became of their answers."""
+    monkeypatch.setattr(
+        "magnoliaflow.entry.attempts.record_broken_answer", lambda _: None
+    )
+    handler = attempt.handler
+    handler.route.kind = kind
+    for again in (attempt, Attempt(handler, attempt.engine, 10)):
+        again.exchange = SimpleNamespace(cancel=lambda: None)
+        again.on_open()
+        again.on_failure("connection reset", sent=True)
+    rows = handler.state.usage.counts_for("e-1-a")
+    assert [(account, count) for _, account, count in rows] == [("a1", 1)]
+
+
+def test_a_request_that_was_not_sent_does_not_count(attempt):
+    attempt.on_failure("connection failed", sent=False)
+    assert not attempt.handler.state.usage.counts
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -3,6 +3,9 @@
 import pytest
 from usagefleet import UsageFleet
 
+from magnoliaflow.policy.usage import KEPT_WINDOWS
+from magnoliaflow.policy.usage import UsageCounter
+
 HOSTS = 66
 TOLERANCE = 0.05
 # Messages that a host sends a second.
@@ -71,3 +74,11 @@
         fleet.start(host.number, run=1)
     fleet.run(20.0)
     assert max(fleet.off().values()) < 0.02
+
+
+def test_counts_that_nobody_reports_are_forgotten():
+    usage = UsageCounter(window_s=5.0)
+    for window in range(100):
+        usage.add("h1", "a1", 5.0 * window)
+    assert len(usage.counts) <= KEPT_WINDOWS + 1
+    assert len(usage.take_changed("h1")) <= KEPT_WINDOWS + 1
