Test usage counts of a deployment of mixed builds

33 of 66 hosts name no time up to which their counts are complete and send nothing at once to a new holder; the windows add up within the tolerance and are not held back.

--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -38,6 +38,17 @@
     assert max(fleet.off().values()) < (0.01 if hosts > 6 else TOLERANCE)
 
 
+def test_counts_of_earlier_builds_are_not_waited_for(monkeypatch):
+    """Half of the hosts; the holder dies, a window is due meanwhile."""
+    fleet = UsageFleet(HOSTS, monkeypatch=monkeypatch, old_hosts=33)
+    fleet.run(20.0)
+    fleet.holder().gone = True
+    fleet.run(30.0)
+    assert max(fleet.off().values()) < TOLERANCE
+    late = [late for window, (_, late) in fleet.reported.items()]
+    assert sorted(late)[len(late) // 2] < 4.5
+
+
 def test_many_killed_hosts_lose_little(fleet):
     """A quarter of the hosts ends at once, and starts again 2 s later."""
     killed = [host for host in fleet.hosts.values() if host.number % 4 == 1]
--- a/tools/usagefleet.py
+++ b/tools/usagefleet.py
@@ -4,6 +4,7 @@
 Their messages are late; hosts may be killed, stopped, restarted or cut off.
 """
 
+from dataclasses import replace
 from logging import getLogger
 from math import exp
 from random import Random
@@ -15,6 +16,8 @@
 from magnoliaflow.common import clocks
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.common.messages import Report
+from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.heartbeats import handle_message
 from magnoliaflow.entry.heartbeats import HeartbeatSender
@@ -56,6 +59,7 @@
             text + ("isBootstrap=true\n" if not run else "")
         )
         self.cut = self.gone = False
+        self.is_old = number < fleet.old_hosts
         self.state = EntryState(
             settings,
             identity=f"{self.name}-{run}",
@@ -79,6 +83,10 @@
         now = self.fleet.now
         self.heartbeats.tick(now)
         self.reports.tick(now)
+        if self.is_old:
+            # Earlier builds do not send at once to a new holder.
+            manager = self.state.lease_manager
+            self.usage_sender.last_holder = manager.holder_identity()
         self.usage_sender.tick(now)
         self.duty_log.tick(now)
         self.duty.tick(now)
@@ -97,6 +105,10 @@
 
     def send(self, address, message):
         """Send a message to another host, as a peer link does."""
+        if self.is_old and isinstance(message, UsageCounts):
+            message = replace(message, until=0.0)
+        elif self.is_old and isinstance(message, Report):
+            message = replace(message, usage=())
         self.fleet.deliver(self, address, message)
 
     def read(self, topic, offset, *, era, wait_s=0.0):
@@ -140,14 +152,18 @@
     """Hosts, the log of duties, and what engines began by window.
 
     ``delay_s`` is the mean delay of messages once all have started, ten
-    times as much while they start.
+    times as much while they start.  The first ``old_hosts`` send counts as
+    builds from before, which name no time up to which these are complete.
     """
 
-    def __init__(self, hosts, *, monkeypatch, seed=1, delay_s=0.03):
+    def __init__(
+        self, hosts, *, monkeypatch, seed=1, delay_s=0.03, old_hosts=0
+    ):
         super().__init__()
         self.rng = Random(seed)
         self.size = hosts
         self.delay_s = delay_s
+        self.old_hosts = old_hosts
         self.log = []
         self.reported = {}
         self.begun = {}
