Record every usage report in the played deployment

Change: all reports and fences are kept; off() is inf when two reports of a window differ or a lower fence follows a higher one; the store has an era.

--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -87,6 +87,34 @@
     assert max(fleet.off().values()) < 0.02
 
 
+@pytest.mark.parametrize("era", [0, 1])
+def test_a_restarted_holder_repeats_its_reports(monkeypatch, era):
+    """Also if it sees the era of the store for the first time."""
+    fleet = UsageFleet(3, monkeypatch=monkeypatch)
+    fleet.store_era = era
+    fleet.run(30.0)
+    for host in list(fleet.hosts.values()):
+        host.gone = True
+    for number in range(3):
+        fleet.start(number, run=1)
+    fleet.run(20.0)
+    assert not fleet.conflicts()
+    assert any(len(reports) > 1 for reports in fleet.reports.values())
+
+
+def test_two_reports_of_a_window_that_differ_are_found(monkeypatch):
+    """Also a report under a fence that was followed by a higher one."""
+    fleet = UsageFleet(1, monkeypatch=monkeypatch)
+    host = next(iter(fleet.hosts.values()))
+    host.report_usage(1, {"a1": 2}, fence=1)
+    host.report_usage(1, {"a1": 2}, fence=2)
+    assert not fleet.off()
+    host.report_usage(1, {"a1": 3}, fence=2)
+    host.report_usage(2, {"a1": 2}, fence=2)
+    host.report_usage(2, {"a1": 2}, fence=1)
+    assert fleet.off() == {1: float("inf"), 2: float("inf")}
+
+
 def test_counts_that_nobody_reports_are_forgotten():
     usage = UsageCounter(window_s=5.0)
     for window in range(100):
--- a/tools/usagefleet.py
+++ b/tools/usagefleet.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import replace
+from itertools import pairwise
 from logging import getLogger
 from math import exp
 from random import Random
@@ -24,6 +25,7 @@
 from magnoliaflow.entry.reports import ReportSender
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.state import MESH_HOSTS
+from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.usagecounts import UsageSender
 from magnoliaflow.entry.usageduty import UsageDuty
 from magnoliaflow.platform.nodefile import decode_host_settings
@@ -115,6 +117,7 @@
         """Read the log of duties."""
         if self.cut:
             return fail(PortError("cut"))
+        observe_store_era(self.state, self.fleet.store_era)
         log = self.fleet.log
         entries = tuple(
             Entry(number, "", data)
@@ -137,6 +140,7 @@
         if self.cut:
             return fail(PortError("cut"))
         late = self.fleet.true_time() - (window + 1) * WINDOW_S
+        self.fleet.reports.setdefault(window, []).append((dict(counts), fence))
         self.fleet.reported.setdefault(window, (dict(counts), late))
         return succeed(None)
 
@@ -165,7 +169,10 @@
         self.delay_s = delay_s
         self.old_hosts = old_hosts
         self.log = []
+        self.store_era = 0
         self.reported = {}
+        # Window -> (counts, fence) of every report, repeats too.
+        self.reports = {}
         self.begun = {}
         self.sent = 0
         monkeypatch.setattr(clocks, "clock_gettime", lambda _: self.now)
@@ -217,10 +224,24 @@
             if not host.gone and host.state.lease_manager.holds(self.now)
         )
 
+    def conflicts(self):
+        """Return the windows whose reports differ or go back in fence."""
+        return {
+            window
+            for window, reports in self.reports.items()
+            if any(
+                counts != following or fence > next_fence
+                for (counts, fence), (following, next_fence) in pairwise(
+                    reports
+                )
+            )
+        }
+
     def off(self):
         """Return window -> share by which its report is off, or inf.
 
-        Windows that were due before now and in which requests began.
+        Windows that were due before now and in which requests began, and
+        those whose reports are in conflict.
         """
         shares = {}
         for window, begun in self.begun.items():
@@ -234,4 +255,5 @@
             shares[window] = difference / sum(begun.values())
             if window not in self.reported or late > DELAY_S:
                 shares[window] = float("inf")
+        shares.update(dict.fromkeys(self.conflicts(), float("inf")))
         return shares
