Forget usage reports by their number, not by the clock

Cause: a process that started with its clock 25 s or more ahead read the duty log, dropped the recent windows by its own estimate of true time, and reported them again with its own counts once its clock was corrected. It dropped counts of other hosts likewise.

Change: the ledger keeps the 16 windows recorded last, and those that the store has lost besides; the counter keeps the 12 windows nearest to the current one and sends the last six.

--- a/src/magnoliaflow/cluster/usageledger.py
+++ b/src/magnoliaflow/cluster/usageledger.py
@@ -2,6 +2,11 @@
 
 from math import inf
 
+# Number of windows to keep, those that were recorded last: no clock decides
+# what is forgotten, as a wrong one would let a window be reported again.  More
+# than twice the windows that a holder may report.  Twice as many with those
+# that the store has lost.
+MAX_RECORDS = 16
 
 class UsageLedger:
     """Counts by window, as they were first put on the log.
@@ -20,8 +25,14 @@
 
     def record(self, window: int, counts: dict[str, int]) -> None:
         """Record counts that are on the log; the first ones stay."""
-        self._counts.setdefault(window, counts)
+        self._counts[window] = self._counts.pop(window, counts)
         self._on_log.add(window)
+        if len(self._on_log) > MAX_RECORDS:
+            # Not those to be put on the log again: it is read from its
+            # beginning when the store has gone back.
+            oldest = next(key for key in self._counts if key in self._on_log)
+            del self._counts[oldest]
+            self._on_log.discard(oldest)
 
     def counts(self, window: int) -> dict[str, int] | None:
         """Return the fixed counts of a window, None if it has none."""
@@ -34,6 +45,8 @@
         host did.
         """
         self._on_log.clear()
+        for old in list(self._counts)[: -2 * MAX_RECORDS]:
+            del self._counts[old]
         if not is_sole:
             self._lost_until = max(self._lost_until, now)
 
@@ -50,9 +63,3 @@
         It may unless its counts are known.
         """
         return due_at <= self._lost_until
-
-    def forget_before(self, window: int) -> None:
-        """Drop the windows before the given one."""
-        for old in [key for key in self._counts if key < window]:
-            del self._counts[old]
-        self._on_log = {key for key in self._on_log if key >= window}
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -38,6 +38,7 @@
 from magnoliaflow.entry.updates import apply_registration
 from magnoliaflow.entry.usagecounts import handle_usage_counts
 from magnoliaflow.entry.usagecounts import merge_usage
+from magnoliaflow.entry.usagecounts import recent_rows
 from magnoliaflow.entry.usagecounts import usage_rows
 from magnoliaflow.platform.document import decode_document
 from magnoliaflow.policy.clockbounds import offset_bounds
@@ -212,7 +213,7 @@
     gossip = Gossip() if peer is None else _gossip_for(state, now, peer)
     usage = []
     if peer is not None and needs_usage_counts(state, peer):
-        usage = state.usage.counts_for(state.identity)
+        usage = recent_rows(state, state.identity, now)
     return Beat(
         identity=state.identity,
         host=state.host_settings.host,
--- a/src/magnoliaflow/entry/usagecounts.py
+++ b/src/magnoliaflow/entry/usagecounts.py
@@ -12,6 +12,7 @@
 from magnoliaflow.common.messages import UsageCount
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.policy.usage import KEPT_WINDOWS
 
 # Usage counts go to the lease holder at this interval, so that several fit
 # into the delay of a usage report.
@@ -78,12 +79,20 @@
     )
 
 
+def recent_rows(
+    state: EntryState, identity: str, now: float
+) -> list[tuple[int, str, int]]:
+    """Return the rows of one process that a report may still need."""
+    current = state.usage.window(state.true_time(now))
+    return state.usage.counts_for(identity, current - KEPT_WINDOWS)
+
+
 def usage_counts(state: EntryState, identity: str, now: float) -> UsageCounts:
     """Return the usage counts of one process as far as they are known."""
     until = state.usage.until.get(identity, 0.0)
     if identity == state.identity:
         until = state.true_time(now)
-    rows = usage_rows(state.usage.counts_for(identity))
+    rows = usage_rows(recent_rows(state, identity, now))
     return UsageCounts(identity, rows, until)
 
 
--- a/src/magnoliaflow/entry/usageduty.py
+++ b/src/magnoliaflow/entry/usageduty.py
@@ -63,8 +63,7 @@
         ledger = self.duty_log.ledger
         current = usage.window(self.state.true_time(now))
         oldest = current - KEPT_WINDOWS
-        usage.forget_before(oldest)
-        ledger.forget_before(oldest)
+        usage.forget_around(current)
         self.reported_windows = {
             window for window in self.reported_windows if window >= oldest
         }
--- a/src/magnoliaflow/policy/usage.py
+++ b/src/magnoliaflow/policy/usage.py
@@ -21,9 +21,12 @@
 # Hosts that exchange heartbeats with the holder send counts within this time.
 MESH_TAKEOVER_S = 1.0
 
-# Number of windows to keep: reports are delayed by two windows, and a takeover
+# Number of windows to send: reports are delayed by two windows, and a takeover
 # takes one.
 KEPT_WINDOWS = 6
+# Number of windows to keep, so that a clock that is wrong for a while drops no
+# counts: those to send, and as many that the wrong clock named.
+MAX_WINDOWS = 2 * KEPT_WINDOWS
 
 
 class UsageCounter:
@@ -49,9 +52,8 @@
     def add(self, identity: str, account: str, at: float) -> None:
         """Count one request that started at a true time."""
         window = self.window(at)
-        if window not in self.counts:
-            self.forget_before(window - KEPT_WINDOWS)
         counts = self.counts.setdefault(window, defaultdict(int))
+        self.forget_around(window)
         counts[(identity, account)] += 1
         self._changed[(window, identity, account)] = counts[
             (identity, account)
@@ -65,11 +67,17 @@
         key = (identity, account)
         counts[key] = max(counts[key], count)
 
-    def counts_for(self, identity: str) -> list[tuple[int, str, int]]:
-        """Return the (window, account, count) rows of one incarnation."""
+    def counts_for(
+        self, identity: str, first_window: int = 0
+    ) -> list[tuple[int, str, int]]:
+        """Return the (window, account, count) rows of one incarnation.
+
+        Windows from ``first_window`` on.
+        """
         return [
             (window, account, count)
             for window, counts in self.counts.items()
+            if window >= first_window
             for (name, account), count in counts.items()
             if name == identity
         ]
@@ -104,16 +112,21 @@
             sums[account] += count
         return dict(sums)
 
-    def forget_before(self, window: int) -> None:
-        """Drop the windows before the given one."""
-        for old in [key for key in self.counts if key < window]:
+    def forget_around(self, current: int) -> None:
+        """Keep the MAX_WINDOWS windows that are nearest to the current one."""
+        if len(self.counts) <= MAX_WINDOWS:
+            return
+        by_distance = sorted(
+            self.counts, key=lambda window: abs(window - current)
+        )
+        for old in by_distance[MAX_WINDOWS:]:
             del self.counts[old]
         self._changed = {
             key: count
             for key, count in self._changed.items()
-            if key[0] >= window
+            if key[0] in self.counts
         }
-        start = window * self.window_s
+        start = min(self.counts) * self.window_s
         self.until = {
             name: until for name, until in self.until.items() if until >= start
         }
