--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -206,17 +206,21 @@
             if self.is_live(host, now)
         ]
 
-    def counting_identities(self, now: float) -> list[str]:
-        """Return the other processes that may have usage counts to send.
+    def counting_identities(self, now: float, began_at: float) -> list[str]:
+        """Return the other processes that may count in a window to report.
 
-        Those that were silent for long are among them, unless they said
-        before that they were about to end.
+        ``began_at``: when the window began.  Those that have been silent
+        since before that are not among them, nor those that have announced
+        their end.
         """
         return [
             known.fact.identity
             for known in self.hosts.values()
-            if not known.fact.leaving
-            or now - known.heard_at < DIGEST_TIMEOUT_S
+            if known.heard_at >= began_at
+            and (
+                not known.fact.leaving
+                or now - known.heard_at < DIGEST_TIMEOUT_S
+            )
         ]
 
     def refresh(self, now: float) -> None:
--- a/src/magnoliaflow/entry/usageduty.py
+++ b/src/magnoliaflow/entry/usageduty.py
@@ -119,7 +119,10 @@
         state = self.state
         if not state.uses_groups():
             return set()
-        awaited = state.view.counting_identities(now)
+        began_at = window * state.host_settings.usage_window_s
+        awaited = state.view.counting_identities(
+            now, began_at - state.clock_offset
+        )
         return state.usage.lacking(awaited, window)
 
     def _leave_out(self, window: int) -> None:
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -2,6 +2,7 @@
 
 import pytest
 from usagefleet import UsageFleet
+from usagefleet import WINDOW_S
 
 from magnoliaflow.common import clocks
 from magnoliaflow.policy.usage import MAX_WINDOWS
@@ -50,6 +51,25 @@
     assert sorted(late)[len(late) // 2] < 4.5
 
 
+def test_a_killed_host_is_awaited_only_for_windows_that_it_ran_in(fleet):
+    """Later windows are reported as soon as all that run are complete."""
+    killed = next(
+        host
+        for host in fleet.hosts.values()
+        if not host.state.lease_manager.holds(fleet.now)
+    )
+    killed.gone = True
+    first = int(fleet.true_time() // WINDOW_S) + 1
+    fleet.run(30.0)
+    assert max(fleet.off().values()) < TOLERANCE
+    late = [
+        fleet.reported[window][1]
+        for window in fleet.reported
+        if window >= first
+    ]
+    assert max(late) < 4.5
+
+
 def test_many_killed_hosts_lose_little(fleet):
     """A quarter of the hosts ends at once, and starts again 2 s later."""
     killed = [host for host in fleet.hosts.values() if host.number % 4 == 1]
