Take counts as complete only if their process says so

Change: an earlier build's message has no time (None); counts without one are complete only if their process sends them itself; 0 means that no time is known. The codec lets a field whose default is None stay None, and its test draws such fields.

Measured: test_counts_are_complete_only_if_their_process_says_so failed before and passes after; test_codec.py passes.

--- a/src/magnoliaflow/common/codec.py
+++ b/src/magnoliaflow/common/codec.py
@@ -115,12 +115,12 @@
         defaults.get(field_name) if item is None else item
         for field_name, item in zip(FIELD_NAMES[name], values)
     )
-    if None in filled:
-        field_name = FIELD_NAMES[name][filled.index(None)]
-        raise RecordError(
-            f"{name}: required field {field_name} is missing; "
-            "its writer is faulty"
-        )
+    for field_name, item in zip(FIELD_NAMES[name], filled):
+        if item is None and field_name not in defaults:
+            raise RecordError(
+                f"{name}: required field {field_name} is missing; "
+                "its writer is faulty"
+            )
     return filled
 
 
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -438,13 +438,13 @@
 class UsageCounts:
     """Usage counts of one process, for the lease holder.
 
-    They are complete up to the true time ``until``, as far as the sender
-    knows; earlier versions send 0.
+    They are complete up to the true time ``until``, which is 0 if the sender
+    has none for another process, and None if it is an earlier version.
     """
 
     identity: str
     usage: tuple[UsageCount, ...]
-    until: float = 0.0
+    until: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -294,7 +294,7 @@
         handle_heartbeat(state, message)
         return
     if isinstance(message, UsageCounts):
-        handle_usage_counts(state, message, boot_time())
+        handle_usage_counts(state, sender, message, boot_time())
         return
     handler = MESSAGE_HANDLERS.get(type(message))
     if handler is not None:
--- a/src/magnoliaflow/entry/usagecounts.py
+++ b/src/magnoliaflow/entry/usagecounts.py
@@ -17,6 +17,8 @@
 # Usage counts go to the lease holder at this interval, so that several fit
 # into the delay of a usage report.
 USAGE_INTERVAL_S = 1.6
+# True time up to which counts are complete that only reports have named.
+UNKNOWN_UNTIL = 0.0
 
 
 class UsageSender:
@@ -89,7 +91,7 @@
 
 def usage_counts(state: EntryState, identity: str, now: float) -> UsageCounts:
     """Return the usage counts of one process as far as they are known."""
-    until = state.usage.until.get(identity, 0.0)
+    until = state.usage.until.get(identity, UNKNOWN_UNTIL)
     if identity == state.identity:
         until = state.true_time(now)
     rows = usage_rows(recent_rows(state, identity, now))
@@ -105,13 +107,16 @@
 
 
 def handle_usage_counts(
-    state: EntryState, message: UsageCounts, now: float
+    state: EntryState, sender: str, message: UsageCounts, now: float
 ) -> None:
     """Merge all usage counts of another process.
 
-    Earlier versions name no time; what they send was complete just before.
+    Earlier versions name no time; what a process sends of itself was complete
+    just before, but not what another one has of it.
     """
     merge_usage(state, message.identity, message.usage)
-    state.usage.complete(
-        message.identity, message.until or state.true_time(now)
-    )
+    until = message.until
+    if until is None and sender == message.identity:
+        until = state.true_time(now)
+    if until is not None and until != UNKNOWN_UNTIL:
+        state.usage.complete(message.identity, until)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -41,6 +41,7 @@
     bool: st.booleans(),
     int: st.integers(0, 2**31 - 1),
     float: st.floats(0, 1e12),
+    float | None: st.none() | st.floats(0, 1e12),
     tuple[str, ...]: st.lists(st.text(max_size=5), max_size=3).map(tuple),
     tuple[int, ...]: st.lists(st.integers(0, 9)).map(tuple),
     tuple[float, ...]: st.lists(st.floats(0, 9), max_size=3).map(tuple),
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -1,10 +1,17 @@
 """Usage reports of 66 hosts in virtual time: calm, deaths, cuts, restarts."""
 
+from dataclasses import replace
+
 import pytest
 from usagefleet import UsageFleet
 from usagefleet import WINDOW_S
 
 from magnoliaflow.common import clocks
+from magnoliaflow.common.codec import decode_value
+from magnoliaflow.common.codec import encode_value
+from magnoliaflow.common.messages import UsageCounts
+from magnoliaflow.entry.heartbeats import handle_message
+from magnoliaflow.entry.usagecounts import usage_counts
 from magnoliaflow.policy.usage import MAX_WINDOWS
 from magnoliaflow.policy.usage import UsageCounter
 
@@ -163,6 +170,24 @@
     assert fleet.off() == {1: float("inf"), 2: float("inf")}
 
 
+def test_counts_are_complete_only_if_their_process_says_so(monkeypatch):
+    """Not if an aggregator sends on what reports have named so far."""
+    fleet = UsageFleet(20, monkeypatch=monkeypatch)
+    fleet.run(10.0)
+    first, second = [host.state for host in fleet.hosts.values()][:2]
+    current = first.usage.window(first.true_time(fleet.now))
+    first.usage.merge("h9-0", "a1", current, 3)
+    counts = usage_counts(first, "h9-0", fleet.now)
+    earlier = replace(counts, until=None)
+    for message in (counts, earlier):
+        message = decode_value(UsageCounts, encode_value(message))
+        handle_message(second, first.identity, message)
+        assert second.usage.counts[current][("h9-0", "a1")] == 3
+        assert second.usage.lacking(["h9-0"], current - 1)
+    handle_message(second, "h9-0", earlier)
+    assert not second.usage.lacking(["h9-0"], current - 1)
+
+
 def test_counts_that_nobody_reports_are_forgotten():
     usage = UsageCounter(window_s=5.0)
     for window in range(100):
--- a/tools/usagefleet.py
+++ b/tools/usagefleet.py
@@ -108,7 +108,7 @@
     def send(self, address, message):
         """Send a message to another host, as a peer link does."""
         if self.is_old and isinstance(message, UsageCounts):
-            message = replace(message, until=0.0)
+            message = replace(message, until=None)
         elif self.is_old and isinstance(message, Report):
             message = replace(message, usage=())
         self.fleet.deliver(self, address, message)
