Send counts of ended processes within one message

Change: UsageCounts has a field with the counts of ended processes (number 4), which an aggregator fills for its own group. An earlier build that holds the lease does not read them: it has what their processes sent it themselves.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -162,9 +162,13 @@
   1: string host, 2: i64 entries_from, 3: i64 fleet_end,
   4: list<EngineEntry> entries, 5: binary document
 }
-struct UsageCounts {
+struct ProcessUsage {
   1: string identity, 2: list<UsageCount> usage, 3: optional double until
 }
+struct UsageCounts {
+  1: string identity, 2: list<UsageCount> usage, 3: optional double until,
+  4: optional list<ProcessUsage> ended
+}
 struct EndedEngine {
   1: string engine, 2: string backend, 3: double age
 }
--- a/src/magnoliaflow/cluster/usageledger.py
+++ b/src/magnoliaflow/cluster/usageledger.py
@@ -8,6 +8,7 @@
 # that the store has lost.
 MAX_RECORDS = 16
 
+
 class UsageLedger:
     """Counts by window, as they were first put on the log.
 
--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -178,6 +178,10 @@
         """Return the name of this host's group."""
         return self._groups_by_host[self.host]
 
+    def in_group(self, host: str) -> bool:
+        """Return whether a host is in this host's group."""
+        return self._groups_by_host.get(host) == self.group
+
     def meet(self, fact: HostFact, heard_at: float) -> None:
         """Record a host that was alive at a time."""
         if fact.host == self.host:
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -434,17 +434,31 @@
     document: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessUsage:
+    """Usage counts of a process that has ended, from an aggregator.
+
+    They are complete up to the true time ``until``, 0 if none is known.
+    """
+
+    identity: str
+    usage: tuple[UsageCount, ...]
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class UsageCounts:
     """Usage counts of one process, for the lease holder.
 
-    They are complete up to the true time ``until``, which is 0 if the sender
-    has none for another process, and None if it is an earlier version.
+    They are complete up to the true time ``until``, None if the sender is an
+    earlier version.  ``ended`` are those of processes of its group that have
+    ended.
     """
 
     identity: str
     usage: tuple[UsageCount, ...]
     until: float | None = None
+    ended: tuple[ProcessUsage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/usagecounts.py
+++ b/src/magnoliaflow/entry/usagecounts.py
@@ -9,6 +9,7 @@
 
 from magnoliaflow.cluster.leasemanager import host_of
 from magnoliaflow.cluster.peers import PeerLinks
+from magnoliaflow.common.messages import ProcessUsage
 from magnoliaflow.common.messages import UsageCount
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.entry.state import EntryState
@@ -53,23 +54,11 @@
         holder = state.lease_manager.holder_identity()
         hosts = {host_of(holder)} if holder else set()
         hosts.update(view.aggregators(view.group))
-        live = {fact.identity for fact in view.live_hosts(now)}
-        identities = [state.identity]
-        if view.is_aggregator():
-            identities += [
-                identity
-                for identity in state.usage.identities()
-                if identity not in live and identity != state.identity
-            ]
+        message = usage_counts(state, now)
         for host in hosts:
             known = view.hosts.get(host)
-            if known is None:
-                continue
-            for identity in identities:
-                self.links.send(
-                    known.fact.peer_address,
-                    usage_counts(state, identity, now),
-                )
+            if known is not None:
+                self.links.send(known.fact.peer_address, message)
 
 
 def usage_rows(
@@ -89,13 +78,33 @@
     return state.usage.counts_for(identity, current - KEPT_WINDOWS)
 
 
-def usage_counts(state: EntryState, identity: str, now: float) -> UsageCounts:
-    """Return the usage counts of one process as far as they are known."""
-    until = state.usage.until.get(identity, UNKNOWN_UNTIL)
-    if identity == state.identity:
-        until = state.true_time(now)
-    rows = usage_rows(recent_rows(state, identity, now))
-    return UsageCounts(identity, rows, until)
+def usage_counts(state: EntryState, now: float) -> UsageCounts:
+    """Return this process's counts, and those that it sends on."""
+    rows = usage_rows(recent_rows(state, state.identity, now))
+    ended = tuple(
+        ProcessUsage(
+            identity,
+            usage_rows(recent_rows(state, identity, now)),
+            state.usage.until.get(identity, UNKNOWN_UNTIL),
+        )
+        for identity in _ended_identities(state, now)
+    )
+    return UsageCounts(state.identity, rows, state.true_time(now), ended)
+
+
+def _ended_identities(state: EntryState, now: float) -> list[str]:
+    """Return the ended processes of its group, for an aggregator."""
+    view = state.view
+    if not view.is_aggregator():
+        return []
+    live = {fact.identity for fact in view.live_hosts(now)}
+    return [
+        identity
+        for identity in state.usage.identities()
+        if identity not in live
+        and identity != state.identity
+        and view.in_group(host_of(identity))
+    ]
 
 
 def merge_usage(
@@ -115,8 +124,12 @@
     just before, but not what another one has of it.
     """
     merge_usage(state, message.identity, message.usage)
+    for counts in message.ended:
+        merge_usage(state, counts.identity, counts.usage)
+        if counts.until != UNKNOWN_UNTIL:
+            state.usage.complete(counts.identity, counts.until)
     until = message.until
     if until is None and sender == message.identity:
         until = state.true_time(now)
-    if until is not None and until != UNKNOWN_UNTIL:
+    if until is not None:
         state.usage.complete(message.identity, until)
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype292, _size289) = iprot.readListBegin()
-                    for _i293 in range(_size289):
-                        _elem294 = PeerMessage()
-                        _elem294.read(iprot)
-                        self.messages.append(_elem294)
+                    (_etype306, _size303) = iprot.readListBegin()
+                    for _i307 in range(_size303):
+                        _elem308 = PeerMessage()
+                        _elem308.read(iprot)
+                        self.messages.append(_elem308)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter295 in self.messages:
-                iter295.write(oprot)
+            for iter309 in self.messages:
+                iter309.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -5971,7 +5971,7 @@
         return not (self == other)
 
 
-class UsageCounts(object):
+class ProcessUsage(object):
     """
     Attributes:
      - identity
@@ -6031,7 +6031,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('UsageCounts')
+        oprot.writeStructBegin('ProcessUsage')
         if self.identity is not None:
             oprot.writeFieldBegin('identity', TType.STRING, 1)
             oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
@@ -6072,6 +6072,128 @@
         return not (self == other)
 
 
+class UsageCounts(object):
+    """
+    Attributes:
+     - identity
+     - usage
+     - until
+     - ended
+
+    """
+
+    __slots__ = (
+        'identity',
+        'usage',
+        'until',
+        'ended',
+    )
+
+
+    def __init__(self, identity=None, usage=None, until=None, ended=None,):
+        self.identity = identity
+        self.usage = usage
+        self.until = until
+        self.ended = ended
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = UsageCount()
+                        _elem259.read(iprot)
+                        self.usage.append(_elem259)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.until = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype263, _size260) = iprot.readListBegin()
+                    for _i264 in range(_size260):
+                        _elem265 = ProcessUsage()
+                        _elem265.read(iprot)
+                        self.ended.append(_elem265)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UsageCounts')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter266 in self.usage:
+                iter266.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.until is not None:
+            oprot.writeFieldBegin('until', TType.DOUBLE, 3)
+            oprot.writeDouble(self.until)
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.ended))
+            for iter267 in self.ended:
+                iter267.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndedEngine(object):
     """
     Attributes:
@@ -6282,22 +6404,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype257, _size254) = iprot.readListBegin()
-                    for _i258 in range(_size254):
-                        _elem259 = EndedEngine()
-                        _elem259.read(iprot)
-                        self.ends.append(_elem259)
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = EndedEngine()
+                        _elem273.read(iprot)
+                        self.ends.append(_elem273)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype263, _size260) = iprot.readListBegin()
-                    for _i264 in range(_size260):
-                        _elem265 = SoundAnswer()
-                        _elem265.read(iprot)
-                        self.sound.append(_elem265)
+                    (_etype277, _size274) = iprot.readListBegin()
+                    for _i278 in range(_size274):
+                        _elem279 = SoundAnswer()
+                        _elem279.read(iprot)
+                        self.sound.append(_elem279)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6318,15 +6440,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter266 in self.ends:
-                iter266.write(oprot)
+            for iter280 in self.ends:
+                iter280.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter267 in self.sound:
-                iter267.write(oprot)
+            for iter281 in self.sound:
+                iter281.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6487,33 +6609,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype271, _size268) = iprot.readListBegin()
-                    for _i272 in range(_size268):
-                        _elem273 = SuspectPart()
-                        _elem273.read(iprot)
-                        self.parts.append(_elem273)
+                    (_etype285, _size282) = iprot.readListBegin()
+                    for _i286 in range(_size282):
+                        _elem287 = SuspectPart()
+                        _elem287.read(iprot)
+                        self.parts.append(_elem287)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype277, _size274) = iprot.readListBegin()
-                    for _i278 in range(_size274):
-                        _elem279 = NamedLimit()
-                        _elem279.read(iprot)
-                        self.limits.append(_elem279)
+                    (_etype291, _size288) = iprot.readListBegin()
+                    for _i292 in range(_size288):
+                        _elem293 = NamedLimit()
+                        _elem293.read(iprot)
+                        self.limits.append(_elem293)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype283, _size280) = iprot.readListBegin()
-                    for _i284 in range(_size280):
-                        _elem285 = SuspectPart()
-                        _elem285.read(iprot)
-                        self.requests.append(_elem285)
+                    (_etype297, _size294) = iprot.readListBegin()
+                    for _i298 in range(_size294):
+                        _elem299 = SuspectPart()
+                        _elem299.read(iprot)
+                        self.requests.append(_elem299)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6534,22 +6656,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter286 in self.parts:
-                iter286.write(oprot)
+            for iter300 in self.parts:
+                iter300.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter287 in self.limits:
-                iter287.write(oprot)
+            for iter301 in self.limits:
+                iter301.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter288 in self.requests:
-                iter288.write(oprot)
+            for iter302 in self.requests:
+                iter302.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7331,12 +7453,20 @@
     (4, TType.LIST, 'entries', (TType.STRUCT, [EngineEntry, None], False), None, ),  # 4
     (5, TType.STRING, 'document', 'BINARY', None, ),  # 5
 )
+all_structs.append(ProcessUsage)
+ProcessUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 2
+    (3, TType.DOUBLE, 'until', None, None, ),  # 3
+)
 all_structs.append(UsageCounts)
 UsageCounts.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 2
     (3, TType.DOUBLE, 'until', None, None, ),  # 3
+    (4, TType.LIST, 'ended', (TType.STRUCT, [ProcessUsage, None], False), None, ),  # 4
 )
 all_structs.append(EndedEngine)
 EndedEngine.thrift_spec = (
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -24,6 +24,7 @@
 from magnoliaflow.common.messages import NamedLimit
 from magnoliaflow.common.messages import NewsRecord
 from magnoliaflow.common.messages import Parting
+from magnoliaflow.common.messages import ProcessUsage
 from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.messages import ServiceLoad
 from magnoliaflow.common.messages import SoundAnswer
@@ -69,6 +70,7 @@
     SoundAnswer,
     SuspectPart,
     UsageCount,
+    ProcessUsage,
 )
 for nested_type in NESTED_TYPES:
     STRATEGIES[nested_type] = st.builds(
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -1,7 +1,5 @@
 """Usage reports of 66 hosts in virtual time: calm, deaths, cuts, restarts."""
 
-from dataclasses import replace
-
 import pytest
 from usagefleet import UsageFleet
 from usagefleet import WINDOW_S
@@ -17,8 +15,10 @@
 
 HOSTS = 66
 TOLERANCE = 0.05
-# Messages that a host sends a second.
+# Messages that a host sends a second on average, and those of them with all
+# usage counts at most: to three hosts each 1.6 s, and to a new holder at once.
 MAX_MESSAGES_PER_S = 12
+MAX_USAGE_MESSAGES_PER_S = 2.5
 
 
 @pytest.fixture
@@ -31,7 +31,9 @@
 
 def test_calm_windows_add_up(fleet):
     """Only what a clock may be off by is missing."""
+    fleet.usage_sent.clear()
     fleet.run(30.0)
+    assert max(fleet.usage_sent.values()) < 30 * MAX_USAGE_MESSAGES_PER_S
     assert len(fleet.off()) >= 7
     assert max(fleet.off().values()) < 0.005
     assert fleet.sent / HOSTS / 50.0 < MAX_MESSAGES_PER_S
@@ -111,7 +113,9 @@
             host.gone = True
         fleet.run(0.3)
         fleet.start(host.number, run=1)
+    fleet.usage_sent.clear()
     fleet.run(20.0)
+    assert max(fleet.usage_sent.values()) < 20 * MAX_USAGE_MESSAGES_PER_S
     assert max(fleet.off().values()) < 0.02
 
 
@@ -174,18 +178,22 @@
     """Not if an aggregator sends on what reports have named so far."""
     fleet = UsageFleet(20, monkeypatch=monkeypatch)
     fleet.run(10.0)
-    first, second = [host.state for host in fleet.hosts.values()][:2]
+    states = [host.state for host in fleet.hosts.values()]
+    first = next(state for state in states if state.view.is_aggregator())
+    second = next(state for state in states if state is not first)
+    ended = f"{first.view.report_targets(fleet.now)[0].host}-9"
     current = first.usage.window(first.true_time(fleet.now))
-    first.usage.merge("h9-0", "a1", current, 3)
-    counts = usage_counts(first, "h9-0", fleet.now)
-    earlier = replace(counts, until=None)
+    first.usage.merge(ended, "a1", current, 3)
+    counts = usage_counts(first, fleet.now)
+    earlier = UsageCounts(ended, counts.ended[0].usage)
     for message in (counts, earlier):
         message = decode_value(UsageCounts, encode_value(message))
+        second.usage.counts[current].clear()
         handle_message(second, first.identity, message)
-        assert second.usage.counts[current][("h9-0", "a1")] == 3
-        assert second.usage.lacking(["h9-0"], current - 1)
-    handle_message(second, "h9-0", earlier)
-    assert not second.usage.lacking(["h9-0"], current - 1)
+        assert second.usage.counts[current][(ended, "a1")] == 3
+        assert second.usage.lacking([ended], current - 1)
+    handle_message(second, ended, earlier)
+    assert not second.usage.lacking([ended], current - 1)
 
 
 def test_counts_that_nobody_reports_are_forgotten():
--- a/tools/usagefleet.py
+++ b/tools/usagefleet.py
@@ -4,6 +4,7 @@
 Their messages are late; hosts may be killed, stopped, restarted or cut off.
 """
 
+from collections import Counter
 from dataclasses import replace
 from itertools import pairwise
 from logging import getLogger
@@ -175,6 +176,8 @@
         self.reports = {}
         self.begun = {}
         self.sent = 0
+        # Messages with all usage counts, by host.
+        self.usage_sent = Counter()
         monkeypatch.setattr(clocks, "clock_gettime", lambda _: self.now)
         monkeypatch.setattr(clocks, "time", self.true_time)
         self.hosts = {}
@@ -206,6 +209,7 @@
     def deliver(self, sender, address, message):
         """Deliver a message late, unless a host is cut off or gone."""
         self.sent += 1
+        self.usage_sent[sender.name] += isinstance(message, UsageCounts)
         starting = 1.0 + 9.0 * exp(-self.now / 10.0)
         delay = self.rng.uniform(0.2, 1.8) * self.delay_s * starting
         self.push(delay, self._arrive, sender, address, message)
