Name incomplete counts as they were when a report was fixed

Change: incomplete is counted before the counts go to the log, and left out of repeats and of deployments of up to 8 hosts.

Measured: test_the_log_names_incomplete_counts_once passes (names a new field, so it fails before by name).

--- a/src/magnoliaflow/cluster/usageledger.py
+++ b/src/magnoliaflow/cluster/usageledger.py
@@ -42,7 +42,7 @@
     def begin_era(self, now: float, *, is_sole: bool) -> None:
         """Record that the store went back.
 
-        ``is_sole``: nobody else can have put counts on the log since this
+        ``is_sole``: no other host can have put counts on the log since this
         host did.
         """
         self._on_log.clear()
--- a/src/magnoliaflow/entry/usageduty.py
+++ b/src/magnoliaflow/entry/usageduty.py
@@ -50,7 +50,7 @@
         self.busy = False
         self.retry_at = -inf
         self.reported_windows: set[int] = set()
-        # Windows from before the first start are nobody's.
+        # No process counted in windows from before the first start.
         self.first_window = 0
         if state.host_settings.first_start:
             self.first_window = state.usage.window(
@@ -82,8 +82,8 @@
             if window in self.reported_windows:
                 continue
             known = ledger.counts(window) is not None
-            lacks = not known and self._lacks_counts(window, now)
-            if not self._is_due(window, now, lacks=lacks):
+            is_incomplete = not known and self._awaits_counts(window, now)
+            if not self._is_due(window, now, is_incomplete=is_incomplete):
                 continue
             if not known and ledger.may_be_lost(self._first_due_at(window)):
                 self._leave_out(window)
@@ -97,24 +97,24 @@
         end = (window + 1) * host_settings.usage_window_s
         return end + host_settings.usage_delay_s * MIN_DELAY_SHARE
 
-    def _is_due(self, window: int, now: float, *, lacks: bool) -> bool:
+    def _is_due(self, window: int, now: float, *, is_incomplete: bool) -> bool:
         state = self.state
         return is_report_due(
             state.true_time(now),
             (window + 1) * state.host_settings.usage_window_s,
             state.host_settings.usage_delay_s,
             state.true_time(self.duty_log.held_since),
-            lacks=lacks,
+            is_incomplete=is_incomplete,
         )
 
-    def _lacks_counts(self, window: int, now: float) -> bool:
+    def _awaits_counts(self, window: int, now: float) -> bool:
         """Return whether other hosts' counts of a window may still come."""
         state = self.state
         if not state.uses_groups():
             return now < self.duty_log.held_since + MESH_TAKEOVER_S
-        return bool(self._lacking(window, now))
+        return bool(self._incomplete(window, now))
 
-    def _lacking(self, window: int, now: float) -> set[str]:
+    def _incomplete(self, window: int, now: float) -> set[str]:
         """Return the processes whose counts of a window are not complete."""
         state = self.state
         if not state.uses_groups():
@@ -123,7 +123,7 @@
         awaited = state.view.counting_identities(
             now, began_at - state.clock_offset
         )
-        return state.usage.lacking(awaited, window)
+        return state.usage.incomplete(awaited, window)
 
     def _leave_out(self, window: int) -> None:
         """Report nothing for a window that may have been reported."""
@@ -156,7 +156,11 @@
     @inlineCallbacks
     def _report(self, window: int) -> Any:
         counts = self.duty_log.ledger.counts(window)
+        details = {}
         if counts is None:
+            if self.state.uses_groups():
+                incomplete = self._incomplete(window, boot_time())
+                details["incomplete"] = len(incomplete)
             counts = yield self._commit_counts(window)
             if counts is None:
                 return
@@ -177,12 +181,8 @@
             )
             return
         self.reported_windows.add(window)
-        lacking = self._lacking(window, boot_time())
         self.state.log(
-            LogEvent.USAGE_REPORTED,
-            window=window,
-            counts=counts,
-            lacking=len(lacking),
+            LogEvent.USAGE_REPORTED, window=window, counts=counts, **details
         )
 
     @inlineCallbacks
--- a/src/magnoliaflow/policy/usage.py
+++ b/src/magnoliaflow/policy/usage.py
@@ -16,7 +16,7 @@
 # Seconds of the allowed delay that are left for the append and the call, each
 # of which may fail once.
 REPORT_MARGIN_S = 2.0
-# A new holder waits this long for counts: news of it passes three hops of
+# A new holder waits this long for counts: the new lease passes three hops of
 # reports and views, and the counts come back.
 TAKEOVER_S = 2.0
 # Hosts that exchange heartbeats with the holder send counts within this time.
@@ -97,7 +97,7 @@
         """Record that an incarnation's counts are complete up to a time."""
         self.until[identity] = max(until, self.until.get(identity, until))
 
-    def lacking(self, identities: Iterable[str], window: int) -> set[str]:
+    def incomplete(self, identities: Iterable[str], window: int) -> set[str]:
         """Return the incarnations whose counts of a window may grow."""
         end = (window + 1) * self.window_s
         return {name for name in identities if self.until.get(name, 0.0) < end}
@@ -134,16 +134,21 @@
 
 
 def is_report_due(
-    now: float, end: float, delay_s: float, held_since: float, *, lacks: bool
+    now: float,
+    end: float,
+    delay_s: float,
+    held_since: float,
+    *,
+    is_incomplete: bool,
 ) -> bool:
     """Return whether to report a window that ended at ``end``.
 
     Times are true times.  ``held_since``: when the holder got the lease.
-    ``lacks``: counts of some process are not complete.
+    ``is_incomplete``: counts of some process are not complete.
     """
     earliest = end + delay_s * MIN_DELAY_SHARE
     latest = max(
         end + delay_s * INCOMPLETE_DELAY_SHARE, held_since + TAKEOVER_S
     )
     latest = min(latest, end + delay_s - REPORT_MARGIN_S)
-    return now >= (max(earliest, latest) if lacks else earliest)
+    return now >= (max(earliest, latest) if is_incomplete else earliest)
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -9,6 +9,7 @@
 from magnoliaflow.common.codec import encode_value
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.entry.heartbeats import handle_message
+from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.usagecounts import usage_counts
 from magnoliaflow.policy.usage import is_report_due
 from magnoliaflow.policy.usage import MAX_WINDOWS
@@ -192,9 +193,9 @@
         second.usage.counts[current].clear()
         handle_message(second, first.identity, message)
         assert second.usage.counts[current][(ended, "a1")] == 3
-        assert second.usage.lacking([ended], current - 1)
+        assert second.usage.incomplete([ended], current - 1)
     handle_message(second, ended, earlier)
-    assert not second.usage.lacking([ended], current - 1)
+    assert not second.usage.incomplete([ended], current - 1)
 
 
 @pytest.mark.parametrize(
@@ -207,11 +208,30 @@
     """Seconds after the end of the window; counts are not complete."""
     for late, is_due in ((due_at - 0.01, False), (due_at + 0.01, True)):
         assert is_due is is_report_due(
-            late, 0.0, delay_s, held_since, lacks=True
+            late, 0.0, delay_s, held_since, is_incomplete=True
         )
 
 
-def test_counts_that_nobody_reports_are_forgotten():
+@pytest.mark.parametrize("hosts", [3, 20])
+def test_the_log_names_incomplete_counts_once(monkeypatch, hosts):
+    """As they were when the counts were fixed, in groups only."""
+    logged = []
+    monkeypatch.setattr(
+        EntryState, "log", lambda _, event, **named: logged.append(named)
+    )
+    fleet = UsageFleet(hosts, monkeypatch=monkeypatch)
+    fleet.run(30.0)
+    fleet.holder().gone = True
+    fleet.run(20.0)
+    reports = [named for named in logged if "counts" in named]
+    first = {named["window"]: named for named in reversed(reports)}
+    assert len(reports) > len(first)
+    for named in reports:
+        is_first = named is first[named["window"]]
+        assert ("incomplete" in named) is (is_first and hosts > 8)
+
+
+def test_counts_that_are_not_reported_are_forgotten():
     usage = UsageCounter(window_s=5.0)
     for window in range(100):
         usage.add("h1", "a1", 5.0 * window)
