Bound counts, sends and clock lines on every host

Change: a line a second with the sum of the corrections; every host forgets; 0.4 s between sends.

Measured: test_every_host_bounds_what_it_keeps_sends_and_logs failed before (51 windows kept of 12) and passes after.

--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -64,6 +64,8 @@
 DUTY_LEASE = "duty"
 # Heartbeats to each peer whose times of sending are kept.
 KEPT_HEARTBEATS = 16
+# Corrections of the clock are logged at this interval at most.
+CLOCK_LOG_INTERVAL_S = 1.0
 # Usual age of the others' load in groups: half of the time of three hops, and
 # the time on the way.
 VIEW_AGE_S = 0.8
@@ -151,6 +153,8 @@
         "calls",
         "caps",
         "clock_offset",
+        "clock_logged_at",
+        "clock_moved_s",
         "clock_samples",
         "config_confirmed_at",
         "account_demands",
@@ -229,6 +233,9 @@
             host_settings.host, identity, host_settings.zone
         )
         self.view_sums = Sums()
+        self.clock_logged_at = -inf
+        # Corrections since the last one that was logged, in seconds.
+        self.clock_moved_s = 0.0
         self.clock_samples: dict[str, tuple[OffsetBounds, float]] = {}
         self.buffers = BufferBudget(
             MAX_BUFFERED_BYTES, on_evicted=self._log_eviction
@@ -275,9 +282,15 @@
     def correct_clock(self, bounds: Sequence[OffsetBounds]) -> None:
         """Move the estimate of true time as other clocks show."""
         offset = corrected_offset(self.clock_offset, bounds)
-        if offset != self.clock_offset:
-            self.log(LogEvent.CLOCK_CORRECTED, by_s=offset - self.clock_offset)
-            self.clock_offset = offset
+        if offset == self.clock_offset:
+            return
+        self.clock_moved_s += offset - self.clock_offset
+        self.clock_offset = offset
+        now = boot_time()
+        if now >= self.clock_logged_at + CLOCK_LOG_INTERVAL_S:
+            self.log(LogEvent.CLOCK_CORRECTED, by_s=self.clock_moved_s)
+            self.clock_logged_at = now
+            self.clock_moved_s = 0.0
 
     def config_age(self, now: float) -> float:
         """Return the seconds since the configuration was confirmed."""
--- a/src/magnoliaflow/entry/usagecounts.py
+++ b/src/magnoliaflow/entry/usagecounts.py
@@ -18,6 +18,8 @@
 # Usage counts go to the lease holder at this interval, so that several fit
 # into the delay of a usage report.
 USAGE_INTERVAL_S = 1.6
+# Minimum interval, also while the lease changes hands.
+MIN_INTERVAL_S = 0.4
 # True time up to which counts are complete that only reports have named.
 UNKNOWN_UNTIL = 0.0
 
@@ -25,20 +27,30 @@
 class UsageSender:
     """Sends this host's counts, and those of hosts that have ended."""
 
-    __slots__ = ("last_holder", "links", "next_at", "state")
+    __slots__ = ("last_holder", "links", "next_at", "sent_at", "state")
 
     def __init__(self, state: EntryState, links: PeerLinks) -> None:
         self.state = state
         self.links = links
         self.next_at = 0.0
         self.last_holder = ""
+        self.sent_at = 0.0
 
     def tick(self, now: float) -> None:
-        """Send the counts when they are due, and at once to a new holder."""
+        """Send the counts when they are due, and at once to a new holder.
+
+        Forget old ones, also if this host reports no usage.
+        """
+        usage = self.state.usage
+        usage.forget_around(usage.window(self.state.true_time(now)))
         if not self.state.uses_groups():
             return
         holder = self.state.lease_manager.holder_identity()
-        if now >= self.next_at or holder != self.last_holder:
+        is_new = holder != self.last_holder
+        if is_new and now < self.sent_at + MIN_INTERVAL_S:
+            return
+        if is_new or now >= self.next_at:
+            self.sent_at = now
             self.next_at = now + USAGE_INTERVAL_S
             self.last_holder = holder
             self.send(now)
--- a/src/magnoliaflow/entry/usageduty.py
+++ b/src/magnoliaflow/entry/usageduty.py
@@ -63,7 +63,6 @@
         ledger = self.duty_log.ledger
         current = usage.window(self.state.true_time(now))
         oldest = current - KEPT_WINDOWS
-        usage.forget_around(current)
         self.reported_windows = {
             window for window in self.reported_windows if window >= oldest
         }
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -7,10 +7,12 @@
 from magnoliaflow.common import clocks
 from magnoliaflow.common.codec import decode_value
 from magnoliaflow.common.codec import encode_value
+from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.entry.heartbeats import handle_message
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.usagecounts import usage_counts
+from magnoliaflow.policy.clockbounds import OffsetBounds
 from magnoliaflow.policy.usage import is_report_due
 from magnoliaflow.policy.usage import MAX_WINDOWS
 from magnoliaflow.policy.usage import UsageCounter
@@ -231,6 +233,33 @@
         assert ("incomplete" in named) is (is_first and hosts > 8)
 
 
+def test_every_host_bounds_what_it_keeps_sends_and_logs(monkeypatch):
+    """One that reports nothing; the lease changes and its clock jumps."""
+    logged = []
+    monkeypatch.setattr(
+        EntryState, "log", lambda _, event, **named: logged.append(event)
+    )
+    fleet = UsageFleet(20, monkeypatch=monkeypatch)
+    fleet.run(10.0)
+    host = next(iter(fleet.hosts.values()))
+    state, sender = host.state, host.usage_sender
+    current = state.usage.window(state.true_time(fleet.now))
+    for window in range(current - 50, current + 1):
+        state.usage.merge("h2", "a1", window, 1)
+    fleet.usage_sent.clear()
+    logged.clear()
+    for _ in range(20):
+        fleet.now += 0.1
+        sender.last_holder = "another"
+        sender.tick(fleet.now)
+        state.clock_offset -= 5.0
+        offset = state.clock_offset + 5.0
+        state.correct_clock([OffsetBounds(offset, offset + 0.1)] * 3)
+    assert len(state.usage.counts) <= MAX_WINDOWS
+    assert 0 < fleet.usage_sent[host.name] <= 3 * 6
+    assert 0 < logged.count(LogEvent.CLOCK_CORRECTED) <= 3
+
+
 def test_counts_that_are_not_reported_are_forgotten():
     usage = UsageCounter(window_s=5.0)
     for window in range(100):
