Name counts that nothing shows to be complete as such

Cause: an aggregator that has the counts of an ended process from its reports alone passed them on with the time 0, which earlier builds send, and the holder took them as complete. Change: it names -1. Test seen to fail.

--- a/src/magnoliaflow/entry/usagecounts.py
+++ b/src/magnoliaflow/entry/usagecounts.py
@@ -16,6 +16,9 @@
 # Usage counts go to the lease holder at this interval, so that several fit
 # into the delay of a usage report.
 USAGE_INTERVAL_S = 1.6
+# Named for counts that nothing shows to be complete; 0 is what earlier
+# versions send.
+NEVER_COMPLETE = -1.0
 
 
 class UsageSender:
@@ -80,7 +83,7 @@
 
 def usage_counts(state: EntryState, identity: str, now: float) -> UsageCounts:
     """Return the usage counts of one process as far as they are known."""
-    until = state.usage.until.get(identity, 0.0)
+    until = state.usage.until.get(identity, NEVER_COMPLETE)
     if identity == state.identity:
         until = state.true_time(now)
     rows = usage_rows(state.usage.counts_for(identity))
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -3,6 +3,8 @@
 import pytest
 from usagefleet import UsageFleet
 
+from magnoliaflow.entry.usagecounts import handle_usage_counts
+from magnoliaflow.entry.usagecounts import usage_counts
 from magnoliaflow.policy.usage import KEPT_WINDOWS
 from magnoliaflow.policy.usage import UsageCounter
 
@@ -93,3 +95,12 @@
         usage.add("h1", "a1", 5.0 * window)
     assert len(usage.counts) <= KEPT_WINDOWS + 1
     assert len(usage.take_changed("h1")) <= KEPT_WINDOWS + 1
+
+
+def test_copies_from_reports_alone_are_not_taken_as_complete(fleet):
+    """An aggregator passes on what it has of a process that ended."""
+    aggregator, holder = list(fleet.hosts.values())[:2]
+    aggregator.state.usage.merge("ended", "a1", 200_003, 3)
+    message = usage_counts(aggregator.state, "ended", fleet.now)
+    handle_usage_counts(holder.state, message, fleet.now)
+    assert holder.state.usage.lacking(["ended"], 200_003) == {"ended"}
