--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -438,7 +438,7 @@
 class ProcessUsage:
     """Usage counts of a process that has ended, from an aggregator.
 
-    They are complete up to the true time ``until``, 0 if none is known.
+    They are complete up to the true time ``until``, -1 if none is known.
     """
 
     identity: str
--- a/src/magnoliaflow/entry/usagecounts.py
+++ b/src/magnoliaflow/entry/usagecounts.py
@@ -20,8 +20,8 @@
 USAGE_INTERVAL_S = 1.6
 # Minimum interval, also while the lease changes hands.
 MIN_INTERVAL_S = 0.4
-# True time up to which counts are complete that only reports have named.
-UNKNOWN_UNTIL = 0.0
+# Named for counts that nothing shows to be complete.
+NEVER_COMPLETE = -1.0
 
 
 class UsageSender:
@@ -97,7 +97,7 @@
         ProcessUsage(
             identity,
             usage_rows(recent_rows(state, identity, now)),
-            state.usage.until.get(identity, UNKNOWN_UNTIL),
+            state.usage.until.get(identity, NEVER_COMPLETE),
         )
         for identity in _ended_identities(state, now)
     )
@@ -138,7 +138,7 @@
     merge_usage(state, message.identity, message.usage)
     for counts in message.ended:
         merge_usage(state, counts.identity, counts.usage)
-        if counts.until != UNKNOWN_UNTIL:
+        if counts.until != NEVER_COMPLETE:
             state.usage.complete(counts.identity, counts.until)
     until = message.until
     if until is None and sender == message.identity:
