--- a/tools/usagefleet.py
+++ b/tools/usagefleet.py
@@ -189,7 +189,7 @@
         return START_S + self.now
 
     def start(self, number, run=0):
-        """Start a process; it knows the addresses of the others."""
+        """Start a process; it has the addresses of the others."""
         host = PlayedHost(self, number, run)
         host.state.peer_addresses.update(dict.fromkeys(self.hosts, self.now))
         in_groups = self.size > MESH_HOSTS
