--- a/src/magnoliaflow/policy/usage.py
+++ b/src/magnoliaflow/policy/usage.py
@@ -13,8 +13,8 @@
 # to the second for processes whose counts are not complete.
 MIN_DELAY_SHARE = 0.4
 INCOMPLETE_DELAY_SHARE = 0.75
-# Seconds of the allowed delay that are left for the append and the call, one of
-# which may fail once.
+# Seconds of the allowed delay that are left for the append and the call, one
+# of which may fail once.
 REPORT_MARGIN_S = 1.0
 # A new holder waits this long for counts: the new lease passes three hops of
 # reports and views, and the counts come back.
