--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -182,6 +182,10 @@
         """Return the name of a host's group, '' if the host is unknown."""
         return self._groups_by_host.get(host, "")
 
+    def in_group(self, host: str) -> bool:
+        """Return whether a host is in this host's group."""
+        return self._groups_by_host.get(host) == self.group
+
     def meet(self, fact: HostFact, heard_at: float) -> None:
         """Record a host that was alive at a time."""
         if fact.host == self.host:
@@ -210,6 +214,23 @@
             if self.is_live(host, now)
         ]
 
+    def counting_identities(self, now: float, began_at: float) -> list[str]:
+        """Return the other processes that may count in a window to report.
+
+        ``began_at``: when the window began.  Those that have been silent
+        since before that are not among them, nor those that have announced
+        their end.
+        """
+        return [
+            known.fact.identity
+            for known in self.hosts.values()
+            if known.heard_at >= began_at
+            and (
+                not known.fact.leaving
+                or now - known.heard_at < DIGEST_TIMEOUT_S
+            )
+        ]
+
     def refresh(self, now: float) -> None:
         """Derive the groups and the order of their aggregators."""
         for host, known in list(self.hosts.items()):
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -377,7 +377,8 @@
     ``number`` counts the reports of a process.  ``leases`` is empty unless
     the sender holds the lease.  ``wants_view`` asks for a view in return.
     ``heard`` and ``heard_number`` are the publisher and the number of the
-    last digest of its group that the sender received.
+    last digest of its group that the sender received.  ``usage`` are its
+    counts that changed since its last report.
     """
 
     fact: HostFact
@@ -389,6 +390,7 @@
     wants_view: bool
     heard: str
     heard_number: int
+    usage: tuple[UsageCount, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -449,12 +451,31 @@
     document: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessUsage:
+    """Usage counts of a process that has ended, from an aggregator.
+
+    They are complete up to the true time ``until``, -1 if none is known.
+    """
+
+    identity: str
+    usage: tuple[UsageCount, ...]
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class UsageCounts:
-    """Usage counts of one process, for the lease holder."""
+    """Usage counts of one process, for the lease holder.
+
+    They are complete up to the true time ``until``, None if the sender is an
+    earlier version.  ``ended`` are those of processes of its group that have
+    ended.
+    """
 
     identity: str
     usage: tuple[UsageCount, ...]
+    until: float | None = None
+    ended: tuple[ProcessUsage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -39,7 +39,6 @@
 from magnoliaflow.entry.directory import answer_readiness
 from magnoliaflow.entry.drain import Drain
 from magnoliaflow.entry.duties import DutyLog
-from magnoliaflow.entry.duties import UsageDuty
 from magnoliaflow.entry.enginespeeds import speed_details
 from magnoliaflow.entry.findings import FindingsSender
 from magnoliaflow.entry.findings import hold_details
@@ -61,6 +60,8 @@
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.storeera import store_details
 from magnoliaflow.entry.systems import ENTRY_SYSTEMS
+from magnoliaflow.entry.usagecounts import UsageSender
+from magnoliaflow.entry.usageduty import UsageDuty
 from magnoliaflow.platform.cloud import CloudClient
 from magnoliaflow.platform.headers import credential
 from magnoliaflow.platform.headers import json_answer_headers
@@ -129,6 +130,7 @@
         links = PeerLinks(identity, on_failure=self.on_link_failure)
         self.heartbeat_sender = HeartbeatSender(self.state, links)
         self.report_sender = ReportSender(self.state, links)
+        self.usage_sender = UsageSender(self.state, links)
         self.findings_sender = FindingsSender(self.state, links)
         self.rollout_sender = RolloutSender(self.state, links)
         self.duty_log = DutyLog(self.state, self.store)
@@ -295,6 +297,7 @@
             self.server_limits.idle_timeout_s = limits.idle_timeout_s
         self._run("heartbeats", self.heartbeat_sender.tick, now)
         self._run("reports", self.report_sender.tick, now)
+        self._run("usage counts", self.usage_sender.tick, now)
         self._run("findings", self.findings_sender.tick, now)
         self._run("rollout news", self.rollout_sender.tick, now)
         self._run("registration", self._register, now)
@@ -432,7 +435,7 @@
         self.rollout_sender.send_counts(now)
         if self.state.uses_groups():
             self.report_sender.send_round(now)
-            self.report_sender.send_usage(now)
+            self.usage_sender.send(now)
 
 
 def run_entry(path: Path | None = None, metrics_port: int = 0) -> None:
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -23,29 +23,29 @@
 from magnoliaflow.common.messages import RolloutCounts
 from magnoliaflow.common.messages import RolloutNews
 from magnoliaflow.common.messages import ServiceLoad
-from magnoliaflow.common.messages import UsageCount
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.common.messages import View
 from magnoliaflow.entry.capshares import update_cap_shares
 from magnoliaflow.entry.findings import handle_findings
 from magnoliaflow.entry.reports import handle_changes
 from magnoliaflow.entry.reports import handle_report
-from magnoliaflow.entry.reports import handle_usage_counts
 from magnoliaflow.entry.reports import handle_view
 from magnoliaflow.entry.reports import OTHERS
 from magnoliaflow.entry.rolloutnews import handle_rollout_counts
 from magnoliaflow.entry.rolloutnews import handle_rollout_news
-from magnoliaflow.entry.state import CLOCK_CORRECTION_SHARE
-from magnoliaflow.entry.state import CLOCK_TOLERANCE_S
 from magnoliaflow.entry.state import DUTY_LEASE
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.state import heartbeat_interval
-from magnoliaflow.entry.state import MAX_CLOCK_SAMPLE_AGE_S
 from magnoliaflow.entry.state import PeerHost
 from magnoliaflow.entry.storeera import observe_store_era
 from magnoliaflow.entry.updates import apply_config
 from magnoliaflow.entry.updates import apply_registration
+from magnoliaflow.entry.usagecounts import handle_usage_counts
+from magnoliaflow.entry.usagecounts import merge_usage
+from magnoliaflow.entry.usagecounts import recent_rows
+from magnoliaflow.entry.usagecounts import usage_rows
 from magnoliaflow.platform.document import decode_document
+from magnoliaflow.policy.clockbounds import offset_bounds
 
 # A peer that was silent for this long is dropped: longer than any partition
 # within the platform's bounds.
@@ -217,7 +217,7 @@
     gossip = Gossip() if peer is None else _gossip_for(state, now, peer)
     usage = []
     if peer is not None and needs_usage_counts(state, peer):
-        usage = state.usage.counts_for(state.identity)
+        usage = recent_rows(state, state.identity, now)
     return Beat(
         identity=state.identity,
         host=state.host_settings.host,
@@ -246,10 +246,7 @@
             for name, rate in state.reported_demands.items()
             if rate > 0.01
         ),
-        usage=tuple(
-            UsageCount(account, window, count)
-            for window, account, count in usage
-        ),
+        usage=usage_rows(usage),
         engines=tuple(
             EngineLoad(
                 engine.name,
@@ -298,7 +295,6 @@
     Report: handle_report,
     View: handle_view,
     Changes: handle_changes,
-    UsageCounts: handle_usage_counts,
     Findings: handle_findings,
     RolloutCounts: handle_rollout_counts,
     RolloutNews: handle_rollout_news,
@@ -312,6 +308,9 @@
     if isinstance(message, Beat):
         handle_heartbeat(state, message)
         return
+    if isinstance(message, UsageCounts):
+        handle_usage_counts(state, sender, message, boot_time())
+        return
     handler = MESSAGE_HANDLERS.get(type(message))
     if handler is not None:
         handler(state, message)
@@ -334,10 +333,7 @@
         state.peer_addresses.setdefault(address, now)
     _apply_config(state, message, made_after)
     _apply_registrations(state, message, made_after)
-    for usage in message.usage:
-        state.usage.merge(
-            message.identity, usage.account, usage.window, usage.count
-        )
+    merge_usage(state, message.identity, message.usage)
     if message.lease_fence >= 0:
         state.lease_manager.lease_table.observe_holder(
             DUTY_LEASE,
@@ -446,15 +442,11 @@
 
     The median outvotes a clock that has jumped, here or on a peer.
     """
-    differences = sorted(
-        [0.0]
-        + [
-            peer.heartbeat.true_time - state.true_time(peer.last_heartbeat_at)
-            for peer in state.live_peers(now)
-            if peer.last_heartbeat_at - peer.made_after
-            < MAX_CLOCK_SAMPLE_AGE_S
-        ]
-    )
-    difference = differences[len(differences) // 2]
-    if len(differences) > 2 and abs(difference) > CLOCK_TOLERANCE_S:
-        state.clock_offset += difference * CLOCK_CORRECTION_SHARE
+    bounds = [
+        offset_bounds(
+            peer.heartbeat.true_time, peer.made_after, peer.last_heartbeat_at
+        )
+        for peer in state.live_peers(now)
+    ]
+    if len(bounds) > 1:
+        state.correct_clock(bounds)
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype355, _size352) = iprot.readListBegin()
-                    for _i356 in range(_size352):
-                        _elem357 = PeerMessage()
-                        _elem357.read(iprot)
-                        self.messages.append(_elem357)
+                    (_etype376, _size373) = iprot.readListBegin()
+                    for _i377 in range(_size373):
+                        _elem378 = PeerMessage()
+                        _elem378.read(iprot)
+                        self.messages.append(_elem378)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter358 in self.messages:
-                iter358.write(oprot)
+            for iter379 in self.messages:
+                iter379.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -5593,6 +5593,7 @@
      - wants_view
      - heard
      - heard_number
+     - usage
 
     """
 
@@ -5606,10 +5607,11 @@
         'wants_view',
         'heard',
         'heard_number',
+        'usage',
     )
 
 
-    def __init__(self, fact=None, number=None, loads=None, progress=None, leases=None, true_time=None, wants_view=None, heard=None, heard_number=None,):
+    def __init__(self, fact=None, number=None, loads=None, progress=None, leases=None, true_time=None, wants_view=None, heard=None, heard_number=None, usage=None,):
         self.fact = fact
         self.number = number
         self.loads = loads
@@ -5619,6 +5621,7 @@
         self.wants_view = wants_view
         self.heard = heard
         self.heard_number = heard_number
+        self.usage = usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5683,6 +5686,17 @@
                     self.heard_number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = UsageCount()
+                        _elem209.read(iprot)
+                        self.usage.append(_elem209)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5712,8 +5726,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter204 in self.leases:
-                iter204.write(oprot)
+            for iter210 in self.leases:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5732,6 +5746,13 @@
             oprot.writeFieldBegin('heard_number', TType.I64, 9)
             oprot.writeI64(self.heard_number)
             oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter211 in self.usage:
+                iter211.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5840,31 +5861,31 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype208, _size205) = iprot.readListBegin()
-                    for _i209 in range(_size205):
-                        _elem210 = HostFact()
-                        _elem210.read(iprot)
-                        self.hosts.append(_elem210)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = HostFact()
+                        _elem217.read(iprot)
+                        self.hosts.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype214, _size211) = iprot.readListBegin()
-                    for _i215 in range(_size211):
-                        _elem216 = iprot.readI64()
-                        self.numbers.append(_elem216)
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = iprot.readI64()
+                        self.numbers.append(_elem223)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = iprot.readDouble()
-                        self.ages.append(_elem222)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = iprot.readDouble()
+                        self.ages.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5883,11 +5904,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.leases = []
-                    (_etype226, _size223) = iprot.readListBegin()
-                    for _i227 in range(_size223):
-                        _elem228 = LeaseFact()
-                        _elem228.read(iprot)
-                        self.leases.append(_elem228)
+                    (_etype233, _size230) = iprot.readListBegin()
+                    for _i234 in range(_size230):
+                        _elem235 = LeaseFact()
+                        _elem235.read(iprot)
+                        self.leases.append(_elem235)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5899,20 +5920,20 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.heard = []
-                    (_etype232, _size229) = iprot.readListBegin()
-                    for _i233 in range(_size229):
-                        _elem234 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.heard.append(_elem234)
+                    (_etype239, _size236) = iprot.readListBegin()
+                    for _i240 in range(_size236):
+                        _elem241 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.heard.append(_elem241)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.heard_numbers = []
-                    (_etype238, _size235) = iprot.readListBegin()
-                    for _i239 in range(_size235):
-                        _elem240 = iprot.readI64()
-                        self.heard_numbers.append(_elem240)
+                    (_etype245, _size242) = iprot.readListBegin()
+                    for _i246 in range(_size242):
+                        _elem247 = iprot.readI64()
+                        self.heard_numbers.append(_elem247)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5945,22 +5966,22 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter241 in self.hosts:
-                iter241.write(oprot)
+            for iter248 in self.hosts:
+                iter248.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter242 in self.numbers:
-                oprot.writeI64(iter242)
+            for iter249 in self.numbers:
+                oprot.writeI64(iter249)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 7)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter243 in self.ages:
-                oprot.writeDouble(iter243)
+            for iter250 in self.ages:
+                oprot.writeDouble(iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
@@ -5974,8 +5995,8 @@
         if self.leases is not None:
             oprot.writeFieldBegin('leases', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter244 in self.leases:
-                iter244.write(oprot)
+            for iter251 in self.leases:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.true_time is not None:
@@ -5985,15 +6006,15 @@
         if self.heard is not None:
             oprot.writeFieldBegin('heard', TType.LIST, 12)
             oprot.writeListBegin(TType.STRING, len(self.heard))
-            for iter245 in self.heard:
-                oprot.writeString(iter245.encode('utf-8') if sys.version_info[0] == 2 else iter245)
+            for iter252 in self.heard:
+                oprot.writeString(iter252.encode('utf-8') if sys.version_info[0] == 2 else iter252)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_numbers is not None:
             oprot.writeFieldBegin('heard_numbers', TType.LIST, 13)
             oprot.writeListBegin(TType.I64, len(self.heard_numbers))
-            for iter246 in self.heard_numbers:
-                oprot.writeI64(iter246)
+            for iter253 in self.heard_numbers:
+                oprot.writeI64(iter253)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6062,31 +6083,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = iprot.readBinary()
-                        self.digests.append(_elem252)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = iprot.readBinary()
+                        self.digests.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype256, _size253) = iprot.readListBegin()
-                    for _i257 in range(_size253):
-                        _elem258 = iprot.readDouble()
-                        self.ages.append(_elem258)
+                    (_etype263, _size260) = iprot.readListBegin()
+                    for _i264 in range(_size260):
+                        _elem265 = iprot.readDouble()
+                        self.ages.append(_elem265)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype262, _size259) = iprot.readListBegin()
-                    for _i263 in range(_size259):
-                        _elem264 = HostFact()
-                        _elem264.read(iprot)
-                        self.hosts.append(_elem264)
+                    (_etype269, _size266) = iprot.readListBegin()
+                    for _i270 in range(_size266):
+                        _elem271 = HostFact()
+                        _elem271.read(iprot)
+                        self.hosts.append(_elem271)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6107,22 +6128,22 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter265 in self.digests:
-                oprot.writeBinary(iter265)
+            for iter272 in self.digests:
+                oprot.writeBinary(iter272)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 3)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter266 in self.ages:
-                oprot.writeDouble(iter266)
+            for iter273 in self.ages:
+                oprot.writeDouble(iter273)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter267 in self.hosts:
-                iter267.write(oprot)
+            for iter274 in self.hosts:
+                iter274.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6204,11 +6225,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype271, _size268) = iprot.readListBegin()
-                    for _i272 in range(_size268):
-                        _elem273 = EngineEntry()
-                        _elem273.read(iprot)
-                        self.entries.append(_elem273)
+                    (_etype278, _size275) = iprot.readListBegin()
+                    for _i279 in range(_size275):
+                        _elem280 = EngineEntry()
+                        _elem280.read(iprot)
+                        self.entries.append(_elem280)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6242,8 +6263,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter274 in self.entries:
-                iter274.write(oprot)
+            for iter281 in self.entries:
+                iter281.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -6275,23 +6296,130 @@
         return not (self == other)
 
 
+class ProcessUsage(object):
+    """
+    Attributes:
+     - identity
+     - usage
+     - until
+
+    """
+
+    __slots__ = (
+        'identity',
+        'usage',
+        'until',
+    )
+
+
+    def __init__(self, identity=None, usage=None, until=None,):
+        self.identity = identity
+        self.usage = usage
+        self.until = until
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype285, _size282) = iprot.readListBegin()
+                    for _i286 in range(_size282):
+                        _elem287 = UsageCount()
+                        _elem287.read(iprot)
+                        self.usage.append(_elem287)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.until = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ProcessUsage')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter288 in self.usage:
+                iter288.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.until is not None:
+            oprot.writeFieldBegin('until', TType.DOUBLE, 3)
+            oprot.writeDouble(self.until)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UsageCounts(object):
     """
     Attributes:
      - identity
      - usage
+     - until
+     - ended
 
     """
 
     __slots__ = (
         'identity',
         'usage',
+        'until',
+        'ended',
     )
 
 
-    def __init__(self, identity=None, usage=None,):
+    def __init__(self, identity=None, usage=None, until=None, ended=None,):
         self.identity = identity
         self.usage = usage
+        self.until = until
+        self.ended = ended
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6310,11 +6438,27 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype278, _size275) = iprot.readListBegin()
-                    for _i279 in range(_size275):
-                        _elem280 = UsageCount()
-                        _elem280.read(iprot)
-                        self.usage.append(_elem280)
+                    (_etype292, _size289) = iprot.readListBegin()
+                    for _i293 in range(_size289):
+                        _elem294 = UsageCount()
+                        _elem294.read(iprot)
+                        self.usage.append(_elem294)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.until = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype298, _size295) = iprot.readListBegin()
+                    for _i299 in range(_size295):
+                        _elem300 = ProcessUsage()
+                        _elem300.read(iprot)
+                        self.ended.append(_elem300)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6335,8 +6479,19 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter281 in self.usage:
-                iter281.write(oprot)
+            for iter301 in self.usage:
+                iter301.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.until is not None:
+            oprot.writeFieldBegin('until', TType.DOUBLE, 3)
+            oprot.writeDouble(self.until)
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.ended))
+            for iter302 in self.ended:
+                iter302.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6574,22 +6729,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype285, _size282) = iprot.readListBegin()
-                    for _i286 in range(_size282):
-                        _elem287 = EndedEngine()
-                        _elem287.read(iprot)
-                        self.ends.append(_elem287)
+                    (_etype306, _size303) = iprot.readListBegin()
+                    for _i307 in range(_size303):
+                        _elem308 = EndedEngine()
+                        _elem308.read(iprot)
+                        self.ends.append(_elem308)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype291, _size288) = iprot.readListBegin()
-                    for _i292 in range(_size288):
-                        _elem293 = SoundAnswer()
-                        _elem293.read(iprot)
-                        self.sound.append(_elem293)
+                    (_etype312, _size309) = iprot.readListBegin()
+                    for _i313 in range(_size309):
+                        _elem314 = SoundAnswer()
+                        _elem314.read(iprot)
+                        self.sound.append(_elem314)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6610,15 +6765,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter294 in self.ends:
-                iter294.write(oprot)
+            for iter315 in self.ends:
+                iter315.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter295 in self.sound:
-                iter295.write(oprot)
+            for iter316 in self.sound:
+                iter316.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6779,33 +6934,33 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype299, _size296) = iprot.readListBegin()
-                    for _i300 in range(_size296):
-                        _elem301 = SuspectPart()
-                        _elem301.read(iprot)
-                        self.parts.append(_elem301)
+                    (_etype320, _size317) = iprot.readListBegin()
+                    for _i321 in range(_size317):
+                        _elem322 = SuspectPart()
+                        _elem322.read(iprot)
+                        self.parts.append(_elem322)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype305, _size302) = iprot.readListBegin()
-                    for _i306 in range(_size302):
-                        _elem307 = NamedLimit()
-                        _elem307.read(iprot)
-                        self.limits.append(_elem307)
+                    (_etype326, _size323) = iprot.readListBegin()
+                    for _i327 in range(_size323):
+                        _elem328 = NamedLimit()
+                        _elem328.read(iprot)
+                        self.limits.append(_elem328)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype311, _size308) = iprot.readListBegin()
-                    for _i312 in range(_size308):
-                        _elem313 = SuspectPart()
-                        _elem313.read(iprot)
-                        self.requests.append(_elem313)
+                    (_etype332, _size329) = iprot.readListBegin()
+                    for _i333 in range(_size329):
+                        _elem334 = SuspectPart()
+                        _elem334.read(iprot)
+                        self.requests.append(_elem334)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6826,22 +6981,22 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter314 in self.parts:
-                iter314.write(oprot)
+            for iter335 in self.parts:
+                iter335.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter315 in self.limits:
-                iter315.write(oprot)
+            for iter336 in self.limits:
+                iter336.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter316 in self.requests:
-                iter316.write(oprot)
+            for iter337 in self.requests:
+                iter337.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6918,21 +7073,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype320, _size317) = iprot.readListBegin()
-                    for _i321 in range(_size317):
-                        _elem322 = RolloutStep()
-                        _elem322.read(iprot)
-                        self.steps.append(_elem322)
+                    (_etype341, _size338) = iprot.readListBegin()
+                    for _i342 in range(_size338):
+                        _elem343 = RolloutStep()
+                        _elem343.read(iprot)
+                        self.steps.append(_elem343)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype326, _size323) = iprot.readListBegin()
-                    for _i327 in range(_size323):
-                        _elem328 = iprot.readDouble()
-                        self.ages.append(_elem328)
+                    (_etype347, _size344) = iprot.readListBegin()
+                    for _i348 in range(_size344):
+                        _elem349 = iprot.readDouble()
+                        self.ages.append(_elem349)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6962,15 +7117,15 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter329 in self.steps:
-                iter329.write(oprot)
+            for iter350 in self.steps:
+                iter350.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 4)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter330 in self.ages:
-                oprot.writeDouble(iter330)
+            for iter351 in self.ages:
+                oprot.writeDouble(iter351)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_number is not None:
@@ -7077,10 +7232,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.latencies = []
-                    (_etype334, _size331) = iprot.readListBegin()
-                    for _i335 in range(_size331):
-                        _elem336 = iprot.readI32()
-                        self.latencies.append(_elem336)
+                    (_etype355, _size352) = iprot.readListBegin()
+                    for _i356 in range(_size352):
+                        _elem357 = iprot.readI32()
+                        self.latencies.append(_elem357)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7121,8 +7276,8 @@
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.latencies))
-            for iter337 in self.latencies:
-                oprot.writeI32(iter337)
+            for iter358 in self.latencies:
+                oprot.writeI32(iter358)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7217,11 +7372,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype341, _size338) = iprot.readListBegin()
-                    for _i342 in range(_size338):
-                        _elem343 = RolloutTally()
-                        _elem343.read(iprot)
-                        self.tallies.append(_elem343)
+                    (_etype362, _size359) = iprot.readListBegin()
+                    for _i363 in range(_size359):
+                        _elem364 = RolloutTally()
+                        _elem364.read(iprot)
+                        self.tallies.append(_elem364)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7258,8 +7413,8 @@
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter344 in self.tallies:
-                iter344.write(oprot)
+            for iter365 in self.tallies:
+                iter365.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7347,11 +7502,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype348, _size345) = iprot.readListBegin()
-                    for _i349 in range(_size345):
-                        _elem350 = RolloutCount()
-                        _elem350.read(iprot)
-                        self.counts.append(_elem350)
+                    (_etype369, _size366) = iprot.readListBegin()
+                    for _i370 in range(_size366):
+                        _elem371 = RolloutCount()
+                        _elem371.read(iprot)
+                        self.counts.append(_elem371)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7384,8 +7539,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter351 in self.counts:
-                iter351.write(oprot)
+            for iter372 in self.counts:
+                iter372.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8180,6 +8335,7 @@
     (7, TType.BOOL, 'wants_view', None, None, ),  # 7
     (8, TType.STRING, 'heard', 'UTF8', None, ),  # 8
     (9, TType.I64, 'heard_number', None, None, ),  # 9
+    (10, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 10
 )
 all_structs.append(Digest)
 Digest.thrift_spec = (
@@ -8215,11 +8371,20 @@
     (4, TType.LIST, 'entries', (TType.STRUCT, [EngineEntry, None], False), None, ),  # 4
     (5, TType.STRING, 'document', 'BINARY', None, ),  # 5
 )
+all_structs.append(ProcessUsage)
+ProcessUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 2
+    (3, TType.DOUBLE, 'until', None, None, ),  # 3
+)
 all_structs.append(UsageCounts)
 UsageCounts.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 2
+    (3, TType.DOUBLE, 'until', None, None, ),  # 3
+    (4, TType.LIST, 'ended', (TType.STRUCT, [ProcessUsage, None], False), None, ),  # 4
 )
 all_structs.append(EndedEngine)
 EndedEngine.thrift_spec = (
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -24,6 +24,7 @@
 from magnoliaflow.common.messages import NamedLimit
 from magnoliaflow.common.messages import NewsRecord
 from magnoliaflow.common.messages import Parting
+from magnoliaflow.common.messages import ProcessUsage
 from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.common.messages import RolloutTally
@@ -44,6 +45,7 @@
     bool: st.booleans(),
     int: st.integers(0, 2**31 - 1),
     float: st.floats(0, 1e12),
+    float | None: st.none() | st.floats(0, 1e12),
     tuple[str, ...]: st.lists(st.text(max_size=5), max_size=3).map(tuple),
     tuple[int, ...]: st.lists(st.integers(0, 9)).map(tuple),
     tuple[float, ...]: st.lists(st.floats(0, 9), max_size=3).map(tuple),
@@ -74,6 +76,7 @@
     SoundAnswer,
     SuspectPart,
     UsageCount,
+    ProcessUsage,
 )
 for nested_type in NESTED_TYPES:
     STRATEGIES[nested_type] = st.builds(
