--- a/src/magnoliaflow/cli.py
+++ b/src/magnoliaflow/cli.py
@@ -229,7 +229,7 @@
 
 
 def _entry(cfg: Settings | None, args: Namespace) -> None:
-    run_entry(args.boot, args.metrics_port)
+    run_entry(args.boot, args.metrics_port, args.extra_share)
     end_process(int(ExitCode.OK))
 
 
--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -58,6 +58,8 @@
     CALL_REJECTED = 632
     CALL_REFUSED = 633
     BODY_DROPPED = 634
+    HEDGE_SENT = 635
+    HEDGE_ENDED = 636
     PART_HELD = 640
     PART_RELEASED = 641
     ENGINE_LIMITED = 642
@@ -111,6 +113,8 @@
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
     LogEvent.CALL_REFUSED: "A request was not admitted: cap, pace or held.",
     LogEvent.BODY_DROPPED: "A large body was dropped: the limit is reached.",
+    LogEvent.HEDGE_SENT: "A slow request was sent to a second engine too.",
+    LogEvent.HEDGE_ENDED: "One of two engines is left; with the outcome.",
     LogEvent.PART_HELD: "A part of prompts is held back: engines ended.",
     LogEvent.PART_RELEASED: "A part of prompts is no longer held back.",
     LogEvent.ENGINE_LIMITED: "An engine named a limit of requests a second.",
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -30,7 +30,9 @@
 from magnoliaflow.entry.findings import find_hold
 from magnoliaflow.entry.findings import hold_details
 from magnoliaflow.entry.findings import hold_retry_after
+from magnoliaflow.entry.hedges import Hedge
 from magnoliaflow.entry.limits import next_send_at
+from magnoliaflow.entry.retries import may_retry
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import json_answer_headers
@@ -42,7 +44,6 @@
 from magnoliaflow.policy.placement import first_token_s
 from magnoliaflow.policy.routes import Account
 from magnoliaflow.policy.routes import Route
-from magnoliaflow.policy.routes import RouteKind
 from magnoliaflow.policy.routes import RouteTable
 from magnoliaflow.policy.routing import choose
 from magnoliaflow.policy.routing import find_policy
@@ -65,9 +66,6 @@
 DEADLINE_MARGIN_S = 0.03
 # Deadline of a request that names none; the route's timeout still applies.
 DEFAULT_DEADLINE_S = 30.0
-# Share of the latency target after which an idempotent call without an answer
-# is sent again: its engine may have failed silently.
-HEDGE_DELAY_SHARE = 1.0
 
 
 class CallHandler:
@@ -85,7 +83,7 @@
         "done",
         "attempts_sent",
         "first_byte_at",
-        "hedge_timer",
+        "hedge",
         "inbound",
         "key",
         "last_event",
@@ -123,7 +121,7 @@
         self.done = False
         self.attempts_sent = 0
         self.first_byte_at = 0.0
-        self.hedge_timer: Any = None
+        self.hedge = Hedge(self)
         self.last_event = -1
         self.may_have_run = False
         self.request_name = ""
@@ -203,7 +201,7 @@
         if self.done:
             return
         now = boot_time()
-        hold = self._find_hold(now)
+        hold = self.find_hold(now)
         if hold is not None:
             self._refuse_admission(
                 Refusal(
@@ -214,16 +212,16 @@
             )
             return
         left_s = self.deadline_at - now
-        routing_request = self._routing_request(left_s)
+        routing_request = self.routing_request(left_s)
         choice = choose(
-            self.state.routing, routing_request, self._policy(), now
+            self.state.routing, routing_request, self.policy(), now
         )
         if choice is None and self.tried_engines:
             self.tried_engines.clear()
             choice = choose(
                 self.state.routing,
-                self._routing_request(left_s),
-                self._policy(),
+                self.routing_request(left_s),
+                self.policy(),
                 now,
             )
         if choice is None:
@@ -235,7 +233,7 @@
             local_load = self.state.local_loads[self.service]
             local_load.demand.record(choice.uncached_tokens, now)
         wait_s = first_token_s(engine, 0, now)
-        if self._serves_model() and wait_s > left_s:
+        if self.serves_model() and wait_s > left_s:
             self.refuse(Code.DEADLINE_UNREACHABLE, wait_s)
             return
         if self.attempts_sent == 0 and self.route is not None:
@@ -247,16 +245,18 @@
                 return
         self._send(engine, choice.uncached_tokens, routing_request, left_s)
 
-    def _find_hold(self, now: float) -> Hold | None:
+    def find_hold(self, now: float) -> Hold | None:
         """Return a hold on the request, None if it may be sent."""
         return find_hold(self.state, self.service, self.judged_names(), now)
 
-    def _policy(self) -> Any:
+    def policy(self) -> Any:
+        """Return the routing policy of the request's service."""
         return find_policy(
-            "first_token" if self._serves_model() else "least_busy"
+            "first_token" if self.serves_model() else "least_busy"
         )
 
-    def _serves_model(self) -> bool:
+    def serves_model(self) -> bool:
+        """Return whether model engines serve the request."""
         service = (
             self.route_table.services.get(self.service)
             if self.route_table
@@ -264,7 +264,8 @@
         )
         return service is not None and service.model
 
-    def _routing_request(self, left_s: float) -> RoutingRequest:
+    def routing_request(self, left_s: float) -> RoutingRequest:
+        """Return what routing depends on; tried engines are avoided."""
         assert self.route is not None
         parts = self.call.parts
         return RoutingRequest(
@@ -322,6 +323,19 @@
         ):
             self.refuse(Code.PROFILES_STALE, STALE_CONFIG_RETRY_AFTER_S)
             return
+        self.attempt = self.open_attempt(
+            engine, uncached, routing_request, left_s
+        )
+        self.hedge.begin()
+
+    def open_attempt(
+        self,
+        engine: Engine,
+        uncached: int,
+        routing_request: RoutingRequest,
+        left_s: float,
+    ) -> Attempt:
+        """Log a send, connect to the engine and return the attempt."""
         self.state.log(
             LogEvent.CALL_PLACED,
             request=self.call.request_id,
@@ -341,7 +355,7 @@
                 boot_time(),
                 sizes=routing_request.sizes,
             )
-        model = self._serves_model()
+        model = self.serves_model()
         assert self.route is not None
         forward = ForwardContext(
             engine=engine.name,
@@ -353,9 +367,9 @@
             resume_after=str(self.last_event) if self.last_event >= 0 else "",
         )
         self.state.crash_judge.begin_trial(self.judged_names(), boot_time())
-        self.attempt = Attempt(self, engine, uncached)
-        self.attempt.open(self.call, forward)
-        self._start_hedge_timer()
+        attempt = Attempt(self, engine, uncached)
+        attempt.open(self.call, forward)
+        return attempt
 
     def may_send(self) -> bool:
         """Return whether the request may be sent now.
@@ -380,6 +394,7 @@
     def earn_retry(self) -> None:
         """Add to the retry budget after the first send."""
         if self.attempts_sent == 1:
+            self.state.hedging.record_first_send(self.service, boot_time())
             budget = self.state.retry_budgets.get(self.service)
             if budget is not None:
                 budget.earn()
@@ -393,43 +408,11 @@
                 self.state.true_time(at),
             )
 
-    def _start_hedge_timer(self) -> None:
-        """Start the timer that repeats an unanswered idempotent call."""
-        assert self.route is not None
-        if self.route.kind is not RouteKind.IDEMPOTENT:
-            return
-        delay = self.route.target_s * HEDGE_DELAY_SHARE
-        self.hedge_timer = reactor.callLater(
-            delay, self._on_hedge_timer, self.attempt
-        )
-
-    def _on_hedge_timer(self, attempt: Attempt) -> None:
-        if self.done or attempt is not self.attempt or attempt.head:
-            return
-        if not self._may_retry("silent"):
-            return
-        attempt.abandon()
-        self.may_have_run = True
-        self.dispatch()
-
-    def _may_retry(self, reason: str) -> bool:
-        """Spend a retry if the route and the budget allow another send."""
-        assert self.route is not None
-        if self.attempts_sent >= self.route.max_engines:
-            return False
-        if self._find_hold(boot_time()) is not None:
-            return False
-        budget = self.state.retry_budgets.get(self.service)
-        if budget is None or not budget.spend():
-            return False
-        self.state.metrics.retries.labels(reason).inc()
-        return True
-
     def attempt_failed(
         self, attempt: Attempt, failure: Failure, reason: str
     ) -> None:
         """Retry or give up after an attempt without an answer."""
-        if self.done or attempt is not self.attempt:
+        if self.done or not self.hedge.is_current(attempt):
             return
         self.state.log(
             LogEvent.ATTEMPT_FAILED,
@@ -443,6 +426,8 @@
             same_as=self.request_name,
         )
         self.tried_engines.add(attempt.engine.name)
+        if self.hedge.goes_on(attempt):
+            return
         if failure is Failure.UNSENT:
             self.unsent += 1
             if self.unsent <= MAX_UNSENT:
@@ -451,7 +436,7 @@
                 self.fail_unserved()
             return
         if failure is Failure.NOT_RUN:
-            if self._may_retry("not run"):
+            if may_retry(self, "not run"):
                 self.dispatch()
             elif self.may_have_run or self.response_started:
                 self.fail_unserved()
@@ -460,14 +445,14 @@
             return
         self.may_have_run = True
         assert self.route is not None
-        if self.route.repeatable and self._may_retry("broken"):
+        if self.route.repeatable and may_retry(self, "broken"):
             self.dispatch()
             return
         self.fail_unserved()
 
     def forward_events(self, attempt: Attempt, events: list[Event]) -> bool:
         """Forward events to the caller at once; return False on a gap."""
-        if self.done or attempt is not self.attempt:
+        if not self.hedge.wins(attempt):
             return False
         blocks: list[bytes] = []
         for event in events:
@@ -498,7 +483,7 @@
 
     def finish_stream(self, attempt: Attempt) -> None:
         """Finish a stream that its engine completed."""
-        if self.done or attempt is not self.attempt:
+        if not self.hedge.wins(attempt):
             return
         if not self.response_started and attempt.head is not None:
             self.inbound.begin(attempt.head.status, attempt.head.headers)
@@ -510,16 +495,19 @@
         self, attempt: Attempt, head: EngineResponseHead, body: bytes
     ) -> None:
         """Forward a complete answer, or retry after a failure."""
-        if self.done or attempt is not self.attempt:
+        if self.done or not self.hedge.is_current(attempt):
             return
         assert self.route is not None
         failed = head.status >= 500
         if failed and self.route.repeatable:
             self.tried_engines.add(attempt.engine.name)
-            if self._may_retry("engine failed"):
+            if self.hedge.goes_on(attempt):
+                return
+            if may_retry(self, "engine failed"):
                 self.may_have_run = True
                 self.dispatch()
                 return
+        self.hedge.wins(attempt)
         self.first_byte_at = boot_time()
         self.status = head.status
         self.inbound.respond(head.status, head.headers, body)
@@ -601,9 +589,9 @@
         self.code = code
         self.state.waiting_calls.pop(self.key, None)
         self.state.calls.drop(self.key)
-        for timer in (self.deadline_timer, self.hedge_timer):
-            if timer is not None and timer.active():
-                timer.cancel()
+        self.hedge.stop()
+        if self.deadline_timer is not None and self.deadline_timer.active():
+            self.deadline_timer.cancel()
         engine = ""
         if self.attempt is not None:
             engine = self.attempt.engine.name
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -95,7 +95,11 @@
     """One entry process."""
 
     def __init__(
-        self, host_settings: HostSettings, path: Path, metrics_port: int
+        self,
+        host_settings: HostSettings,
+        path: Path,
+        metrics_port: int,
+        extra_share: float = 0.0,
     ) -> None:
         identity = f"{host_settings.host}-{urandom(IDENTITY_BYTES).hex()}"
         self.host_settings = host_settings
@@ -108,6 +112,7 @@
             identity=identity,
             rng=Random(identity),
             logger=logger,
+            extra_share=extra_share,
         )
         self.store = StoreClient(
             host_settings.store_address,
@@ -404,7 +409,11 @@
             self.report_sender.send_usage(now)
 
 
-def run_entry(path: Path | None = None, metrics_port: int = 0) -> None:
+def run_entry(
+    path: Path | None = None,
+    metrics_port: int = 0,
+    extra_share: float = 0.0,
+) -> None:
     """Run an entry process until it is stopped.
 
     Raises SettingsError if the settings are missing or invalid.
@@ -418,7 +427,9 @@
             )
         path = Path(name)
     SIGNALS.install()
-    process = EntryProcess(_await_settings(path), path, metrics_port)
+    process = EntryProcess(
+        _await_settings(path), path, metrics_port, extra_share
+    )
     reactor.callWhenRunning(process.start)
     reactor.callWhenRunning(
         SIGNALS.attach,
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -20,6 +20,8 @@
         "engines_limited",
         "faults",
         "first_byte",
+        "hedges",
+        "hedges_refused",
         "in_flight",
         "lease_held",
         "parts_held",
@@ -53,6 +55,18 @@
             ["reason"],
             registry=registry,
         )
+        self.hedges = Counter(
+            "magnoliaflow_entry_hedges",
+            "Second sends of slow requests: sent, and how they ended.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.hedges_refused = Counter(
+            "magnoliaflow_entry_hedges_refused",
+            "Slow requests that were not sent a second time, by cause.",
+            ["cause"],
+            registry=registry,
+        )
         self.broken_answers = Counter(
             "magnoliaflow_entry_broken_answers",
             "Answers that broke off, by route.",
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -34,6 +34,7 @@
 from magnoliaflow.policy.drains import DrainWindow
 from magnoliaflow.policy.drains import LongestDuration
 from magnoliaflow.policy.enginelimits import EngineLimits
+from magnoliaflow.policy.hedging import Hedging
 from magnoliaflow.policy.prefixes import PrefixIndex
 from magnoliaflow.policy.routes import RouteTable
 from magnoliaflow.policy.routing import CostWeights
@@ -178,6 +179,7 @@
         "ports_held",
         "registry",
         "rng",
+        "hedging",
         "host_settings",
         "spent",
         "started_at",
@@ -199,6 +201,7 @@
         identity: str,
         rng: Random,
         logger: Logger,
+        extra_share: float = 0.0,
     ) -> None:
         now = boot_time()
         self.host_settings = host_settings
@@ -259,6 +262,7 @@
         self.next_rate_update_at = -inf
         self.rate_limits: dict[str, Bucket] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
+        self.hedging = Hedging(extra_share)
         self.usage = UsageCounter(window_s=host_settings.usage_window_s)
         self.lease_manager = LeaseManager(
             name=DUTY_LEASE,
--- /dev/null
+++ b/src/magnoliaflow/policy/hedging.py
@@ -0,0 +1,274 @@
+"""Second sends of slow requests, within a share that operators set.
+
+Designed for single engines that are slow for a moment or for good while the
+others of their service are not.  Where the whole service is slow, a second
+send only adds load, so none is made.  After Dean and Barroso, "The Tail at
+Scale" (CACM 2013): hedged requests, sent after a high quantile of the usual
+time.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from math import exp
+from math import inf
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+# A second engine is asked once a request takes longer than this share of its
+# route's recent requests of its size.
+DELAY_PERCENTILE = 95.0
+USUAL_PERCENTILE = 50.0
+# Times that a class needs before its quantile is used.
+MIN_SAMPLES = 20
+# Times are forgotten after one to two spans of this length.
+SPAN_S = 30.0
+# Age up to which a quantile is used without being computed again.
+QUANTILE_AGE_S = 1.0
+# Range and precision of the times, in milliseconds and significant digits.
+MIN_TIME_MS = 1
+MAX_TIME_MS = 60_000
+TIME_DIGITS = 2
+# Classes of times that a host keeps, about 20 KB each.
+MAX_CLASSES = 64
+# Window of the limit: a host saves up no more than its share of this time.
+WINDOW_S = 10.0
+# Time constant of the share of requests that outlast their quantile, and the
+# share from which the whole service counts as slow.  The prior keeps a host
+# with few requests from judging by one of them.
+SLOW_MEMORY_S = 5.0
+SLOW_SHARE = 0.3
+SLOW_PRIOR = 5.0
+MAX_EXTRA_SHARE = 0.2
+
+
+class Refused(Enum):
+    """Why a request that is slow is not sent a second time."""
+
+    NO_SLOT = "no free engine"
+    NOT_SOONER = "not sooner"
+    SERVICE_SLOW = "service slow"
+    LIMIT = "limit"
+    RETRY_BUDGET = "retry budget"
+    NOT_ALLOWED = "not allowed"
+
+
+class TimeClass(NamedTuple):
+    """Requests whose times are alike; an empty route stands for all."""
+
+    service: str
+    route: str
+    size: int
+
+
+def size_class(uncached_tokens: int) -> int:
+    """Return the class of a size; each spans a factor of four.
+
+    >>> size_class(1), size_class(3), size_class(4), size_class(4000)
+    (0, 0, 1, 5)
+    """
+    return (max(1, uncached_tokens).bit_length() - 1) // 2
+
+
+@dataclass(frozen=True, slots=True)
+class UsualTimes:
+    """Quantiles in seconds of a class of requests."""
+
+    usual_s: float
+    delay_s: float
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(MIN_TIME_MS, MAX_TIME_MS, TIME_DIGITS)
+
+
+class RecentTimes:
+    """Histogram of the times of one to two spans."""
+
+    __slots__ = ("computed_at", "current", "former", "started_at", "times")
+
+    def __init__(self, now: float) -> None:
+        self.current = _new_histogram()
+        self.former = _new_histogram()
+        self.started_at = now
+        self.computed_at = -inf
+        self.times: UsualTimes | None = None
+
+    def record(self, seconds: float, now: float) -> None:
+        """Add the time of one request."""
+        self._rotate(now)
+        time_ms = min(MAX_TIME_MS, max(MIN_TIME_MS, int(seconds * 1e3)))
+        self.current.record_value(time_ms)
+
+    def usual(self, now: float) -> UsualTimes | None:
+        """Return the quantiles, None while there are too few times."""
+        if now - self.computed_at >= QUANTILE_AGE_S:
+            self._rotate(now)
+            self.computed_at = now
+            self.times = self._compute()
+        return self.times
+
+    def _rotate(self, now: float) -> None:
+        age_s = now - self.started_at
+        if age_s < SPAN_S:
+            return
+        self.former = _new_histogram()
+        if age_s < 2 * SPAN_S:
+            self.former = self.current
+        self.current = _new_histogram()
+        self.started_at = now
+
+    def _compute(self) -> UsualTimes | None:
+        if (
+            self.current.get_total_count() + self.former.get_total_count()
+            < MIN_SAMPLES
+        ):
+            return None
+        both = _new_histogram()
+        both.add(self.current)
+        both.add(self.former)
+        return UsualTimes(
+            both.get_value_at_percentile(USUAL_PERCENTILE) / 1e3,
+            both.get_value_at_percentile(DELAY_PERCENTILE) / 1e3,
+        )
+
+
+class TimeBook:
+    """Recent times by class, the least recently used are dropped."""
+
+    __slots__ = ("classes",)
+
+    def __init__(self) -> None:
+        self.classes: OrderedDict[TimeClass, RecentTimes] = OrderedDict()
+
+    def record(self, key: TimeClass, seconds: float, now: float) -> None:
+        """Add a request's time to its route's class and its service's."""
+        for name in (key, key._replace(route="")):
+            times = self.classes.get(name)
+            if times is None:
+                times = self.classes[name] = RecentTimes(now)
+            self.classes.move_to_end(name)
+            times.record(seconds, now)
+        while len(self.classes) > MAX_CLASSES:
+            self.classes.popitem(last=False)
+
+    def usual(self, key: TimeClass, now: float) -> UsualTimes | None:
+        """Return the quantiles of a route's class, else of its service's."""
+        for name in (key, key._replace(route="")):
+            times = self.classes.get(name)
+            usual = None if times is None else times.usual(now)
+            if usual is not None:
+                return usual
+        return None
+
+
+@dataclass(slots=True)
+class Decayed:
+    """A count that forgets exponentially."""
+
+    value: float = 0.0
+    at: float = 0.0
+
+    def current(self, now: float) -> float:
+        """Return the count at a time."""
+        return self.value * exp(-max(0.0, now - self.at) / SLOW_MEMORY_S)
+
+    def add(self, now: float) -> None:
+        """Count one."""
+        self.value, self.at = self.current(now) + 1.0, now
+
+
+@dataclass(slots=True)
+class ExtraSends:
+    """Second sends of one service at one host.
+
+    ``balance`` is earned by first sends and starts at 0, so that the hosts
+    together never make more than the share of their first sends.  It is
+    bounded by the share of the sends in the last window, and by 1 below that.
+    """
+
+    share: float
+    balance: float = 0.0
+    window_at: float = -inf
+    sends: int = 0
+    former_sends: int = 0
+    sent: Decayed = field(default_factory=Decayed)
+    overdue: Decayed = field(default_factory=Decayed)
+
+    def earn(self, now: float) -> None:
+        """Credit a first send."""
+        if now - self.window_at >= WINDOW_S:
+            recent = now - self.window_at < 2 * WINDOW_S
+            self.former_sends = self.sends if recent else 0
+            self.window_at, self.sends = now, 0
+        self.sends += 1
+        most = max(1.0, self.share * max(self.sends, self.former_sends))
+        self.balance = min(most, self.balance + self.share)
+        self.sent.add(now)
+
+    def spend(self) -> bool:
+        """Take one second send; return False if none is left."""
+        # Shares such as 0.05 have no exact binary form.
+        if self.balance < 1.0 - 1e-9:
+            return False
+        self.balance -= 1.0
+        return True
+
+    def slow_share(self, now: float) -> float:
+        """Return the smoothed share of requests over their quantile."""
+        return self.overdue.current(now) / (
+            self.sent.current(now) + SLOW_PRIOR
+        )
+
+
+class Hedging:
+    """Decides at one host which requests are sent a second time."""
+
+    __slots__ = ("book", "services", "share")
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self.book = TimeBook()
+        self.services: dict[str, ExtraSends] = {}
+
+    def service(self, name: str) -> ExtraSends:
+        """Return the second sends of a service."""
+        if name not in self.services:
+            self.services[name] = ExtraSends(self.share)
+        return self.services[name]
+
+    def record_first_send(self, service: str, now: float) -> None:
+        """Count the first send of a request, of whatever kind."""
+        self.service(service).earn(now)
+
+    def record_overdue(self, service: str, now: float) -> None:
+        """Count a request that takes longer than its quantile."""
+        self.service(service).overdue.add(now)
+
+    def spend(self, service: str) -> bool:
+        """Take one second send from the limit."""
+        return self.service(service).spend()
+
+    def objection(
+        self,
+        service: str,
+        *,
+        elapsed_s: float,
+        predicted_s: float,
+        has_slot: bool,
+        now: float,
+    ) -> Refused | None:
+        """Return why a second engine is not asked, None if it is.
+
+        A request that has taken a time without an answer is expected to take
+        about that time again, so the second engine has to be sooner.
+        """
+        if self.service(service).slow_share(now) > SLOW_SHARE:
+            return Refused.SERVICE_SLOW
+        if not has_slot:
+            return Refused.NO_SLOT
+        if predicted_s >= elapsed_s:
+            return Refused.NOT_SOONER
+        return None
