Judge a slow service by its last requests, whatever their rate

Cause: in a simulation of ten engines that all turn slow, 95 of 600 requests were sent a second time in 10 s. Change: shares and times are smoothed by request instead of by time, and times are compared with the usual ones.

--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -36,13 +36,21 @@
 class Hedge:
     """The timer and the second attempt of one request."""
 
-    __slots__ = ("first", "handler", "is_used", "second", "timer")
+    __slots__ = (
+        "first",
+        "handler",
+        "is_overdue",
+        "is_used",
+        "second",
+        "timer",
+    )
 
     def __init__(self, handler: Any) -> None:
         self.handler = handler
         self.timer: Any = None
         self.first: Attempt | None = None
         self.second: Attempt | None = None
+        self.is_overdue = False
         self.is_used = False
 
     def begin(self) -> None:
@@ -114,7 +122,8 @@
         if not self._is_unanswered(attempt):
             return
         now = boot_time()
-        handler.state.hedging.record_overdue(handler.service, now)
+        handler.state.hedging.record_overdue(handler.service)
+        self.is_overdue = True
         refused = self._try_second(attempt, now)
         if refused is not None:
             handler.state.metrics.hedges_refused.labels(refused.value).inc()
@@ -151,7 +160,6 @@
             has_slot=(
                 engine.local_running + engine.peer_running < engine.cfg.slots
             ),
-            now=now,
         )
         if objection is not None:
             return objection
@@ -243,8 +251,11 @@
         failed = answered.head is not None and answered.head.status >= 500
         if state.hedging.share > 0 and first and first.sent and not failed:
             now = boot_time()
-            state.hedging.book.record(
-                self._time_class(), now - first.opened_at, now
+            state.hedging.record_time(
+                self._time_class(),
+                now - first.opened_at,
+                now,
+                counted=self.is_overdue,
             )
         self.first = None
 
--- a/src/magnoliaflow/policy/hedging.py
+++ b/src/magnoliaflow/policy/hedging.py
@@ -9,10 +9,9 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from dataclasses import field
 from enum import Enum
-from math import exp
 from math import inf
+from math import log
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -35,12 +34,12 @@
 MAX_CLASSES = 64
 # Window of the limit: a host saves up no more than its share of this time.
 WINDOW_S = 10.0
-# Time constant of the share of requests that outlast their quantile, and the
-# share from which the whole service counts as slow.  The prior keeps a host
-# with few requests from judging by one of them.
-SLOW_MEMORY_S = 5.0
-SLOW_SHARE = 0.3
-SLOW_PRIOR = 5.0
+# Weight of one request in the share of requests that outlast their quantile
+# and in the mean of their logarithmic times relative to the usual ones.  Above
+# either bound the whole service counts as slow.
+SLOW_SMOOTHING = 0.08
+MAX_OVERDUE_SHARE = 0.35
+MAX_SLOWDOWN = log(1.6)
 MAX_EXTRA_SHARE = 0.2
 
 
@@ -164,29 +163,15 @@
         return None
 
 
-@dataclass(slots=True)
-class Decayed:
-    """A count that forgets exponentially."""
-
-    value: float = 0.0
-    at: float = 0.0
-
-    def current(self, now: float) -> float:
-        """Return the count at a time."""
-        return self.value * exp(-max(0.0, now - self.at) / SLOW_MEMORY_S)
-
-    def add(self, now: float) -> None:
-        """Count one."""
-        self.value, self.at = self.current(now) + 1.0, now
-
-
 @dataclass(slots=True)
 class ExtraSends:
     """Second sends of one service at one host.
 
     ``balance`` is earned by first sends and starts at 0, so that the hosts
     together never make more than the share of their first sends.  It is
-    bounded by the share of the sends in the last window, and by 1 below that.
+    bounded by the share of the sends in the last window, or 1 if that is
+    less.  ``overdue_share`` and ``slowdown`` tell whether all its engines
+    are slow, the latter as a natural logarithm.
     """
 
     share: float
@@ -194,8 +179,8 @@
     window_at: float = -inf
     sends: int = 0
     former_sends: int = 0
-    sent: Decayed = field(default_factory=Decayed)
-    overdue: Decayed = field(default_factory=Decayed)
+    overdue_share: float = 0.0
+    slowdown: float = 0.0
 
     def earn(self, now: float) -> None:
         """Credit a first send."""
@@ -206,7 +191,6 @@
         self.sends += 1
         most = max(1.0, self.share * max(self.sends, self.former_sends))
         self.balance = min(most, self.balance + self.share)
-        self.sent.add(now)
 
     def spend(self) -> bool:
         """Take one second send; return False if none is left."""
@@ -216,10 +200,21 @@
         self.balance -= 1.0
         return True
 
-    def slow_share(self, now: float) -> float:
-        """Return the smoothed share of requests over their quantile."""
-        return self.overdue.current(now) / (
-            self.sent.current(now) + SLOW_PRIOR
+    def record_overdue(self, is_overdue: bool) -> None:
+        """Count a request that is over its quantile, or answered before."""
+        self.overdue_share += SLOW_SMOOTHING * (
+            float(is_overdue) - self.overdue_share
+        )
+
+    def record_slowdown(self, ratio: float) -> None:
+        """Count a request's time relative to the usual one."""
+        self.slowdown += SLOW_SMOOTHING * (log(ratio) - self.slowdown)
+
+    def is_slow(self) -> bool:
+        """Return whether the whole service is slow."""
+        return (
+            self.overdue_share > MAX_OVERDUE_SHARE
+            or self.slowdown > MAX_SLOWDOWN
         )
 
 
@@ -243,9 +238,21 @@
         """Count the first send of a request, of whatever kind."""
         self.service(service).earn(now)
 
-    def record_overdue(self, service: str, now: float) -> None:
+    def record_overdue(self, service: str) -> None:
         """Count a request that takes longer than its quantile."""
-        self.service(service).overdue.add(now)
+        self.service(service).record_overdue(is_overdue=True)
+
+    def record_time(
+        self, key: TimeClass, seconds: float, now: float, *, counted: bool
+    ) -> None:
+        """Record a request's time; ``counted`` if it counts as overdue."""
+        usual = self.book.usual(key, now)
+        if usual is not None:
+            service = self.service(key.service)
+            service.record_slowdown(max(1e-3, seconds) / usual.usual_s)
+            if not counted:
+                service.record_overdue(seconds > usual.delay_s)
+        self.book.record(key, seconds, now)
 
     def spend(self, service: str) -> bool:
         """Take one second send from the limit."""
@@ -258,14 +265,13 @@
         elapsed_s: float,
         predicted_s: float,
         has_slot: bool,
-        now: float,
     ) -> Refused | None:
         """Return why a second engine is not asked, None if it is.
 
         A request that has taken a time without an answer is expected to take
         about that time again, so the second engine has to be sooner.
         """
-        if self.service(service).slow_share(now) > SLOW_SHARE:
+        if self.service(service).is_slow():
             return Refused.SERVICE_SLOW
         if not has_slot:
             return Refused.NO_SLOT
