Test the second send with real processes

Change: stand-in engines notice a caller that leaves while they pause; times are counted in tenths of a millisecond: in whole ones the times of a service of 1 ms looked slow, and the second send was refused.

--- a/src/magnoliaflow/policy/hedging.py
+++ b/src/magnoliaflow/policy/hedging.py
@@ -26,11 +26,13 @@
 SPAN_S = 30.0
 # Age up to which a quantile is used without being computed again.
 QUANTILE_AGE_S = 1.0
-# Range and precision of the times, in milliseconds and significant digits.
-MIN_TIME_MS = 1
-MAX_TIME_MS = 60_000
+# Unit, range and precision of the times.
+TICKS_PER_S = 10_000
+MAX_TIME_S = 60
 TIME_DIGITS = 2
-# Classes of times that a host keeps, about 20 KB each.
+# A second engine is not asked sooner: its connection takes about this long.
+MIN_DELAY_S = 0.01
+# Classes of times that a host keeps, about 30 KB each.
 MAX_CLASSES = 64
 # Window of the limit: a host saves up no more than its share of this time.
 WINDOW_S = 10.0
@@ -80,7 +82,7 @@
 
 
 def _new_histogram() -> HdrHistogram:
-    return HdrHistogram(MIN_TIME_MS, MAX_TIME_MS, TIME_DIGITS)
+    return HdrHistogram(1, MAX_TIME_S * TICKS_PER_S, TIME_DIGITS)
 
 
 class RecentTimes:
@@ -98,8 +100,8 @@
     def record(self, seconds: float, now: float) -> None:
         """Add the time of one request."""
         self._rotate(now)
-        time_ms = min(MAX_TIME_MS, max(MIN_TIME_MS, int(seconds * 1e3)))
-        self.current.record_value(time_ms)
+        bounded_s = min(MAX_TIME_S, max(0.0, seconds))
+        self.current.record_value(max(1, int(bounded_s * TICKS_PER_S)))
 
     def usual(self, now: float) -> UsualTimes | None:
         """Return the quantiles, None while there are too few times."""
@@ -128,10 +130,11 @@
         both = _new_histogram()
         both.add(self.current)
         both.add(self.former)
-        return UsualTimes(
-            both.get_value_at_percentile(USUAL_PERCENTILE) / 1e3,
-            both.get_value_at_percentile(DELAY_PERCENTILE) / 1e3,
+        usual, delay = (
+            both.get_value_at_percentile(percentile) / TICKS_PER_S
+            for percentile in (USUAL_PERCENTILE, DELAY_PERCENTILE)
         )
+        return UsualTimes(usual, max(MIN_DELAY_S, delay))
 
 
 class TimeBook:
--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -1,6 +1,8 @@
 """Stand-in for an engine of the users' platform, with injected faults."""
 
 from collections.abc import Callable
+from select import select
+from socket import MSG_PEEK
 from threading import Event
 from threading import Lock
 from threading import Timer
@@ -147,7 +149,10 @@
             self._send_answer(body, fault)
 
     def _send_answer(self, body: bytes, fault: str) -> None:
-        sleep(self.engine.pause_s)
+        if self._client_left_within(self.engine.pause_s):
+            self.engine.disconnected_ids.append(self.headers["X-Attempt-Id"])
+            self.close_connection = True
+            return
         data = b"answer to " + body
         content_length = len(data) + (10 if fault == "cut" else 0)
         status = 500 if fault == "failed" else 200
@@ -162,6 +167,15 @@
         if fault == "cut":
             self.close_connection = True
 
+    def _client_left_within(self, seconds: float) -> bool:
+        """Wait for a time; return whether the client disconnected."""
+        if not select([self.connection], [], [], seconds)[0]:
+            return False
+        try:
+            return not self.connection.recv(1, MSG_PEEK)
+        except OSError:
+            return True
+
     def _stream_until_disconnect(self, fault: str) -> None:
         """Stream an answer; record the attempt if the client disconnects."""
         try:
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -108,6 +108,7 @@
     def __init__(self, folder):
         self.folder = folder
         self.metrics_port = 0
+        self.options = ()
         self.store = MetadataStore()
         self.engines = {}
         self.sequences = Counter()
@@ -194,6 +195,7 @@
             [
                 *(executable, str(ROOT / "deploy/entry.py")),
                 *("--metrics-port", str(self.metrics_port)),
+                *self.options,
             ],
             env={**environ, "MAGNOLIAFLOW_NODE_FILE": str(path)},
             stdout=log or DEVNULL,
