--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -102,7 +102,11 @@
     """One entry process."""
 
     def __init__(
-        self, host_settings: HostSettings, path: Path, metrics_port: int
+        self,
+        host_settings: HostSettings,
+        path: Path,
+        metrics_port: int,
+        extra_share: float = 0.0,
     ) -> None:
         identity = f"{host_settings.host}-{urandom(IDENTITY_BYTES).hex()}"
         self.host_settings = host_settings
@@ -115,6 +119,7 @@
             identity=identity,
             rng=Random(identity),
             logger=logger,
+            extra_share=extra_share,
         )
         self.store = StoreClient(
             host_settings.store_address,
@@ -438,7 +443,11 @@
             self.usage_sender.send(now)
 
 
-def run_entry(path: Path | None = None, metrics_port: int = 0) -> None:
+def run_entry(
+    path: Path | None = None,
+    metrics_port: int = 0,
+    extra_share: float = 0.0,
+) -> None:
     """Run an entry process until it is stopped.
 
     Raises SettingsError if the settings are missing or invalid.
@@ -452,7 +461,9 @@
             )
         path = Path(name)
     SIGNALS.install()
-    process = EntryProcess(_await_settings(path), path, metrics_port)
+    process = EntryProcess(
+        _await_settings(path), path, metrics_port, extra_share
+    )
     reactor.callWhenRunning(process.start)
     reactor.callWhenRunning(
         SIGNALS.attach,
--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from select import select
+from socket import MSG_PEEK
 from threading import Event
 from threading import Lock
 from threading import Timer
@@ -129,6 +131,10 @@
             not self.crashing_accounts or account in self.crashing_accounts
         )
 
+    def next_pause_s(self, request_id: str) -> float:
+        """Return the seconds before a request's answer or next event."""
+        return self.pause_s
+
     def take_fault(self) -> str:
         """Return the fault of the next request, '' for none."""
         if self.fault_count == 0:
@@ -200,7 +206,10 @@
             self._send_answer(body, fault)
 
     def _send_answer(self, body: bytes, fault: str) -> None:
-        sleep(self.engine.pause_s)
+        if self._client_leaves():
+            self.engine.disconnected_ids.append(self.headers["X-Attempt-Id"])
+            self.close_connection = True
+            return
         data = b"answer to " + body
         content_length = len(data) + (10 if fault == "cut" else 0)
         status = 500 if fault == "failed" else 200
@@ -215,6 +224,16 @@
         if fault == "cut":
             self.close_connection = True
 
+    def _client_leaves(self) -> bool:
+        """Pause; return whether the client disconnected meanwhile."""
+        seconds = self.engine.next_pause_s(self.headers["X-Attempt-Id"])
+        if not select([self.connection], [], [], seconds)[0]:
+            return False
+        try:
+            return not self.connection.recv(1, MSG_PEEK)
+        except OSError:
+            return True
+
     def _stream_until_disconnect(self, fault: str) -> None:
         """Stream an answer; record the attempt if the client disconnects."""
         try:
@@ -238,7 +257,8 @@
             self.engine.crash()
             return
         for number in range(start, self.engine.event_count):
-            sleep(self.engine.pause_s)
+            if self._client_leaves():
+                raise ConnectionResetError
             if fault == "cut" and number == start + 2:
                 self._chunk(b"id: %d\nda" % number)
                 self.close_connection = True
