Send no second time while a request waits for an engine

An attempt that had ended still counted as unanswered: the timer sent a waiting request to a second engine, and the next tick dispatched it again beside that. The timer now returns if the attempt has ended.

tests/test_hedge_races.py: 2 of 2 fail before, pass with it.

--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -119,7 +119,8 @@
     def _on_overdue(self, attempt: Attempt) -> None:
         """Ask a second engine if policy and limit allow it."""
         handler = self.handler
-        if not self._is_unanswered(attempt):
+        # A request whose attempt has ended waits to be dispatched.
+        if attempt.ended or not self._is_unanswered(attempt):
             return
         now = boot_time()
         if not self.is_overdue:
--- /dev/null
+++ b/tests/test_hedge_races.py
@@ -0,0 +1,153 @@
+"""Two engines at work on one request: how each of the two may end."""
+
+from types import SimpleNamespace
+from unittest.mock import MagicMock
+
+import pytest
+
+from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.entry import hedges
+from magnoliaflow.entry.hedges import Hedge
+from magnoliaflow.policy.budget import RetryBudget
+from magnoliaflow.policy.hedging import Hedging
+from magnoliaflow.policy.hedging import TimeClass
+from magnoliaflow.policy.routes import Route
+from magnoliaflow.policy.routes import RouteKind
+
+ELAPSED_S = 0.05
+TARGET_S = 0.8
+
+
+class Request:
+    """A request at a first engine, with stubs for all that it calls."""
+
+    def __init__(self, monkeypatch, kind, *, model=False, resumable=True):
+        self.timers = []
+        monkeypatch.setattr(hedges, "reactor", self)
+        monkeypatch.setattr(
+            hedges,
+            "choose",
+            lambda *args: SimpleNamespace(engine="e-2", uncached_tokens=1),
+        )
+        self.route = Route(
+            "r", "h", "/", kind, (), 9, TARGET_S, 0, 2, True, resumable
+        )
+        monkeypatch.setattr(
+            hedges,
+            "resolve_route",
+            lambda *args: SimpleNamespace(route=self.route),
+        )
+        monkeypatch.setattr(hedges, "first_token_s", lambda *args: 0.01)
+        now = boot_time()
+        hedging = Hedging(0.2)
+        for _ in range(100):
+            hedging.record_first_send("s", now)
+        for _ in range(40):
+            hedging.record_time(
+                TimeClass("s", "r", 0), 0.02, now - 2, counted=False
+            )
+        engine = self.engine("e-2")
+        self.first = self.attempt(self.engine("e-1"), sent=True)
+        self.second = self.attempt(engine, sent=False)
+        self.opened = []
+        self.budget = RetryBudget(0.5, 10)
+        self.budget.balance = 5.0
+        handler = MagicMock(
+            attempt=self.first,
+            attempts_sent=1,
+            deadline_at=now + 5,
+            done=False,
+            last_event=-1,
+            may_have_run=False,
+            response_started=False,
+            route=self.route,
+            service="s",
+            tried_engines=set(),
+        )
+        handler.find_hold.return_value = None
+        handler.serves_model.return_value = model
+        handler.open_attempt = self.open
+        handler.state.hedging = hedging
+        handler.state.phase = Phase.SERVING
+        handler.state.retry_budgets = {"s": self.budget}
+        handler.state.routing.engines = {"e-2": engine}
+        self.handler = handler
+        self.hedge = handler.hedge = Hedge(handler)
+        self.hedge.begin()
+
+    @staticmethod
+    def engine(name):
+        """Return an engine with free slots."""
+        return SimpleNamespace(
+            name=name,
+            local_running=0,
+            peer_running=0,
+            cfg=SimpleNamespace(slots=4),
+            slowness=1.0,
+            record_slowness=lambda slowness: None,
+        )
+
+    @staticmethod
+    def attempt(engine, *, sent):
+        """Return an attempt that began ELAPSED_S ago."""
+        attempt = MagicMock(
+            ended=False,
+            engine=engine,
+            expected_s=0.01,
+            head=None,
+            opened_at=boot_time() - ELAPSED_S,
+            prompt_read=False,
+            sent=sent,
+            splitter=None,
+            started_at=boot_time() - ELAPSED_S,
+            uncached=1,
+        )
+        attempt.abandon = lambda: setattr(attempt, "ended", True)
+        return attempt
+
+    def callLater(self, delay_s, callback, *args):  # noqa: N802
+        """Keep a timer, in place of the reactor."""
+        timer = MagicMock(delay_s=delay_s, callback=callback, args=args)
+        timer.cancel = lambda: self.timers.remove(timer)
+        timer.active = lambda: timer in self.timers
+        self.timers.append(timer)
+        return timer
+
+    def fire(self, name):
+        """Fire the timers of a callback; return how many there were."""
+        due = [t for t in self.timers if t.callback.__name__ == name]
+        for timer in due:
+            self.timers.remove(timer)
+            timer.callback(*timer.args)
+        return len(due)
+
+    def open(self, engine, *args):
+        """Open the second attempt."""
+        self.opened.append(engine.name)
+        return self.second
+
+
+@pytest.fixture
+def begin(monkeypatch):
+    """Return a function that begins a request at a first engine."""
+
+    def begin(kind, **options):
+        return Request(monkeypatch, kind, **options)
+
+    return begin
+
+
+KINDS = [RouteKind.IDEMPOTENT, RouteKind.STREAM]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_request_that_waits_for_an_engine_is_not_sent_by_the_timer(
+    begin, kind
+):
+    """Its first attempt has ended; dispatch alone sends it again."""
+    req = begin(kind)
+    req.first.ended = True
+    assert req.fire("_on_overdue") == 1
+    assert not req.opened and not req.handler.may_have_run
+    assert not req.hedge.is_used
