Bound the race of any request at model engines

The race has a timer of its own now, so that the one for silent engines does not replace it.

tests/test_hedge_races.py: 2 of 11 fail before, pass with it.

--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -27,20 +27,21 @@
 # Share of the latency target after which an idempotent call without an answer
 # is abandoned and sent again: its engine may have failed silently.
 RESEND_DELAY_SHARE = 1.0
-# Time after which the first of two engines at work on one stream is given up;
-# the platform allows 0.4 s, the rest is for a new connection and for the close
-# to arrive.
-STREAM_RACE_S = 0.2
+# Time after which the first of two engines at work on one stream, or on one
+# request at model engines, is given up; the platform allows 0.4 s, the rest is
+# for a new connection and for the close to arrive.
+RACE_S = 0.2
 
 
 class Hedge:
-    """The timer and the second attempt of one request."""
+    """The timers and the second attempt of one request."""
 
     __slots__ = (
         "first",
         "handler",
         "is_overdue",
         "is_used",
+        "race_timer",
         "second",
         "timer",
     )
@@ -48,6 +49,7 @@
     def __init__(self, handler: Any) -> None:
         self.handler = handler
         self.timer: Any = None
+        self.race_timer: Any = None
         self.first: Attempt | None = None
         self.second: Attempt | None = None
         self.is_overdue = False
@@ -55,7 +57,7 @@
 
     def begin(self) -> None:
         """Start the timer of the handler's newest attempt."""
-        self._stop_timer()
+        self._stop_timers()
         self.first = self.handler.attempt
         delay_s, callback = self._next_step()
         if callback is not None:
@@ -219,11 +221,11 @@
         # The first engine may have run it, whatever the second one answers.
         handler.may_have_run = True
         self.second = handler.open_attempt(engine, uncached, request, left_s)
-        if handler.route.kind is RouteKind.STREAM:
-            self.timer = reactor.callLater(STREAM_RACE_S, self._end_race)
+        if handler.route.kind is RouteKind.STREAM or handler.serves_model():
+            self.race_timer = reactor.callLater(RACE_S, self._end_race)
 
     def _end_race(self) -> None:
-        """Leave a stream to its second engine, or to the first without it."""
+        """Leave a request to its second engine, or to the first without it."""
         second = self.second
         if self.handler.done or second is None:
             return
@@ -286,8 +288,8 @@
         return attempt is self.handler.attempt or attempt is self.second
 
     def stop(self) -> None:
-        """End the timer and the second attempt with the request."""
-        self._stop_timer()
+        """End the timers and the second attempt with the request."""
+        self._stop_timers()
         if self.second is not None:
             self._drop(self.second, "ended")
 
@@ -317,8 +319,7 @@
     def _close_race(self, outcome: str, second: Attempt) -> None:
         """Count and log how a second send ended."""
         self.second = None
-        if self.handler.route.kind is RouteKind.STREAM:
-            self._stop_timer()
+        self._stop(self.race_timer)
         self.handler.state.metrics.hedges.labels(outcome).inc()
         self.handler.state.log(
             LogEvent.HEDGE_ENDED,
@@ -328,6 +329,11 @@
             took_s=round(boot_time() - second.started_at, 3),
         )
 
-    def _stop_timer(self) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+    def _stop_timers(self) -> None:
+        self._stop(self.timer)
+        self._stop(self.race_timer)
+
+    @staticmethod
+    def _stop(timer: Any) -> None:
+        if timer is not None and timer.active():
+            timer.cancel()
--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -151,3 +151,37 @@
     assert req.fire("_on_overdue") == 1
     assert not req.opened and not req.handler.may_have_run
     assert not req.hedge.is_used
+
+
+RACED = [
+    (RouteKind.STREAM, False),
+    (RouteKind.STREAM, True),
+    (RouteKind.IDEMPOTENT, True),
+]
+
+
+@pytest.mark.parametrize(("kind", "model"), RACED)
+@pytest.mark.parametrize("second_sent", [True, False])
+def test_two_model_engines_are_at_work_for_a_bounded_time(
+    begin, kind, model, second_sent
+):
+    """TWICE speaks of any request at model engines."""
+    req = begin(kind, model=model)
+    req.fire("_on_overdue")
+    assert req.opened == ["e-2"]
+    req.second.sent = second_sent
+    assert req.fire("_end_race") == 1
+    given_up, left = req.first, req.second
+    if not second_sent:
+        given_up, left = left, given_up
+    assert given_up.ended and not left.ended
+    assert req.handler.attempt is left and req.hedge.second is None
+
+
+@pytest.mark.parametrize(("kind", "model"), RACED)
+def test_a_race_that_is_decided_leaves_no_timer(begin, kind, model):
+    req = begin(kind, model=model)
+    req.fire("_on_overdue")
+    req.second.sent = True
+    assert req.hedge.wins(req.second)
+    assert req.first.ended and not req.fire("_end_race")
