End only the second attempt where it may not be sent

A second connection that opened after the configuration had turned stale scheduled a refusal of the whole request, whose first engine was at work.

--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 from magnoliaflow.common.clocks import boot_time
+from magnoliaflow.common.codes import Code
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.entry.admission import STALE_CONFIG_RETRY_AFTER_S
 from magnoliaflow.entry.brokenanswers import record_broken_answer
 from magnoliaflow.entry.brokenanswers import record_sound_answer
 from magnoliaflow.entry.limits import record_limit
@@ -128,15 +131,26 @@
             self._fail(Failure.UNSENT, "outdated before it was sent")
             return
         if not self.handler.may_send():
-            self._release_engine()
-            if self.exchange is not None:
-                self.exchange.cancel()
+            self._refuse_send()
             return
         self.sent = True
         self.opened_at = boot_time()
         self.handler.attempts_sent += 1
         self.handler.earn_retry()
 
+    def _refuse_send(self) -> None:
+        """End a request, but a second attempt alone."""
+        if self is self.handler.hedge.second:
+            self._fail(Failure.UNSENT, "not allowed when it was to be sent")
+            return
+        self.abandon()
+        reactor.callLater(
+            0,
+            self.handler.refuse,
+            Code.PROFILES_STALE,
+            STALE_CONFIG_RETRY_AFTER_S,
+        )
+
     def on_head(self, status: int, headers: Headers) -> None:
         """Check the head of the answer."""
         if self.ended:
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -384,12 +384,8 @@
             route_table is not None
             and self.call.credential in route_table.keys
         )
-        if key_known and self.state.is_config_fresh(boot_time()):
-            return not self.done
-        reactor.callLater(
-            0, self.refuse, Code.PROFILES_STALE, STALE_CONFIG_RETRY_AFTER_S
-        )
-        return False
+        fresh = self.state.is_config_fresh(boot_time())
+        return key_known and fresh and not self.done
 
     def earn_retry(self) -> None:
         """Add to the retry budget after the first send."""
--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -1,5 +1,6 @@
 """Two engines at work on one request: how each of the two may end."""
 
+from math import inf
 from types import SimpleNamespace
 from unittest.mock import MagicMock
 
@@ -7,6 +8,10 @@
 
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.lifecycle import Phase
+from magnoliaflow.entry import attempts
+from magnoliaflow.entry.attempts import Attempt
+from magnoliaflow.entry import calls as calls_module
+from magnoliaflow.entry.calls import CallHandler
 from magnoliaflow.entry import hedges
 from magnoliaflow.entry.hedges import Hedge
 from magnoliaflow.policy.budget import RetryBudget
@@ -185,3 +190,41 @@
     req.second.sent = True
     assert req.hedge.wins(req.second)
     assert req.first.ended and not req.fire("_end_race")
+
+
+@pytest.fixture
+def scheduled(monkeypatch):
+    """Return the calls that an attempt schedules."""
+    calls = []
+    reactor = SimpleNamespace(callLater=lambda *args: calls.append(args))
+    for module in (attempts, calls_module):
+        monkeypatch.setattr(module, "reactor", reactor)
+    return calls
+
+
+@pytest.mark.parametrize("is_second", [True, False])
+def test_a_second_that_may_not_be_sent_leaves_the_first_alone(
+    begin, scheduled, monkeypatch, is_second
+):
+    """A host whose configuration turns stale refuses no running request."""
+    req = begin(RouteKind.STREAM)
+    req.fire("_on_overdue")
+    handler = req.handler
+    handler.state.is_config_fresh.return_value = False
+    handler.may_send = lambda: CallHandler.may_send(handler)
+    monkeypatch.setattr(attempts, "first_token_s", lambda *args: 0.01)
+    engine = MagicMock(leaving_at=inf)
+    handler.state.routing.engines = {engine.name: engine}
+    load = SimpleNamespace(running=1)
+    handler.state.local_loads = {engine.cfg.backend: load}
+    opened = Attempt(handler, engine, 1)
+    if is_second:
+        req.hedge.second = opened
+    else:
+        req.hedge.second, handler.attempt = None, opened
+    opened.on_open()
+    assert opened.ended and not opened.sent and load.running == 0
+    assert handler.attempt_failed.called == is_second
+    assert [call[:2] for call in scheduled] == (
+        [] if is_second else [(0, handler.refuse)]
+    )
