Send no request twice because its route lets streams resume

Route.repeatable is true for a non-idempotent route with streamResumption, so its requests could run at two engines. A second send needs an idempotent route, or a stream that may be resumed.

tests/test_hedge_races.py: 1 of 19 fails before, passes with it.

--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -81,10 +81,15 @@
     def _may_hedge(self) -> bool:
         """Return whether this request may have a second send beside it."""
         handler = self.handler
+        route = handler.route
+        # The setting that lets streams resume may be set at other routes too.
+        may_run_twice = route.kind is RouteKind.IDEMPOTENT or (
+            route.kind is RouteKind.STREAM and route.resumable
+        )
         return (
             handler.state.hedging.share > 0
-            and handler.route.repeatable
-            and handler.route.max_engines > 1
+            and may_run_twice
+            and route.max_engines > 1
             and not self.is_used
             and handler.last_event < 0
             and not handler.response_started
--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -228,3 +228,23 @@
     assert [call[:2] for call in scheduled] == (
         [] if is_second else [(0, handler.refuse)]
     )
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "hedged"),
+    [
+        (RouteKind.IDEMPOTENT, False, True),
+        (RouteKind.IDEMPOTENT, True, True),
+        (RouteKind.STREAM, True, True),
+        (RouteKind.STREAM, False, False),
+        (RouteKind.NON_IDEMPOTENT, False, False),
+        (RouteKind.NON_IDEMPOTENT, True, False),
+    ],
+)
+def test_only_what_may_run_twice_is_sent_to_a_second_engine(
+    begin, kind, resumable, hedged
+):
+    """A setting of streams makes no other request repeatable."""
+    req = begin(kind, resumable=resumable)
+    assert req.fire("_on_overdue") == hedged
+    assert req.opened == ["e-2"] * hedged
