Give up a silent engine that a second send has left alone

The timer of an idempotent call at its latency target had no effect once a second engine was asked. When one of the two ends, the timer of the other starts with the time that it has left.

tests/test_hedge_races.py: 3 of 23 fail before, pass with it.

--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -145,10 +145,8 @@
             self.timer = reactor.callLater(
                 elapsed_s, self._on_overdue, attempt
             )
-        elif idempotent:
-            self.timer = reactor.callLater(
-                max(0.0, resend_s - elapsed_s), self._on_silent, attempt
-            )
+        else:
+            self._watch_silence()
 
     def _try_second(self, attempt: Attempt, now: float) -> Refused | None:
         """Send to a second engine, or return why not."""
@@ -238,6 +236,7 @@
             self._prefer(second, "moved")
         elif not second.sent:
             self._drop(second, "not opened")
+        self._watch_silence()
 
     def wins(self, attempt: Attempt) -> bool:
         """Take an attempt that answers; stop the other one at once.
@@ -286,8 +285,21 @@
         else:
             self.handler.attempt = second
             self._close_race("alone", second)
+        self._watch_silence()
         return True
 
+    def _watch_silence(self) -> None:
+        """Start the timer of an idempotent call at a silent engine."""
+        self._stop(self.timer)
+        handler = self.handler
+        if handler.route.kind is not RouteKind.IDEMPOTENT:
+            return
+        resend_s = handler.route.target_s * RESEND_DELAY_SHARE
+        elapsed_s = boot_time() - handler.attempt.started_at
+        self.timer = reactor.callLater(
+            max(0.0, resend_s - elapsed_s), self._on_silent, handler.attempt
+        )
+
     def is_current(self, attempt: Attempt) -> bool:
         """Return whether an attempt is one of the request's."""
         return attempt is self.handler.attempt or attempt is self.second
--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -1,5 +1,6 @@
 """Two engines at work on one request: how each of the two may end."""
 
+from dataclasses import replace
 from math import inf
 from types import SimpleNamespace
 from unittest.mock import MagicMock
@@ -248,3 +249,33 @@
     req = begin(kind, resumable=resumable)
     assert req.fire("_on_overdue") == hedged
     assert req.opened == ["e-2"] * hedged
+
+
+@pytest.mark.parametrize("ended", ["first", "second", "race"])
+def test_an_engine_that_is_left_alone_is_given_up_at_the_target(begin, ended):
+    """It may have failed silently, as without a second send."""
+    req = begin(RouteKind.IDEMPOTENT, model=ended == "race")
+    req.handler.route = replace(req.route, max_engines=3)
+    req.route = req.handler.route
+    req.fire("_on_overdue")
+    req.second.sent = True
+    left = req.second
+    # The first one's time is over while both are at work: nothing is sent.
+    req.fire("_on_silent")
+    assert not req.handler.dispatch.called
+    if ended == "race":
+        req.fire("_end_race")
+    else:
+        left = {"first": req.second, "second": req.first}[ended]
+        assert req.hedge.goes_on(getattr(req, ended))
+    (delay_s,) = [t.delay_s for t in req.timers]
+    assert delay_s == pytest.approx(TARGET_S - ELAPSED_S, abs=0.05)
+    assert req.fire("_on_silent") == 1
+    assert left.ended and req.handler.dispatch.called
+
+
+def test_a_stream_that_is_left_alone_is_not_given_up(begin):
+    req = begin(RouteKind.STREAM)
+    req.fire("_on_overdue")
+    assert req.hedge.goes_on(req.first)
+    assert not req.timers
