Prefer the first engine's answer to a refusal of the second

An answer of 400 to 499 of the second engine won over a first that was still at work. It ends that attempt only; once the other has ended, any answer is taken.

--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -496,7 +496,8 @@
             return
         assert self.route is not None
         failed = head.status >= 500
-        if failed and self.route.repeatable:
+        refused = self.hedge.is_refused(attempt, head.status)
+        if refused or (failed and self.route.repeatable):
             self.tried_engines.add(attempt.engine.name)
             if self.hedge.goes_on(attempt, Failure.MAY_HAVE_RUN):
                 return
--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -276,6 +276,10 @@
             )
         self.first = None
 
+    def is_refused(self, attempt: Attempt, status: int) -> bool:
+        """Return whether the second engine refuses while the first works."""
+        return attempt is self.second and status >= 400
+
     def goes_on(self, attempt: Attempt, failure: Failure) -> bool:
         """Return whether another engine is still at work on a request.
 
--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -311,3 +311,40 @@
     req.fire("_on_overdue")
     assert req.hedge.goes_on(getattr(req, ended), failure)
     assert req.handler.may_have_run == may_have_run
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("status", [400, 404, 429])
+def test_a_refusal_of_the_second_leaves_the_first_at_work(begin, kind, status):
+    """One engine may refuse what the other answers."""
+    req = begin(kind)
+    req.fire("_on_overdue")
+    head = SimpleNamespace(status=status, headers=())
+    req.second.sent, req.second.head = True, head
+    CallHandler.forward_answer(req.handler, req.second, head, b"")
+    assert not req.handler.inbound.respond.called
+    assert req.handler.attempt is req.first and not req.first.ended
+    # Once the other one has ended, its answer is the request's.
+    CallHandler.forward_answer(req.handler, req.first, head, b"")
+    assert req.handler.inbound.respond.call_count == 1
+
+
+@pytest.mark.parametrize("status", [200, 304])
+def test_an_answer_of_the_second_ends_the_first(begin, status):
+    req = begin(RouteKind.IDEMPOTENT)
+    req.fire("_on_overdue")
+    head = SimpleNamespace(status=status, headers=())
+    req.second.sent, req.second.head = True, head
+    CallHandler.forward_answer(req.handler, req.second, head, b"")
+    assert req.handler.inbound.respond.call_count == 1
+    assert req.handler.attempt is req.second and req.first.ended
+
+
+def test_a_refusal_of_the_second_is_answered_if_the_first_has_failed(begin):
+    req = begin(RouteKind.IDEMPOTENT)
+    req.fire("_on_overdue")
+    head = SimpleNamespace(status=404, headers=())
+    req.second.sent, req.second.head = True, head
+    assert req.hedge.goes_on(req.first, Failure.MAY_HAVE_RUN)
+    CallHandler.forward_answer(req.handler, req.second, head, b"")
+    assert req.handler.inbound.respond.call_count == 1
