--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -385,15 +385,12 @@
             route_table is not None
             and self.call.credential in route_table.keys
         )
-        if key_known and self.state.is_config_fresh(boot_time()):
-            return not self.done
-        reactor.callLater(
-            0, self.refuse, Code.PROFILES_STALE, STALE_CONFIG_RETRY_AFTER_S
-        )
-        return False
+        fresh = self.state.is_config_fresh(boot_time())
+        return key_known and fresh and not self.done
 
     def earn_retry(self) -> None:
-        """Add to the retry budget after the first send."""
+        """Count a send; add to the retry budget after the first one."""
+        self.hedge.record_sent()
         if self.attempts_sent == 1:
             self.state.hedging.record_first_send(self.service, boot_time())
             budget = self.state.retry_budgets.get(self.service)
@@ -418,7 +415,7 @@
             same_as=self.request_name,
         )
         self.tried_engines.add(attempt.engine.name)
-        if self.hedge.goes_on(attempt):
+        if self.hedge.goes_on(attempt, failure):
             return
         if failure is Failure.UNSENT:
             self.unsent += 1
@@ -491,9 +488,10 @@
             return
         assert self.route is not None
         failed = head.status >= 500
-        if failed and self.route.repeatable:
+        refused = self.hedge.is_refused(attempt, head.status)
+        if refused or (failed and self.route.repeatable):
             self.tried_engines.add(attempt.engine.name)
-            if self.hedge.goes_on(attempt):
+            if self.hedge.goes_on(attempt, Failure.MAY_HAVE_RUN):
                 return
             if may_retry(self, "engine failed"):
                 self.may_have_run = True
--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -15,6 +15,7 @@
 from magnoliaflow.entry.admission import Refusal
 from magnoliaflow.entry.admission import resolve_route
 from magnoliaflow.entry.attempts import Attempt
+from magnoliaflow.entry.attempts import Failure
 from magnoliaflow.entry.retries import may_retry
 from magnoliaflow.policy.engines import Engine
 from magnoliaflow.policy.hedging import Refused
@@ -27,20 +28,21 @@
 # Share of the latency target after which an idempotent call without an answer
 # is abandoned and sent again: its engine may have failed silently.
 RESEND_DELAY_SHARE = 1.0
-# Time after which the first of two engines at work on one stream is given up;
-# the platform allows 0.4 s, the rest is for a new connection and for the close
-# to arrive.
-STREAM_RACE_S = 0.2
+# Time after which the first of two engines at work on one stream, or on one
+# request at model engines, is given up; the platform allows 0.4 s, the rest is
+# for a new connection and for the close to arrive.
+RACE_S = 0.2
 
 
 class Hedge:
-    """The timer and the second attempt of one request."""
+    """The timers and the second attempt of one request."""
 
     __slots__ = (
         "first",
         "handler",
         "is_overdue",
         "is_used",
+        "race_timer",
         "second",
         "timer",
     )
@@ -48,6 +50,7 @@
     def __init__(self, handler: Any) -> None:
         self.handler = handler
         self.timer: Any = None
+        self.race_timer: Any = None
         self.first: Attempt | None = None
         self.second: Attempt | None = None
         self.is_overdue = False
@@ -55,7 +58,7 @@
 
     def begin(self) -> None:
         """Start the timer of the handler's newest attempt."""
-        self._stop_timer()
+        self._stop_timers()
         self.first = self.handler.attempt
         delay_s, callback = self._next_step()
         if callback is not None:
@@ -79,10 +82,15 @@
     def _may_hedge(self) -> bool:
         """Return whether this request may have a second send beside it."""
         handler = self.handler
+        route = handler.route
+        # The setting that lets streams resume may be set at other routes too.
+        may_run_twice = route.kind is RouteKind.IDEMPOTENT or (
+            route.kind is RouteKind.STREAM and route.resumable
+        )
         return (
             handler.state.hedging.share > 0
-            and handler.route.repeatable
-            and handler.route.max_engines > 1
+            and may_run_twice
+            and route.max_engines > 1
             and not self.is_used
             and handler.last_event < 0
             and not handler.response_started
@@ -119,7 +127,8 @@
     def _on_overdue(self, attempt: Attempt) -> None:
         """Ask a second engine if policy and limit allow it."""
         handler = self.handler
-        if not self._is_unanswered(attempt):
+        # A request whose attempt has ended waits to be dispatched.
+        if attempt.ended or not self._is_unanswered(attempt):
             return
         now = boot_time()
         if not self.is_overdue:
@@ -137,10 +146,8 @@
             self.timer = reactor.callLater(
                 elapsed_s, self._on_overdue, attempt
             )
-        elif idempotent:
-            self.timer = reactor.callLater(
-                max(0.0, resend_s - elapsed_s), self._on_silent, attempt
-            )
+        else:
+            self._watch_silence()
 
     def _try_second(self, attempt: Attempt, now: float) -> Refused | None:
         """Send to a second engine, or return why not."""
@@ -215,14 +222,17 @@
     ) -> None:
         handler = self.handler
         self.is_used = True
-        # The first engine may have run it, whatever the second one answers.
-        handler.may_have_run = True
         self.second = handler.open_attempt(engine, uncached, request, left_s)
-        if handler.route.kind is RouteKind.STREAM:
-            self.timer = reactor.callLater(STREAM_RACE_S, self._end_race)
+        if handler.route.kind is RouteKind.STREAM or handler.serves_model():
+            self.race_timer = reactor.callLater(RACE_S, self._end_race)
+
+    def record_sent(self) -> None:
+        """Note that a request sent to two engines may have run."""
+        if self.second is not None and self.second.sent:
+            self.handler.may_have_run = True
 
     def _end_race(self) -> None:
-        """Leave a stream to its second engine, or to the first without it."""
+        """Leave a request to its second engine, or to the first without it."""
         second = self.second
         if self.handler.done or second is None:
             return
@@ -230,6 +240,7 @@
             self._prefer(second, "moved")
         elif not second.sent:
             self._drop(second, "not opened")
+        self._watch_silence()
 
     def wins(self, attempt: Attempt) -> bool:
         """Take an attempt that answers; stop the other one at once.
@@ -265,7 +276,11 @@
             )
         self.first = None
 
-    def goes_on(self, attempt: Attempt) -> bool:
+    def is_refused(self, attempt: Attempt, status: int) -> bool:
+        """Return whether the second engine refuses while the first works."""
+        return attempt is self.second and status >= 400
+
+    def goes_on(self, attempt: Attempt, failure: Failure) -> bool:
         """Return whether another engine is still at work on a request.
 
         The attempt has failed; the other one becomes the handler's.
@@ -273,20 +288,35 @@
         second = self.second
         if second is None:
             return False
+        if failure is Failure.MAY_HAVE_RUN:
+            self.handler.may_have_run = True
         if attempt is second:
             self._drop(second, "failed")
         else:
             self.handler.attempt = second
             self._close_race("alone", second)
+        self._watch_silence()
         return True
 
+    def _watch_silence(self) -> None:
+        """Start the timer of an idempotent call at a silent engine."""
+        self._stop(self.timer)
+        handler = self.handler
+        if handler.route.kind is not RouteKind.IDEMPOTENT:
+            return
+        resend_s = handler.route.target_s * RESEND_DELAY_SHARE
+        elapsed_s = boot_time() - handler.attempt.started_at
+        self.timer = reactor.callLater(
+            max(0.0, resend_s - elapsed_s), self._on_silent, handler.attempt
+        )
+
     def is_current(self, attempt: Attempt) -> bool:
         """Return whether an attempt is one of the request's."""
         return attempt is self.handler.attempt or attempt is self.second
 
     def stop(self) -> None:
-        """End the timer and the second attempt with the request."""
-        self._stop_timer()
+        """End the timers and the second attempt with the request."""
+        self._stop_timers()
         if self.second is not None:
             self._drop(self.second, "ended")
 
@@ -316,8 +346,7 @@
     def _close_race(self, outcome: str, second: Attempt) -> None:
         """Count and log how a second send ended."""
         self.second = None
-        if self.handler.route.kind is RouteKind.STREAM:
-            self._stop_timer()
+        self._stop(self.race_timer)
         self.handler.state.metrics.hedges.labels(outcome).inc()
         self.handler.state.log(
             LogEvent.HEDGE_ENDED,
@@ -327,6 +356,11 @@
             took_s=round(boot_time() - second.started_at, 3),
         )
 
-    def _stop_timer(self) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+    def _stop_timers(self) -> None:
+        self._stop(self.timer)
+        self._stop(self.race_timer)
+
+    @staticmethod
+    def _stop(timer: Any) -> None:
+        if timer is not None and timer.active():
+            timer.cancel()
