Judge on after a takeover by a host that started late

A host that had requests before it read the orders took all versions for those in force, for good; as the next holder it completed the target without judging it, or ignored that it was rolled back. in_force now holds only what a host saw with the orders read to their end by itself, or what was completed; a version that no request had without an order is barred. Each host of a deployment with roll-outs reads the configuration once itself. Without the orders, the version seen first is preferred. A plan serves only if it begins without a decision.

The version that alone is in force is still not barred by the end of an order: nothing would serve the service.

--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -64,14 +64,17 @@
 class ServiceVersions:
     """The versions of a service's engines, as far as they matter.
 
-    ``in_force`` had requests without an order or after it, ``barred`` were
-    rolled back, ``old`` were in force before the last completion.
+    ``in_force`` had engines while this host had read the orders and none
+    was in progress, or were completed; ``barred`` were rolled back, ``old``
+    were in force before the last completion.  ``seen`` are all since the last
+    end of an order.
     """
 
     first_seen: dict[str, float] = field(default_factory=dict)
     in_force: set[str] = field(default_factory=set)
     barred: set[str] = field(default_factory=set)
     old: set[str] = field(default_factory=set)
+    seen: set[str] = field(default_factory=set)
 
     def note(
         self, registered: dict[str, list[str]], now: float
@@ -82,6 +85,7 @@
             del self.first_seen[name]
         for name in present:
             self.first_seen.setdefault(name, now)
+        self.seen |= present
         if self.in_force & present:
             self.in_force &= present
         return tuple(name for name in registered if name in present)
@@ -92,16 +96,16 @@
         """Return the sides while no order is in progress.
 
         A version seen first after ``due`` may be named by an order that was
-        not read yet: those in force are preferred.
+        not read yet: those in force are preferred, or the one seen first.
         """
         allowed = [name for name in usable if name not in self.barred]
         allowed = [name for name in allowed if name not in self.old] or allowed
-        if not self.in_force.intersection(allowed):
-            self.in_force = set(allowed)
         self.in_force |= {
             name for name in allowed if self.first_seen[name] < due
         }
         known = tuple(name for name in allowed if name in self.in_force)
+        if not known and allowed:
+            known = (min(allowed, key=self.first_seen.__getitem__),)
         if len(known) == len(usable) > 0:
             return ALL_VERSIONS
         unordered = tuple(name for name in allowed if name not in known)
@@ -225,11 +229,13 @@
             }
             versions.in_force = {decision.target}
             versions.barred.discard(decision.target)
+            versions.seen = set(versions.first_seen)
         elif decision.stage is RolloutStage.ROLLED_BACK:
             if versions.in_force == {decision.target}:
                 return
             versions.barred.add(decision.target)
             versions.in_force.discard(decision.target)
+            versions.seen = set(versions.first_seen)
 
     def _versions(self, service: str) -> ServiceVersions:
         return self.versions.setdefault(service, ServiceVersions())
@@ -305,9 +311,8 @@
         others = tuple(
             name for name in usable if name != target and name not in barred
         )
-        if not versions.in_force:
-            versions.in_force = set(others or usable) - barred
-        if not others and target in versions.in_force:
+        is_only = versions.seen - barred == {target}
+        if not others and (is_only or target in versions.in_force):
             return ALL_VERSIONS if barred.isdisjoint(usable) else ((target,),)
         known = self.decisions.get(service)
         decision = None if known is None or stage is None else known.decision
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -150,8 +150,14 @@
         """Return whether to read the configuration now."""
         state = self.state
         max_age_s = state.host_settings.revocation_s * SELF_READ_AGE_SHARE
+        # Peers pass on the configuration before this host has the orders.
+        lacks_orders = (
+            state.host_settings.judges_rollouts
+            and state.orders_read_at == -inf
+        )
         return (
             self._keeps_poll()
+            or lacks_orders
             or state.route_table is None
             or state.config_age(boot_time()) > max_age_s
         )
@@ -180,6 +186,8 @@
         elif page.entries:
             read_to = page.entries[-1].offset + 1
         self.offset = read_to
+        if read_to >= page.end:
+            self.state.orders_read_at = began
         if read_to >= page.end and not self.lacks_version:
             self.state.config_confirmed_at = max(
                 self.state.config_confirmed_at, began
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -256,7 +256,11 @@
             {route.name: route.target_s for route in routes},
             elapsed_s=elapsed_s,
             previous=decision,
-            serving=versions is not None and order.target in versions.in_force,
+            serving=(
+                decision is None
+                and versions is not None
+                and order.target in versions.in_force
+            ),
         )
 
     def _gather(
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -177,6 +177,7 @@
         "next_rate_update_at",
         "rate_limits",
         "peer_addresses",
+        "orders_read_at",
         "ports_held",
         "registry",
         "rng",
@@ -219,6 +220,8 @@
         self.config_applied_at = -inf
         self.config_document = b""
         self.config_confirmed_at = -inf
+        # When this process itself last read the orders to their end.
+        self.orders_read_at = -inf
         self.registry = EngineRegistry()
         self.rollouts = RolloutBook()
         # Numbers and times of the last own counts, and the number of the last
--- a/src/magnoliaflow/entry/versions.py
+++ b/src/magnoliaflow/entry/versions.py
@@ -1,5 +1,6 @@
 """Engines' versions at a host: which get a request, and what they answered."""
 
+from math import inf
 from typing import Any
 
 from magnoliaflow.cluster.rollouts import ALL_VERSIONS
@@ -17,13 +18,14 @@
     began_on = None
     if handler.attempts_sent and handler.attempt is not None:
         began_on = handler.attempt.engine.cfg.version
+    has_read = state.orders_read_at > -inf
     return state.rollouts.sides(
         handler.service,
         handler.route.name,
         handler.call.request_id,
         state.routing.versions.get(handler.service, {}),
         now=boot_time(),
-        orders_read_at=state.config_confirmed_at,
+        orders_read_at=state.config_confirmed_at if has_read else -inf,
         began_on=began_on,
     )
 
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -474,3 +474,49 @@
     assert ("rollout/app", "completed", "v2") not in store.status
     sides = book.sides("app", "look", "r1", registered, **before)
     assert sides == (("v1",),)
+
+
+def route(host, clock, read_at):
+    """Return the sides of a request at a host."""
+    return host.state.rollouts.sides(
+        *("app", "look", "r1", host.state.routing.versions["app"]),
+        now=clock.now,
+        orders_read_at=read_at,
+        began_on=None,
+    )
+
+
+@pytest.mark.parametrize("read_at", [float("-inf"), None])
+def test_a_request_before_the_order_was_read_judges_on(
+    host, store, clock, read_at
+):
+    """Guards against a version that is completed without being judged."""
+    host.order()
+    host.run(1.0)
+    other = Host(store, 2, clock)
+    sides = route(other, clock, clock.now if read_at is None else read_at)
+    assert sides == (("v1",), ("v2",))
+    other.order(is_new=False)
+    other.run(8.0)
+    assert other.state.lease_manager.holds(clock.now)
+    assert other.decision.stage is RolloutStage.CANARY
+    assert not other.duty.plans["app"].serving
+
+
+def test_a_registry_in_parts_hides_no_rollback():
+    """Guards against requests to a version that went back."""
+    book = RolloutBook()
+    book.learn_order(RolloutOrder("app", "v2", 12.0, 5), 1.0, is_new=True)
+
+    def sides(registered):
+        return book.sides(
+            *("app", "look", "r1", registered),
+            now=1.0,
+            orders_read_at=1.0,
+            began_on=None,
+        )
+
+    sides({"v2": ["b1"]})
+    book.observe(decide(RolloutStage.ROLLED_BACK), 1, 1.0, 1.0)
+    assert book.barred("app") == {"v2"}
+    assert sides(BOTH) == (("v1",),)
