End a decision in progress whose order is gone

An order that was withdrawn or lost while the holder was dead left its last decision confirmed at each tick and run by no plan: a share that nobody judged, for ever. A holder that has read the orders to their end since it took the lease now rolls such a decision back; from FULL on it runs a plan that completes it once nothing runs on old engines. Only decisions that have ended or have a running plan are confirmed.

test_a_decision_whose_order_is_gone_ends (RAMP, FULL) failed before, passes now; test_rollout_duty, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/cluster/rolloutsteps.py
+++ b/src/magnoliaflow/cluster/rolloutsteps.py
@@ -98,3 +98,24 @@
 def moved_to(decision: RolloutDecision, position: int) -> RolloutDecision:
     """Return a decision with its order at another position."""
     return replace(decision, order=position)
+
+
+def first_step(order: RolloutOrder) -> RolloutDecision:
+    """Return the base of the first decision on an order."""
+    return RolloutDecision(
+        *(order.service, order.target, order.position, 0),
+        *(RolloutStage.CANARY, (), 0.0, ""),
+    )
+
+
+def ended_as(
+    decision: RolloutDecision, stage: RolloutStage, reason: str
+) -> RolloutDecision:
+    """Return the decision that ends an order after another one."""
+    return replace(
+        decision,
+        number=decision.number + 1,
+        stage=stage,
+        shares=(),
+        reason=reason,
+    )
--- a/src/magnoliaflow/entry/rolloutentries.py
+++ b/src/magnoliaflow/entry/rolloutentries.py
@@ -3,7 +3,9 @@
 from math import inf
 
 from magnoliaflow.cluster.positions import make_position
+from magnoliaflow.cluster.rollouts import KnownOrder
 from magnoliaflow.cluster.rolloutsteps import decision_of
+from magnoliaflow.cluster.rolloutsteps import ENDED
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.eventlog import LogEvent
@@ -19,6 +21,8 @@
 # Longest time for which a decision on the log is taken as older than its
 # reader's clock shows.
 MAX_LOGGED_AGE_S = 3600.0
+# Shortest time taken for the duration of an order that is gone.
+MIN_DURATION_S = 1.0
 
 
 def apply_step(
@@ -63,6 +67,33 @@
     state.rollouts.date_order(decision, now - age - step.elapsed)
 
 
+def lost_orders(state: EntryState, since: float) -> list[KnownOrder]:
+    """Return orders in progress that are gone, with the time they had.
+
+    The store was read to its end after a time, and the decision is on none of
+    the orders, or on one of which only the target is known.
+    """
+    book = state.rollouts
+    if state.orders_read_at < since:
+        return []
+    lost = []
+    for service, last in book.decisions.items():
+        decision, known = last.decision, book.orders.get(service)
+        has_order = (
+            known is not None
+            and known.order.duration_s > 0
+            and known.order.position >= decision.order
+        )
+        if decision.stage not in ENDED and not has_order:
+            order = RolloutOrder(
+                *(service, decision.target),
+                *(max(MIN_DURATION_S, decision.elapsed_s), decision.order),
+            )
+            ordered_at = last.since - decision.elapsed_s
+            lost.append(KnownOrder(order, ordered_at, False))
+    return lost
+
+
 def take_order_entry(
     state: EntryState, entry: Entry, era: int, *, is_new: bool
 ) -> None:
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -14,6 +14,8 @@
 from magnoliaflow.cluster.rollouts import KnownOrder
 from magnoliaflow.cluster.rolloutsteps import add_rows
 from magnoliaflow.cluster.rolloutsteps import ENDED
+from magnoliaflow.cluster.rolloutsteps import ended_as
+from magnoliaflow.cluster.rolloutsteps import first_step
 from magnoliaflow.cluster.rolloutsteps import make_step
 from magnoliaflow.cluster.rolloutsteps import moved_to
 from magnoliaflow.common.clocks import boot_time
@@ -22,6 +24,7 @@
 from magnoliaflow.common.records import Record
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.followers import record_store_failure
+from magnoliaflow.entry.rolloutentries import lost_orders
 from magnoliaflow.entry.rolloutnews import FRESH_S
 from magnoliaflow.entry.rolloutstatus import StatusWriter
 from magnoliaflow.entry.state import EntryState
@@ -87,8 +90,12 @@
             return
         if self.holds_since == inf:
             self.holds_since = now
-        for known in state.rollouts.decisions.values():
-            known.confirmed_at = now
+        for service, last in state.rollouts.decisions.items():
+            plan = self.plans.get(service)
+            if last.decision.stage in ENDED or (
+                plan is not None and plan.order.position == last.decision.order
+            ):
+                last.confirmed_at = now
         self.status.tick(
             now, self.duty_log.era, settled_at=self.holds_since + RESTATE_S
         )
@@ -101,6 +108,23 @@
                 self._start(self._append(decision))
             if self.busy:
                 return
+        for order in lost_orders(state, self.holds_since):
+            decision = self._end_lost(order, now)
+            if decision is not None:
+                self._start(self._append(decision))
+                return
+
+    def _end_lost(
+        self, known: KnownOrder, now: float
+    ) -> RolloutDecision | None:
+        """Return the end of an order that is gone, None while it may run.
+
+        From FULL on old engines may have stopped: it is judged to its end.
+        """
+        decision = self.state.rollouts.decisions[known.order.service].decision
+        if decision.stage is RolloutStage.FULL:
+            return self._step(known, decision, now)
+        return ended_as(decision, RolloutStage.ROLLED_BACK, "order is gone")
 
     def _reset(self) -> None:
         """Forget what only a holder has; the next one begins anew."""
@@ -130,7 +154,7 @@
             if last.decision.order > order.position:
                 return None
             if last.decision.stage not in ENDED:
-                return _ended(
+                return ended_as(
                     last.decision,
                     RolloutStage.ROLLED_BACK,
                     "another order replaces this one",
@@ -167,8 +191,8 @@
                 and count.order == order.position
                 and count.stage in ENDED
             ):
-                base = decision or _first(known)
-                return _ended(
+                base = decision or first_step(known.order)
+                return ended_as(
                     replace(base, number=max(base.number, count.number)),
                     RolloutStage(count.stage),
                     "other hosts have this decision",
@@ -361,27 +385,7 @@
             if not self.state.lease_manager.holds(boot_time()):
                 return
             yield self._append(
-                _ended(_first(known), final[0], "status in the store")
+                ended_as(
+                    first_step(known.order), final[0], "status in the store"
+                )
             )
-
-
-def _first(known: KnownOrder) -> RolloutDecision:
-    """Return the base of the first decision on an order."""
-    order = known.order
-    return RolloutDecision(
-        *(order.service, order.target, order.position, 0),
-        *(RolloutStage.CANARY, (), 0.0, ""),
-    )
-
-
-def _ended(
-    decision: RolloutDecision, stage: RolloutStage, reason: str
-) -> RolloutDecision:
-    """Return the decision that ends an order after another one."""
-    return replace(
-        decision,
-        number=decision.number + 1,
-        stage=stage,
-        shares=(),
-        reason=reason,
-    )
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -10,14 +10,17 @@
 from twisted.internet.defer import succeed
 
 from magnoliaflow.cluster.rollouts import RolloutBook
+from magnoliaflow.cluster.rolloutsteps import make_step
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codec import decode_record
+from magnoliaflow.common.codec import encode_record
 from magnoliaflow.common.errors import FormatError
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.common.messages import RolloutCounts
 from magnoliaflow.common.messages import RolloutNews
+from magnoliaflow.common.records import Record
 from magnoliaflow.common.records import RolloutStep
 from magnoliaflow.entry import duties
 from magnoliaflow.entry.duties import DutyLog
@@ -520,3 +523,24 @@
     book.observe(decide(RolloutStage.ROLLED_BACK), 1, 1.0, 1.0)
     assert book.barred("app") == {"v2"}
     assert sides(BOTH) == (("v1",),)
+
+
+@pytest.mark.parametrize(
+    ("last", "end"),
+    [
+        (RolloutStage.RAMP, RolloutStage.ROLLED_BACK),
+        (RolloutStage.FULL, RolloutStage.COMPLETED),
+    ],
+)
+def test_a_decision_whose_order_is_gone_ends(store, clock, last, end):
+    """Guards against a share that nobody judges."""
+    step = make_step(decide(last), 1, boot_time())
+    store.records.append(encode_record(Record("r", step)))
+    host = Host(store, 1, clock)
+    host.run(8.0)
+    assert host.decision.stage is last
+    assert host.state.rollouts.age_s("app", clock.now) > 2.5
+    host.state.orders_read_at = clock.now
+    host.run(2.0)
+    assert host.decision.stage is end
+    assert not host.state.rollouts.has_two_versions("app", clock.now + 60.0)
