Judge a mended version that is ordered again

A holder that reads an order as an old one takes the end in its status for the order's. The status may be of an earlier order to the same version: then the later one was rolled back, or completed, without being judged. A status that the log explains by an earlier order is now ignored.

test_a_mended_version_that_is_ordered_again_is_judged failed before, passes now; test_rollout_duty, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/cluster/rolloutsteps.py
+++ b/src/magnoliaflow/cluster/rolloutsteps.py
@@ -119,3 +119,14 @@
         shares=(),
         reason=reason,
     )
+
+
+def ended_before(
+    decision: RolloutDecision, order: RolloutOrder, stage: RolloutStage
+) -> bool:
+    """Return whether an earlier order of the same version ended like this."""
+    return (
+        decision.order < order.position
+        and decision.target == order.target
+        and decision.stage is stage
+    )
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -15,6 +15,7 @@
 from magnoliaflow.cluster.rolloutsteps import add_rows
 from magnoliaflow.cluster.rolloutsteps import ENDED
 from magnoliaflow.cluster.rolloutsteps import ended_as
+from magnoliaflow.cluster.rolloutsteps import ended_before
 from magnoliaflow.cluster.rolloutsteps import first_step
 from magnoliaflow.cluster.rolloutsteps import make_step
 from magnoliaflow.cluster.rolloutsteps import moved_to
@@ -382,6 +383,9 @@
                 continue
             if final is None or final[1] != order.target:
                 continue
+            _, last = self.state.rollouts.logged.get(order.service, (0, None))
+            if last is not None and ended_before(last, order, final[0]):
+                continue
             if not self.state.lease_manager.holds(boot_time()):
                 return
             yield self._append(
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -544,3 +544,17 @@
     host.run(2.0)
     assert host.decision.stage is end
     assert not host.state.rollouts.has_two_versions("app", clock.now + 60.0)
+
+
+def test_a_mended_version_that_is_ordered_again_is_judged(host, store, clock):
+    """Guards against the end of an earlier order, taken for a later one's."""
+    host.order()
+    host.run(1.0)
+    host.order(None, offset=6)
+    host.run(1.0)
+    assert store.status[-1] == ("rollout/app", "rolled_back", "v2")
+    other = Host(store, 2, clock)
+    other.order(offset=7, is_new=False)
+    other.run(8.0)
+    assert other.state.lease_manager.holds(clock.now)
+    assert other.decision.stage is RolloutStage.CANARY
