Leave an engine as it is when its version is learned

An entry passed on by an older build has no version; the store's has one. The engine was then removed and added again: its load, prefixes and backoff were lost, and attempts that were connecting failed, also where no contract names roll-outs. Without the contract, versions are now left out before the registry compares them; with it, a version that was not known changes the list of versions alone.

--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -98,6 +98,8 @@
     ``offset`` and ``alive`` are as in EngineRegistry.apply.
     """
     previous = state.registry.entries.get(name)
+    if entry is not None and not state.host_settings.judges_rollouts:
+        entry = replace(entry, version="")
     changed = state.registry.apply(name, entry, offset, alive=alive)
     if changed is None:
         return
@@ -121,6 +123,8 @@
     if changed.gone:
         state.routing.remove(name)
         return
+    if engine is not None and engine.cfg.version != changed.version:
+        state.routing.set_version(name, changed.version)
     if changed.leaving:
         if engine is not None and engine.leaving_at == inf:
             engine.leaving_at = boot_time()
@@ -131,9 +135,12 @@
 
 
 def _moved(previous: EngineEntry | None, entry: EngineEntry) -> bool:
-    return previous is not None and (
-        (previous.address, previous.backend, previous.version)
-        != (entry.address, entry.backend, entry.version)
+    if previous is None:
+        return False
+    # Builds that lack versions pass on entries without them.
+    other = previous.version not in ("", entry.version)
+    return other or (
+        (previous.address, previous.backend) != (entry.address, entry.backend)
     )
 
 
--- a/src/magnoliaflow/policy/routing.py
+++ b/src/magnoliaflow/policy/routing.py
@@ -17,6 +17,8 @@
 from magnoliaflow.common.errors import SettingsError
 from magnoliaflow.common.settings import BackendServer
 from magnoliaflow.policy.engines import Engine
+from magnoliaflow.policy.engineversions import list_version
+from magnoliaflow.policy.engineversions import unlist_version
 from magnoliaflow.policy.hashring import HashRing
 from magnoliaflow.policy.prefixes import PrefixIndex
 
@@ -116,9 +118,7 @@
         group = self.groups.setdefault(engine.cfg.backend, [])
         if engine.name not in group:
             group.append(engine.name)
-            self.versions.setdefault(engine.cfg.backend, {}).setdefault(
-                engine.cfg.version, []
-            ).append(engine.name)
+            list_version(self.versions, engine)
             self.rings.pop(engine.cfg.backend, None)
 
     def remove(self, name: str) -> None:
@@ -127,10 +127,17 @@
         if engine is None:
             return
         self.groups[engine.cfg.backend].remove(name)
-        self.versions[engine.cfg.backend][engine.cfg.version].remove(name)
+        unlist_version(self.versions, engine)
         self.rings.pop(engine.cfg.backend, None)
         self.prefixes.remove_engine(name)
 
+    def set_version(self, name: str, version: str) -> None:
+        """Set the version of an engine, which was not known before."""
+        engine = self.engines[name]
+        unlist_version(self.versions, engine)
+        engine.cfg = replace(engine.cfg, version=version)
+        list_version(self.versions, engine)
+
     def candidates(self, request: RoutingRequest, now: float) -> list[Engine]:
         """Return usable engines: prefix holders and a random sample.
 
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -558,3 +558,28 @@
     other.run(8.0)
     assert other.state.lease_manager.holds(clock.now)
     assert other.decision.stage is RolloutStage.CANARY
+
+
+@pytest.mark.parametrize("is_judged", [True, False])
+def test_a_version_that_is_learned_later_replaces_no_engine(
+    store, clock, is_judged
+):
+    """Guards against lost loads and prefixes while builds are replaced."""
+    host = Host(store, 1, clock)
+    if not is_judged:
+        host.state.host_settings = replace(
+            host.state.host_settings, judges_rollouts=False
+        )
+    entry = EngineEntry("c1", "app", "10.1.0.3:80", "z1", 4, False)
+    apply_registration(host.state, "c1", entry, 4)
+    engine = host.state.routing.engines["c1"]
+    changed_at = host.state.registry.last_change_offset
+    apply_registration(host.state, "c1", replace(entry, version="v1"), 5)
+    assert host.state.routing.engines["c1"] is engine
+    versions = host.state.routing.versions["app"]
+    if is_judged:
+        assert "c1" in versions["v1"] and "c1" not in versions.get("", ())
+        assert engine.cfg.version == "v1"
+    else:
+        assert host.state.registry.last_change_offset == changed_at
+        assert "c1" in versions[""]
