--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -16,6 +16,7 @@
 from magnoliaflow.policy.caps import INITIAL_FILL
 from magnoliaflow.policy.caps import LARGE_REQUEST_SHARE
 from magnoliaflow.policy.engines import new_engine
+from magnoliaflow.policy.engineversions import set_version
 from magnoliaflow.policy.routes import Account
 from magnoliaflow.policy.routes import RouteTable
 
@@ -124,7 +125,7 @@
         state.routing.remove(name)
         return
     if engine is not None and engine.cfg.version != changed.version:
-        state.routing.set_version(name, changed.version)
+        set_version(state.routing.versions, engine, changed.version)
     if changed.leaving:
         if engine is not None and engine.leaving_at == inf:
             engine.leaving_at = boot_time()
--- a/src/magnoliaflow/policy/engineversions.py
+++ b/src/magnoliaflow/policy/engineversions.py
@@ -1,5 +1,7 @@
 """Engines by service and version, for requests that are held to a version."""
 
+from dataclasses import replace
+
 from magnoliaflow.policy.engines import Engine
 
 
@@ -19,3 +21,12 @@
     by_version[engine.cfg.version].remove(engine.name)
     if not by_version[engine.cfg.version]:
         del by_version[engine.cfg.version]
+
+
+def set_version(
+    versions: dict[str, dict[str, list[str]]], engine: Engine, version: str
+) -> None:
+    """Set the version of an engine, which was not known before."""
+    unlist_version(versions, engine)
+    engine.cfg = replace(engine.cfg, version=version)
+    list_version(versions, engine)
--- a/src/magnoliaflow/policy/routing.py
+++ b/src/magnoliaflow/policy/routing.py
@@ -131,13 +131,6 @@
         self.rings.pop(engine.cfg.backend, None)
         self.prefixes.remove_engine(name)
 
-    def set_version(self, name: str, version: str) -> None:
-        """Set the version of an engine, which was not known before."""
-        engine = self.engines[name]
-        unlist_version(self.versions, engine)
-        engine.cfg = replace(engine.cfg, version=version)
-        list_version(self.versions, engine)
-
     def candidates(self, request: RoutingRequest, now: float) -> list[Engine]:
         """Return usable engines: prefix holders and a random sample.
 
