Send no new request to an old engine at full

A new request still went to an old engine if the target had none free, and an attempt that was connecting was in no count: a completion passed beside it, and the engine stopped. At full only repeats of requests that began on an old engine go there, unless a host has no engine of the target; attempts run from their selection on.

test_versions_that_a_request_may_go_to (FULL, new request) and test_a_connecting_attempt_runs failed before, pass now; test_rollout_duty, test_rollout_attempts, test_rollout_fleet, test_entry_attempts, test_layers pass.

--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -321,6 +321,10 @@
         )
         if began_on is not None:
             is_target = began_on == target
+        if stage is RolloutStage.FULL and target in usable:
+            # Only what began there before runs on old engines, and is counted.
+            if began_on is None:
+                return ((target,),)
         if is_target:
             return ((target,), others)
         if stage is RolloutStage.FULL:
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -11,6 +11,7 @@
 from magnoliaflow.entry.versions import drop_watch
 from magnoliaflow.entry.versions import end_watch
 from magnoliaflow.entry.versions import may_send_to
+from magnoliaflow.entry.versions import send_watch
 from magnoliaflow.entry.versions import Watch
 from magnoliaflow.entry.versions import watch_attempt
 from magnoliaflow.platform.headers import decode_engine_head
@@ -108,6 +109,7 @@
             call.method, call.target, encode_forward(call, forward), call.body
         )
         self.exchange = exchange
+        self.watch = watch_attempt(self)
         open_exchange(
             self.engine.cfg.address,
             exchange,
@@ -136,13 +138,14 @@
             self._fail(Failure.UNSENT, "outdated before it was sent")
             return
         if not self.handler.may_send():
+            drop_watch(self, not_run=True)
             self._release_engine()
             if self.exchange is not None:
                 self.exchange.cancel()
             return
         self.sent = True
         self.opened_at = boot_time()
-        self.watch = watch_attempt(self)
+        send_watch(self)
         self.handler.attempts_sent += 1
         self.handler.earn_retry()
 
--- a/src/magnoliaflow/entry/versions.py
+++ b/src/magnoliaflow/entry/versions.py
@@ -41,7 +41,10 @@
 
 
 class Watch:
-    """What is seen of one sent attempt, for its version's tally."""
+    """What is seen of one attempt, for its version's tally.
+
+    It runs from its selection on; the rest is counted once it is sent.
+    """
 
     __slots__ = ("key", "order", "sent_at", "state")
 
@@ -49,10 +52,16 @@
         self.state = state
         self.key = key
         self.sent_at = boot_time()
-        self.order = state.rollouts.target_of(key[0])[1]
+        self.order = -1
         state.rollouts.running[key] += 1
+
+    def send(self) -> None:
+        """Count the send."""
+        rollouts = self.state.rollouts
+        self.sent_at = boot_time()
+        self.order = rollouts.target_of(self.key[0])[1]
         if self.order >= 0:
-            state.rollouts.tally(*key).sent += 1
+            rollouts.tally(*self.key).sent += 1
 
     def end(self, *, failed: bool, counts_time: bool) -> None:
         """Count the end of the attempt, which may be before its answer's."""
@@ -71,7 +80,7 @@
 
 
 def watch_attempt(attempt: Any) -> Watch | None:
-    """Return the watch of an attempt that is sent now."""
+    """Return the watch of an attempt whose connection opens."""
     handler = attempt.handler
     state: EntryState = handler.state
     if not state.host_settings.judges_rollouts:
@@ -80,6 +89,14 @@
     return Watch(state, (handler.service, handler.route.name, version))
 
 
+def send_watch(attempt: Any) -> None:
+    """Count an attempt that is sent now."""
+    if attempt.watch is None:
+        attempt.watch = watch_attempt(attempt)
+    if attempt.watch is not None:
+        attempt.watch.send()
+
+
 def end_watch(attempt: Any, *, failed: bool) -> None:
     """Count an answer that is whole, or failed."""
     watch, attempt.watch = attempt.watch, None
--- a/tests/test_rollout_attempts.py
+++ b/tests/test_rollout_attempts.py
@@ -4,6 +4,7 @@
 from logging import getLogger
 from random import Random
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 from test_entry_attempts import BOOT_FILE
@@ -12,6 +13,7 @@
 
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codes import Code
+from magnoliaflow.entry import attempts
 from magnoliaflow.entry.attempts import Attempt
 from magnoliaflow.entry.attempts import Failure
 from magnoliaflow.entry.state import EntryState
@@ -110,20 +112,34 @@
             latencies,
         ]
 
-    attempts = [make_attempt(state) for _ in range(4)]
-    for attempt in attempts:
+    made = [make_attempt(state) for _ in range(4)]
+    for attempt in made:
         attempt.on_open()
     assert counts() == [4, 0, 0, 4, 0]
-    attempts[0]._fail(Failure.MAY_HAVE_RUN, "reset", engine_fault=True)
+    made[0]._fail(Failure.MAY_HAVE_RUN, "reset", engine_fault=True)
     assert counts() == [4, 1, 1, 3, 0]
-    attempts[1]._fail(Failure.NOT_RUN, "shed")
+    made[1]._fail(Failure.NOT_RUN, "shed")
     assert counts() == [4, 2, 1, 2, 0]
-    attempts[2].handler.code = Code.CANCELLED
-    attempts[2].abandon()
+    made[2].handler.code = Code.CANCELLED
+    made[2].abandon()
     assert counts() == [4, 3, 1, 1, 0]
     order = RolloutOrder("desk", "v3", 12.0, 6)
     book.learn_order(order, boot_time(), is_new=True)
     assert book.tallies("desk")["look", False].running == 1
-    attempts[3].abandon()
+    made[3].abandon()
     tally = book.tallies("desk").get(("look", False))
     assert tally is None or (tally.running, tally.finished) == (0, 0)
+
+
+def test_a_connecting_attempt_runs(state, monkeypatch):
+    """Guards against a completion while a request goes to an old engine."""
+    for name in ("open_exchange", "encode_forward", "Exchange"):
+        monkeypatch.setattr(attempts, name, Mock())
+    attempt = make_attempt(state)
+    call = SimpleNamespace(method="POST", target="/", body=b"", request_id="r")
+    attempt.handler.call = call
+    attempt.open(call, None)
+    tally = state.rollouts.tallies("desk")["look", True]
+    assert (tally.running, tally.sent) == (1, 0)
+    attempt._fail(Failure.UNSENT, "refused")
+    assert state.rollouts.tallies("desk") == {}
