Take counts for those of the process that sent them

The counts of an earlier process passed for its successor's, which may not have had the decision yet: the holder completed beside it. Counts now hold the sender's identity, which is compared with that of the live host; within a group, hosts that are not live are not in its number of hosts.

test_counts_are_of_the_process_that_sent_them (another identity) failed before, passes now; test_rollout_duty, test_rollout_attempts, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -16,6 +16,7 @@
 from magnoliaflow.cluster.rolloutsteps import concerns
 from magnoliaflow.cluster.rolloutsteps import ENDED
 from magnoliaflow.cluster.rolloutsteps import tally_rows
+from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
@@ -116,6 +117,7 @@
 class HostCounts:
     """The last counts of another host, or of the hosts of a group."""
 
+    fact: HostFact
     counts: dict[str, RolloutCount]
     hosts: int
     group: str
--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -197,7 +197,10 @@
 ) -> tuple[dict[str, RolloutCount], int]:
     """Return the counts of this host's group and the number of its hosts."""
     rows = fresh_members(state, now)
-    hosts = 1 + sum(is_fresh for _, is_fresh in rows)
+    hosts = 1 + sum(
+        is_fresh and state.view.is_live(row.fact.host, now)
+        for row, is_fresh in rows
+    )
     total = {}
     for service, count in own.items():
         tallies: Tallies = {}
@@ -233,7 +236,7 @@
     view = state.view
     holder = host_of(state.lease_manager.holder_identity())
     return [
-        (row, now - row.received_at < FRESH_S)
+        (row, now - row.received_at < FRESH_S and _is_present(state, row))
         for name, row in state.rollouts.counts.items()
         if not row.group
         and view.group_of(name) == view.group
@@ -241,6 +244,12 @@
     ]
 
 
+def _is_present(state: EntryState, row: HostCounts) -> bool:
+    """Return whether no later process of the host has been seen."""
+    known = state.view.hosts.get(row.fact.host)
+    return known is None or known.fact.identity == row.fact.identity
+
+
 def handle_rollout_counts(state: EntryState, message: RolloutCounts) -> None:
     """Take in the counts of another host or group."""
     book = state.rollouts
@@ -248,6 +257,7 @@
     state.rollouts_heard[fact.host] = fact.identity, message.number
     name = message.group or fact.host
     book.counts[name] = HostCounts(
+        fact,
         {count.backend: count for count in message.counts},
         message.hosts,
         message.group,
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -299,17 +299,21 @@
         book = state.rollouts
         decision = book.decision_for(known.order)
         tallies = book.tallies(service)
-        live = {fact.host for fact in state.live_hosts(now)}
+        live = {fact.host: fact.identity for fact in state.live_hosts(now)}
         groups = {state.view.group_of(host) for host in live}
         hosts, age_s, in_force = 1, 0.0, True
         for name, row in self._rows():
             is_fresh = now - row.received_at < FRESH_S
-            is_live = name in live or (row.group and row.group in groups)
+            is_live = (
+                row.group in groups
+                if row.group
+                else live.get(name) == row.fact.identity
+            )
             count = row.counts.get(service)
             if count is None or count.order != position:
                 in_force = in_force and not (is_live and is_fresh)
                 continue
-            add_rows(tallies, count.tallies, is_live=bool(is_live or is_fresh))
+            add_rows(tallies, count.tallies, is_live=is_live or is_fresh)
             if not is_live:
                 continue
             hosts += row.hosts
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -585,3 +585,32 @@
     else:
         assert host.state.registry.last_change_offset == changed_at
         assert "c1" in versions[""]
+
+
+def receive_counts(host, clock, number, **changes):
+    """Let the holder receive the counts of another host; return its fact."""
+    fact = replace(
+        host.state.own_fact(clock.now), host="e-2", identity="e-2-a", **changes
+    )
+    position = host.decision.order
+    rows = (RolloutCount("app", position, number, 1, 0.0, ()),)
+    handle_rollout_counts(host.state, RolloutCounts(fact, 1, 1, "", rows))
+    return fact
+
+
+def all_in_force(host, clock):
+    known = host.state.rollouts.orders["app"]
+    return host.duty._gather(known.order.position, known, clock.now)[2]
+
+
+@pytest.mark.parametrize("identity", ["e-2-a", "e-2-b"])
+def test_counts_are_of_the_process_that_sent_them(
+    host, clock, monkeypatch, identity
+):
+    """Guards against a completion beside a process that has just begun."""
+    host.order()
+    host.run(1.0)
+    fact = receive_counts(host, clock, 9)
+    live = replace(fact, identity=identity)
+    monkeypatch.setattr(EntryState, "live_hosts", lambda *_: [live])
+    assert all_in_force(host, clock) is (identity == "e-2-a")
