Send decisions to hosts that leave, and wait for them

A host that leaves still sends requests and repeats for the time of its drain, but had no decision from then on, and none of its counts held up a completion. Hosts whose counts say that they leave now get the news while the counts are under 2 s old, and their number is required.

test_a_leaving_host_has_decisions_and_is_waited_for (2 cases) failed before, passes now; test_rollout_duty, test_rollout_attempts, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -156,8 +156,16 @@
     def _receivers(self, now: float) -> list[HostFact]:
         state, view = self.state, self.state.view
         holds = state.lease_manager.holds(now)
+        # Hosts that leave still send requests, and their counts.
+        leaving = [
+            row.fact
+            for row in state.rollouts.counts.values()
+            if row.fact.leaving
+            and not row.group
+            and now - row.received_at < FRESH_S
+        ]
         if not state.uses_groups():
-            return state.live_hosts(now) if holds else []
+            return [*state.live_hosts(now), *leaving] if holds else []
         hosts: set[str] = set()
         if view.rank() == 0:
             hosts.update(view.members)
@@ -165,7 +173,9 @@
             groups = {view.group, *view.groups}
             for group in groups:
                 hosts.update(view.aggregators(group))
-        return [view.hosts[host].fact for host in hosts if host in view.hosts]
+        hosts.difference_update(fact.host for fact in leaving)
+        facts = [view.hosts[host].fact for host in hosts if host in view.hosts]
+        return facts + leaving
 
 
 def make_steps(
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -314,12 +314,13 @@
                 in_force = in_force and not (is_live and is_fresh)
                 continue
             add_rows(tallies, count.tallies, is_live=is_live or is_fresh)
+            is_behind = decision is None or count.number < decision.number
+            if is_behind and (is_live or is_fresh):
+                in_force = False
             if not is_live:
                 continue
             hosts += row.hosts
             age_s = max(age_s, now - row.received_at + count.age)
-            if decision is None or count.number < decision.number:
-                in_force = False
         order, complete_at = self.complete.get(service, (-1, -inf))
         if order != position:
             complete_at = max(self.holds_since, known.ordered_at)
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -30,6 +30,7 @@
 from magnoliaflow.entry.rolloutnews import handle_rollout_counts
 from magnoliaflow.entry.rolloutnews import handle_rollout_news
 from magnoliaflow.entry.rolloutnews import make_steps
+from magnoliaflow.entry.rolloutnews import RolloutSender
 from magnoliaflow.entry import rollouts
 from magnoliaflow.entry.rollouts import RolloutDuty
 from magnoliaflow.entry import rolloutstatus
@@ -614,3 +615,17 @@
     live = replace(fact, identity=identity)
     monkeypatch.setattr(EntryState, "live_hosts", lambda *_: [live])
     assert all_in_force(host, clock) is (identity == "e-2-a")
+
+
+@pytest.mark.parametrize("number", [0, 9])
+def test_a_leaving_host_has_decisions_and_is_waited_for(host, clock, number):
+    """Guards against requests to old engines from a host that leaves."""
+    host.order()
+    host.run(1.0)
+    fact = receive_counts(host, clock, number, leaving=True)
+    sender = RolloutSender(host.state, None)
+    assert sender._receivers(clock.now) == [fact]
+    assert all_in_force(host, clock) is bool(number)
+    clock.now += 2.5
+    assert sender._receivers(clock.now) == []
+    assert all_in_force(host, clock)
