Serve an old version that comes back after a completion

A version that was completed away stayed unused for ever, also if its engines were started again without an order. It is now one without an order once this host has seen it without engines.

test_an_old_version_that_comes_back_is_served failed before, passes now; test_rollout_duty, test_rollout_attempts, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -67,7 +67,8 @@
 
     ``in_force`` had engines while this host had read the orders and none
     was in progress, or were completed; ``barred`` were rolled back, ``old``
-    were in force before the last completion.  ``seen`` are all since the last
+    were in force before the last completion and have had engines since, as
+    far as requests showed it.  ``seen`` are all since the last
     end of an order.
     """
 
@@ -87,6 +88,8 @@
         for name in present:
             self.first_seen.setdefault(name, now)
         self.seen |= present
+        # Engines that come later are not those that the completion stopped.
+        self.old &= present
         if self.in_force & present:
             self.in_force &= present
         return tuple(name for name in registered if name in present)
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -629,3 +629,23 @@
     clock.now += 2.5
     assert sender._receivers(clock.now) == []
     assert all_in_force(host, clock)
+
+
+def test_an_old_version_that_comes_back_is_served():
+    """Guards against engines that stay idle for ever."""
+    book = RolloutBook()
+
+    def sides(registered, now):
+        return book.sides(
+            *("app", "look", "r1", registered),
+            now=now,
+            orders_read_at=now,
+            began_on=None,
+        )
+
+    sides(BOTH, 0.0)
+    book.observe(decide(RolloutStage.COMPLETED), 1, 1.0, 1.0)
+    assert sides(BOTH, 9.0) == (("v2",),)
+    assert sides({"v2": ["b1"]}, 10.0) == ()
+    assert sides(BOTH, 11.0) == (("v2",), ("v1",))
+    assert sides(BOTH, 19.0) == ()
