Send to the target where nothing else serves a route

If all old engines were gone during the canary share, most requests had no side with engines while healthy engines of the target stood by. A host without another version now sends all of a route with a share to the target: the share is 0 once the exposure budget is spent. The versions that get requests without an order move to cluster/rolloutversions.py unchanged.

test_versions_that_a_request_may_go_to (RAMP, share 0.01, target alone) failed before, passes now; test_rollout_duty, test_rollout_attempts, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -8,7 +8,6 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 from math import inf
 
@@ -16,12 +15,15 @@
 from magnoliaflow.cluster.rolloutsteps import concerns
 from magnoliaflow.cluster.rolloutsteps import ENDED
 from magnoliaflow.cluster.rolloutsteps import tally_rows
+from magnoliaflow.cluster.rolloutversions import ALL_VERSIONS
+from magnoliaflow.cluster.rolloutversions import ServiceVersions
 from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import RolloutStage
 from magnoliaflow.policy.rollouts import sends_to_target
+from magnoliaflow.policy.rollouts import share_in_force
 from magnoliaflow.policy.rollouts import Tallies
 from magnoliaflow.policy.rollouts import VersionTally
 
@@ -33,8 +35,6 @@
 # Time after the end of a roll-out in which the engines of the other version
 # stop: the drain of the platform and a few heartbeats.
 SETTLE_S = 10.0
-# No restriction on the versions of engines.
-ALL_VERSIONS: tuple[tuple[str, ...], ...] = ()
 
 
 @dataclass(slots=True)
@@ -61,61 +61,6 @@
     is_withdrawn: bool = False
 
 
-@dataclass(slots=True)
-class ServiceVersions:
-    """The versions of a service's engines, as far as they matter.
-
-    ``in_force`` had engines while this host had read the orders and none
-    was in progress, or were completed; ``barred`` were rolled back, ``old``
-    were in force before the last completion and have had engines since, as
-    far as requests showed it.  ``seen`` are all since the last
-    end of an order.
-    """
-
-    first_seen: dict[str, float] = field(default_factory=dict)
-    in_force: set[str] = field(default_factory=set)
-    barred: set[str] = field(default_factory=set)
-    old: set[str] = field(default_factory=set)
-    seen: set[str] = field(default_factory=set)
-
-    def note(
-        self, registered: dict[str, list[str]], now: float
-    ) -> tuple[str, ...]:
-        """Return the versions that have engines, and forget others."""
-        present = {name for name, engines in registered.items() if engines}
-        for name in self.first_seen.keys() - present:
-            del self.first_seen[name]
-        for name in present:
-            self.first_seen.setdefault(name, now)
-        self.seen |= present
-        # Engines that come later are not those that the completion stopped.
-        self.old &= present
-        if self.in_force & present:
-            self.in_force &= present
-        return tuple(name for name in registered if name in present)
-
-    def without_order(
-        self, usable: tuple[str, ...], due: float
-    ) -> tuple[tuple[str, ...], ...]:
-        """Return the sides while no order is in progress.
-
-        A version seen first after ``due`` may be named by an order that was
-        not read yet: those in force are preferred, or the one seen first.
-        """
-        allowed = [name for name in usable if name not in self.barred]
-        allowed = [name for name in allowed if name not in self.old] or allowed
-        self.in_force |= {
-            name for name in allowed if self.first_seen[name] < due
-        }
-        known = tuple(name for name in allowed if name in self.in_force)
-        if not known and allowed:
-            known = (min(allowed, key=self.first_seen.__getitem__),)
-        if len(known) == len(usable) > 0:
-            return ALL_VERSIONS
-        unordered = tuple(name for name in allowed if name not in known)
-        return (known, unordered) if unordered else (known,)
-
-
 @dataclass(slots=True)
 class HostCounts:
     """The last counts of another host, or of the hosts of a group."""
@@ -321,11 +266,13 @@
             return ALL_VERSIONS if barred.isdisjoint(usable) else ((target,),)
         known = self.decisions.get(service)
         decision = None if known is None or stage is None else known.decision
-        is_target = sends_to_target(
-            decision, route, request_id, self.age_s(service, now)
-        )
+        age_s = self.age_s(service, now)
+        is_target = sends_to_target(decision, route, request_id, age_s)
         if began_on is not None:
             is_target = began_on == target
+        if not others and share_in_force(decision, route, age_s) > 0.0:
+            # Nothing else serves it; the share is 0 once the budget is spent.
+            is_target = True
         if stage is RolloutStage.FULL and target in usable:
             # Only what began there before runs on old engines, and is counted.
             if began_on is None:
--- a/src/magnoliaflow/entry/versions.py
+++ b/src/magnoliaflow/entry/versions.py
@@ -3,7 +3,7 @@
 from math import inf
 from typing import Any
 
-from magnoliaflow.cluster.rollouts import ALL_VERSIONS
+from magnoliaflow.cluster.rolloutversions import ALL_VERSIONS
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codes import Code
 from magnoliaflow.entry.state import EntryState
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -359,6 +359,9 @@
         (decide(RolloutStage.RAMP), "v1", BOTH, (("v1",),)),
         (decide(RolloutStage.RAMP, shares=()), "v2", BOTH, (("v2",), ("v1",))),
         (decide(RolloutStage.RAMP, shares=()), None, BOTH, (("v1",),)),
+        (decide(RolloutStage.RAMP, shares=(("look", 0.01),)), "v1")
+        + ({"v2": ["b1"]}, (("v2",), ())),
+        (decide(RolloutStage.RAMP, shares=()), None, {"v2": ["b1"]}, ((),)),
         (decide(RolloutStage.FULL), "v1", BOTH, (("v1",), ("v2",))),
         (decide(RolloutStage.FULL), None, BOTH, (("v2",),)),
         (decide(RolloutStage.FULL), None, {"v1": ["a1"]}, (("v2",), ("v1",))),
