Roll back an order that a silent host holds up

Before full, one live host without counts left the share at 0 and the order in progress for ever. It is rolled back at 1.5 x the order's time.

test_a_silent_host_ends_an_order_at_last failed before, passes now; test_rollouts passes.

--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -250,7 +250,10 @@
                 elapsed_s, RolloutStage.FULL, {}, "the target serves already"
             )
         if self.decision is not None and news_age_s > NEWS_LIMIT_S:
-            return self._pause(elapsed_s, f"news {news_age_s:.1f} s old")
+            reason = f"news {news_age_s:.1f} s old"
+            if elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART):
+                return self._roll_back(elapsed_s, reason)
+            return self._pause(elapsed_s, reason)
         return self._advance(elapsed_s, news_age_s)
 
     def _observe_lag(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -197,6 +197,14 @@
     assert step(plan, 12.0, news_age_s=NEWS_LIMIT_S + 0.1) is None
 
 
+def test_a_silent_host_ends_an_order_at_last():
+    plan = make_plan(make_decision(RolloutStage.RAMP, (("a", 1.0),)))
+    assert step(plan, 5.0, news_age_s=NEWS_LIMIT_S + 0.1).shares == ()
+    assert step(plan, 17.9, news_age_s=NEWS_LIMIT_S + 0.1) is None
+    decision = step(plan, 18.0, news_age_s=NEWS_LIMIT_S + 0.1)
+    assert decision.stage == RolloutStage.ROLLED_BACK
+
+
 def test_completion_waits_for_hosts_and_running_requests():
     plan = make_plan(make_decision(RolloutStage.FULL))
     running = {("a", False): make_tally(9, running=1)}
