Let a repeat leave a target that is not confirmed

A repeat went to the target again at a host to which the decision was not confirmed for longer than 2.5 s, where the share is 0. Before full it now goes to the other side.

test_a_repeat_leaves_a_target_that_is_not_confirmed (RAMP, 3 s) failed before, passes now; test_rollout_duty, test_rollout_attempts, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/cluster/rollouts.py
+++ b/src/magnoliaflow/cluster/rollouts.py
@@ -19,6 +19,7 @@
 from magnoliaflow.cluster.rolloutversions import ServiceVersions
 from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.messages import RolloutCount
+from magnoliaflow.policy.rolloutdecisions import HOLD_S
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import RolloutStage
@@ -269,7 +270,8 @@
         age_s = self.age_s(service, now)
         is_target = sends_to_target(decision, route, request_id, age_s)
         if began_on is not None:
-            is_target = began_on == target
+            holds = stage is RolloutStage.FULL or age_s <= HOLD_S
+            is_target = holds and began_on == target
         if not others and share_in_force(decision, route, age_s) > 0.0:
             # Nothing else serves it; the share is 0 once the budget is spent.
             is_target = True
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -652,3 +652,25 @@
     assert sides({"v2": ["b1"]}, 10.0) == ()
     assert sides(BOTH, 11.0) == (("v2",), ("v1",))
     assert sides(BOTH, 19.0) == ()
+
+
+@pytest.mark.parametrize(
+    ("stage", "age_s", "expected"),
+    [
+        (RolloutStage.RAMP, 2.0, (("v2",), ("v1",))),
+        (RolloutStage.RAMP, 3.0, (("v1",),)),
+        (RolloutStage.FULL, 3.0, (("v2",), ("v1",))),
+    ],
+)
+def test_a_repeat_leaves_a_target_that_is_not_confirmed(
+    stage, age_s, expected
+):
+    book = RolloutBook()
+    book.observe(decide(stage), 1, 1.0, 1.0)
+    now = 1.0 + age_s
+    assert expected == book.sides(
+        *("app", "look", "r1", BOTH),
+        now=now,
+        orders_read_at=now,
+        began_on="v2",
+    )
