Put a status again after a put without an answer

A put whose answer was lost may land after a later status: in_progress after rolled_back. A status that follows a failed put is put once more 3 s later.

test_a_status_is_put_again_after_one_without_an_answer failed before, passes now; test_rollout_duty, test_rollout_attempts, test_rollout_fleet, test_layers pass.

--- a/src/magnoliaflow/entry/rolloutstatus.py
+++ b/src/magnoliaflow/entry/rolloutstatus.py
@@ -19,13 +19,16 @@
 
 # Retry delay after a failed call to the store.
 RETRY_DELAY_S = 0.2
+# A put without an answer may land so long after; a status is put again then.
+LATE_PUT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
 class Status:
     """What is written of a service: an order, its stage, the store's era.
 
-    ``is_settled``: it was written after all that a former holder has sent.
+    ``is_settled``: it was written after all that a former holder has sent,
+    and after what this one has sent without an answer.
     """
 
     order: int
@@ -37,13 +40,15 @@
 class StatusWriter:
     """Puts the status of each service until the store confirms it."""
 
-    __slots__ = ("busy", "retry_at", "state", "store", "written")
+    __slots__ = ("busy", "failed_at", "retry_at", "state", "store", "written")
 
     def __init__(self, state: EntryState, store: StoreClient) -> None:
         self.state = state
         self.store = store
         self.busy = False
         self.retry_at = -inf
+        # Time of the last put of each service that failed.
+        self.failed_at: dict[str, float] = {}
         self.written: dict[str, Status] = {}
 
     def tick(self, now: float, era: int, *, settled_at: float) -> None:
@@ -58,7 +63,9 @@
             stage = decision.stage
             if stage not in ENDED:
                 stage = RolloutStage.CANARY
-            wanted = Status(decision.order, stage, era, now >= settled_at)
+            late_until = self.failed_at.get(service, -inf) + LATE_PUT_S
+            is_settled = now >= max(settled_at, late_until)
+            wanted = Status(decision.order, stage, era, is_settled)
             if self.written.get(service) not in (
                 wanted,
                 Status(decision.order, stage, era, True),
@@ -82,7 +89,9 @@
 
         def failed(failure: Any) -> None:
             self.busy = False
-            self.retry_at = boot_time() + RETRY_DELAY_S
+            now = boot_time()
+            self.retry_at = now + RETRY_DELAY_S
+            self.failed_at[service] = now
             failure.trap(PortError)
             record_store_failure(self.state, "status", failure.value)
 
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -674,3 +674,28 @@
         orders_read_at=now,
         began_on="v2",
     )
+
+
+def test_a_status_is_put_again_after_one_without_an_answer(
+    host, store, monkeypatch
+):
+    """Guards against a status in progress that lands after the end."""
+    host.run(3.0)
+    host.order()
+    host.run(1.0)
+    put, lost = store.put, []
+
+    def lose(*status):
+        lost.append(status)
+        return fail(PortError("no answer"))
+
+    monkeypatch.setattr(store, "put", lose)
+    host.order(None, offset=6)
+    host.run(0.3)
+    assert lost
+    monkeypatch.setattr(store, "put", put)
+    host.run(1.0)
+    end = ("rollout/app", "rolled_back", "v2")
+    assert store.status.count(end) == 1
+    host.run(8.0)
+    assert store.status.count(end) == 2
