Send no counts of roll-outs long after their end; plainer words

A draining host sent counts with each announcement once any order had existed. They end with those of the tick, 5 s after the last change.

--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -151,13 +151,13 @@
         state = self.state
         max_age_s = state.host_settings.revocation_s * SELF_READ_AGE_SHARE
         # Peers pass on the configuration before this host has the orders.
-        lacks_orders = (
+        needs_orders = (
             state.host_settings.judges_rollouts
             and state.orders_read_at == -inf
         )
         return (
             self._keeps_poll()
-            or lacks_orders
+            or needs_orders
             or state.route_table is None
             or state.config_age(boot_time()) > max_age_s
         )
--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -1,4 +1,4 @@
-"""What hosts tell each other of roll-outs.
+"""Messages of roll-outs between hosts: counts and decisions.
 
 Counts go up, decisions come down: between all hosts and the lease holder in a
 small deployment, by the publishers of the groups in a large one.  Decisions
@@ -64,9 +64,7 @@
             book.orders or book.decisions
         ):
             return
-        is_recent = (
-            book.any_in_progress() or now < book.changed_at + ENDED_NEWS_S
-        )
+        is_recent = self._is_recent(now)
         if is_recent and now >= self.next_counts_at:
             self.next_counts_at = now + NEWS_INTERVAL_S
             self.send_counts(now)
@@ -77,10 +75,14 @@
             )
             self._send_news(now)
 
+    def _is_recent(self, now: float) -> bool:
+        book = self.state.rollouts
+        return book.any_in_progress() or now < book.changed_at + ENDED_NEWS_S
+
     def send_counts(self, now: float) -> None:
-        """Send counts towards the lease holder."""
+        """Send counts of orders of late towards the lease holder."""
         state = self.state
-        if not state.host_settings.judges_rollouts:
+        if not (state.host_settings.judges_rollouts and self._is_recent(now)):
             return
         self._set_gauges(now)
         holder = host_of(state.lease_manager.holder_identity())
@@ -141,7 +143,9 @@
             return
         steps, ages = make_steps(state, now)
         for fact in receivers:
-            identity, heard = state.rollouts_heard.get(fact.host, ("", -1))
+            identity, number = state.rollout_counts_received.get(
+                fact.host, ("", -1)
+            )
             self.links.send(
                 fact.peer_address,
                 RolloutNews(
@@ -149,7 +153,7 @@
                     state.identity,
                     steps,
                     ages,
-                    heard if identity == fact.identity else -1,
+                    number if identity == fact.identity else -1,
                 ),
             )
 
@@ -264,7 +268,10 @@
     """Take in the counts of another host or group."""
     book = state.rollouts
     fact = message.fact
-    state.rollouts_heard[fact.host] = fact.identity, message.number
+    state.rollout_counts_received[fact.host] = (
+        fact.identity,
+        message.number,
+    )
     name = message.group or fact.host
     book.counts[name] = HostCounts(
         fact,
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -181,9 +181,9 @@
         "ports_held",
         "registry",
         "rng",
+        "rollout_counts_received",
         "rollout_counts_sent",
         "rollouts",
-        "rollouts_heard",
         "host_settings",
         "spent",
         "started_at",
@@ -229,7 +229,7 @@
         self.rollout_counts_sent: deque[tuple[int, float]] = deque(
             maxlen=KEPT_HEARTBEATS
         )
-        self.rollouts_heard: dict[str, tuple[str, int]] = {}
+        self.rollout_counts_received: dict[str, tuple[str, int]] = {}
         self.registry_confirmed_at = -inf
         self.store_down_since = inf
         self.store_era = 0
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -4,6 +4,7 @@
 from json import loads
 from logging import getLogger
 from random import Random
+from unittest.mock import Mock
 
 import pytest
 from twisted.internet.defer import fail
@@ -699,3 +700,17 @@
     assert store.status.count(end) == 1
     host.run(8.0)
     assert store.status.count(end) == 2
+
+
+def test_counts_end_some_time_after_the_order(host, store, clock):
+    """Guards against messages for ever once any order has existed."""
+    other, links = Host(store, 2, clock), Mock()
+    other.run(0.5)
+    other.state.view.meet(host.state.own_fact(clock.now), clock.now)
+    book, now = other.state.rollouts, clock.now
+    book.observe(decide(RolloutStage.COMPLETED), 1, now, now)
+    sender = RolloutSender(other.state, links)
+    sender.send_counts(now + 1.0)
+    assert links.send.call_count == 1
+    sender.send_counts(now + 6.0)
+    assert links.send.call_count == 1
