--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -125,16 +125,19 @@
 
     def send(self, host, now):
         book = host.state.rollouts
+        registered = host.state.routing.versions["app"]
         sides = book.sides(
             "app",
             "look",
             f"r{self.number}",
-            host.state.routing.versions["app"],
+            registered,
             now=now,
             orders_read_at=now,
             began_on=None,
         )
-        version = sides[0][0] if sides else "v1"
+        # Without a restriction, engines of any version get requests.
+        allowed = sides[0] if sides else tuple(registered)
+        version = allowed[self.number % len(allowed)]
         key = ("app", "look", version)
         self.requests[version == "v2"].append(now)
         if book.target_of("app")[0]:
