--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutnews.py
@@ -1,4 +1,4 @@
-"""What hosts tell each other of roll-outs.
+"""Messages of roll-outs between hosts: counts and decisions.
 
 Counts go up, decisions come down: between all hosts and the lease holder in a
 small deployment, by the publishers of the groups in a large one.  Decisions
@@ -64,9 +64,7 @@
             book.orders or book.decisions
         ):
             return
-        is_recent = (
-            book.any_in_progress() or now < book.changed_at + ENDED_NEWS_S
-        )
+        is_recent = self._is_recent(now)
         if is_recent and now >= self.next_counts_at:
             self.next_counts_at = now + NEWS_INTERVAL_S
             self.send_counts(now)
@@ -77,10 +75,14 @@
             )
             self._send_news(now)
 
+    def _is_recent(self, now: float) -> bool:
+        book = self.state.rollouts
+        return book.any_in_progress() or now < book.changed_at + ENDED_NEWS_S
+
     def send_counts(self, now: float) -> None:
-        """Send counts towards the lease holder."""
+        """Send counts of orders of late towards the lease holder."""
         state = self.state
-        if not state.host_settings.judges_rollouts:
+        if not (state.host_settings.judges_rollouts and self._is_recent(now)):
             return
         self._set_gauges(now)
         holder = host_of(state.lease_manager.holder_identity())
@@ -141,7 +143,9 @@
             return
         steps, ages = make_steps(state, now)
         for fact in receivers:
-            identity, heard = state.rollouts_heard.get(fact.host, ("", -1))
+            identity, number = state.rollout_counts_received.get(
+                fact.host, ("", -1)
+            )
             self.links.send(
                 fact.peer_address,
                 RolloutNews(
@@ -149,15 +153,23 @@
                     state.identity,
                     steps,
                     ages,
-                    heard if identity == fact.identity else -1,
+                    number if identity == fact.identity else -1,
                 ),
             )
 
     def _receivers(self, now: float) -> list[HostFact]:
         state, view = self.state, self.state.view
         holds = state.lease_manager.holds(now)
+        # Hosts that leave still send requests, and their counts.
+        leaving = [
+            row.fact
+            for row in state.rollouts.counts.values()
+            if row.fact.leaving
+            and not row.group
+            and now - row.received_at < FRESH_S
+        ]
         if not state.uses_groups():
-            return state.live_hosts(now) if holds else []
+            return [*state.live_hosts(now), *leaving] if holds else []
         hosts: set[str] = set()
         if view.rank() == 0:
             hosts.update(view.members)
@@ -165,7 +177,9 @@
             groups = {view.group, *view.groups}
             for group in groups:
                 hosts.update(view.aggregators(group))
-        return [view.hosts[host].fact for host in hosts if host in view.hosts]
+        hosts.difference_update(fact.host for fact in leaving)
+        facts = [view.hosts[host].fact for host in hosts if host in view.hosts]
+        return facts + leaving
 
 
 def make_steps(
@@ -197,7 +211,10 @@
 ) -> tuple[dict[str, RolloutCount], int]:
     """Return the counts of this host's group and the number of its hosts."""
     rows = fresh_members(state, now)
-    hosts = 1 + sum(is_fresh for _, is_fresh in rows)
+    hosts = 1 + sum(
+        is_fresh and state.view.is_live(row.fact.host, now)
+        for row, is_fresh in rows
+    )
     total = {}
     for service, count in own.items():
         tallies: Tallies = {}
@@ -233,7 +250,7 @@
     view = state.view
     holder = host_of(state.lease_manager.holder_identity())
     return [
-        (row, now - row.received_at < FRESH_S)
+        (row, now - row.received_at < FRESH_S and _is_present(state, row))
         for name, row in state.rollouts.counts.items()
         if not row.group
         and view.group_of(name) == view.group
@@ -241,13 +258,23 @@
     ]
 
 
+def _is_present(state: EntryState, row: HostCounts) -> bool:
+    """Return whether no later process of the host has been seen."""
+    known = state.view.hosts.get(row.fact.host)
+    return known is None or known.fact.identity == row.fact.identity
+
+
 def handle_rollout_counts(state: EntryState, message: RolloutCounts) -> None:
     """Take in the counts of another host or group."""
     book = state.rollouts
     fact = message.fact
-    state.rollouts_heard[fact.host] = fact.identity, message.number
+    state.rollout_counts_received[fact.host] = (
+        fact.identity,
+        message.number,
+    )
     name = message.group or fact.host
     book.counts[name] = HostCounts(
+        fact,
         {count.backend: count for count in message.counts},
         message.hosts,
         message.group,
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -14,6 +14,9 @@
 from magnoliaflow.cluster.rollouts import KnownOrder
 from magnoliaflow.cluster.rolloutsteps import add_rows
 from magnoliaflow.cluster.rolloutsteps import ENDED
+from magnoliaflow.cluster.rolloutsteps import ended_as
+from magnoliaflow.cluster.rolloutsteps import ended_before
+from magnoliaflow.cluster.rolloutsteps import first_step
 from magnoliaflow.cluster.rolloutsteps import make_step
 from magnoliaflow.cluster.rolloutsteps import moved_to
 from magnoliaflow.common.clocks import boot_time
@@ -22,6 +25,7 @@
 from magnoliaflow.common.records import Record
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.followers import record_store_failure
+from magnoliaflow.entry.rolloutentries import lost_orders
 from magnoliaflow.entry.rolloutnews import FRESH_S
 from magnoliaflow.entry.rolloutstatus import StatusWriter
 from magnoliaflow.entry.state import EntryState
@@ -87,8 +91,12 @@
             return
         if self.holds_since == inf:
             self.holds_since = now
-        for known in state.rollouts.decisions.values():
-            known.confirmed_at = now
+        for service, last in state.rollouts.decisions.items():
+            plan = self.plans.get(service)
+            if last.decision.stage in ENDED or (
+                plan is not None and plan.order.position == last.decision.order
+            ):
+                last.confirmed_at = now
         self.status.tick(
             now, self.duty_log.era, settled_at=self.holds_since + RESTATE_S
         )
@@ -101,6 +109,23 @@
                 self._start(self._append(decision))
             if self.busy:
                 return
+        for order in lost_orders(state, self.holds_since):
+            decision = self._end_lost(order, now)
+            if decision is not None:
+                self._start(self._append(decision))
+                return
+
+    def _end_lost(
+        self, known: KnownOrder, now: float
+    ) -> RolloutDecision | None:
+        """Return the end of an order that is gone, None while it may run.
+
+        From FULL on old engines may have stopped: it is judged to its end.
+        """
+        decision = self.state.rollouts.decisions[known.order.service].decision
+        if decision.stage is RolloutStage.FULL:
+            return self._step(known, decision, now)
+        return ended_as(decision, RolloutStage.ROLLED_BACK, "order is gone")
 
     def _reset(self) -> None:
         """Forget what only a holder has; the next one begins anew."""
@@ -130,7 +155,7 @@
             if last.decision.order > order.position:
                 return None
             if last.decision.stage not in ENDED:
-                return _ended(
+                return ended_as(
                     last.decision,
                     RolloutStage.ROLLED_BACK,
                     "another order replaces this one",
@@ -167,8 +192,8 @@
                 and count.order == order.position
                 and count.stage in ENDED
             ):
-                base = decision or _first(known)
-                return _ended(
+                base = decision or first_step(known.order)
+                return ended_as(
                     replace(base, number=max(base.number, count.number)),
                     RolloutStage(count.stage),
                     "other hosts have this decision",
@@ -256,7 +281,11 @@
             {route.name: route.target_s for route in routes},
             elapsed_s=elapsed_s,
             previous=decision,
-            serving=versions is not None and order.target in versions.in_force,
+            serving=(
+                decision is None
+                and versions is not None
+                and order.target in versions.in_force
+            ),
         )
 
     def _gather(
@@ -270,23 +299,28 @@
         book = state.rollouts
         decision = book.decision_for(known.order)
         tallies = book.tallies(service)
-        live = {fact.host for fact in state.live_hosts(now)}
+        live = {fact.host: fact.identity for fact in state.live_hosts(now)}
         groups = {state.view.group_of(host) for host in live}
         hosts, age_s, in_force = 1, 0.0, True
         for name, row in self._rows():
             is_fresh = now - row.received_at < FRESH_S
-            is_live = name in live or (row.group and row.group in groups)
+            is_live = (
+                row.group in groups
+                if row.group
+                else live.get(name) == row.fact.identity
+            )
             count = row.counts.get(service)
             if count is None or count.order != position:
                 in_force = in_force and not (is_live and is_fresh)
                 continue
-            add_rows(tallies, count.tallies, is_live=bool(is_live or is_fresh))
+            add_rows(tallies, count.tallies, is_live=is_live or is_fresh)
+            is_behind = decision is None or count.number < decision.number
+            if is_behind and (is_live or is_fresh):
+                in_force = False
             if not is_live:
                 continue
             hosts += row.hosts
             age_s = max(age_s, now - row.received_at + count.age)
-            if decision is None or count.number < decision.number:
-                in_force = False
         order, complete_at = self.complete.get(service, (-1, -inf))
         if order != position:
             complete_at = max(self.holds_since, known.ordered_at)
@@ -354,30 +388,13 @@
                 continue
             if final is None or final[1] != order.target:
                 continue
+            _, last = self.state.rollouts.logged.get(order.service, (0, None))
+            if last is not None and ended_before(last, order, final[0]):
+                continue
             if not self.state.lease_manager.holds(boot_time()):
                 return
             yield self._append(
-                _ended(_first(known), final[0], "status in the store")
+                ended_as(
+                    first_step(known.order), final[0], "status in the store"
+                )
             )
-
-
-def _first(known: KnownOrder) -> RolloutDecision:
-    """Return the base of the first decision on an order."""
-    order = known.order
-    return RolloutDecision(
-        *(order.service, order.target, order.position, 0),
-        *(RolloutStage.CANARY, (), 0.0, ""),
-    )
-
-
-def _ended(
-    decision: RolloutDecision, stage: RolloutStage, reason: str
-) -> RolloutDecision:
-    """Return the decision that ends an order after another one."""
-    return replace(
-        decision,
-        number=decision.number + 1,
-        stage=stage,
-        shares=(),
-        reason=reason,
-    )
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -191,12 +191,13 @@
         "next_speed_update_at",
         "rate_limits",
         "peer_addresses",
+        "orders_read_at",
         "ports_held",
         "registry",
         "rng",
+        "rollout_counts_received",
         "rollout_counts_sent",
         "rollouts",
-        "rollouts_heard",
         "hedging",
         "host_settings",
         "spent",
@@ -235,6 +236,8 @@
         self.config_applied_at = -inf
         self.config_document = b""
         self.config_confirmed_at = -inf
+        # When this process itself last read the orders to their end.
+        self.orders_read_at = -inf
         self.registry = EngineRegistry()
         self.rollouts = RolloutBook()
         # Numbers and times of the last own counts, and the number of the last
@@ -242,7 +245,7 @@
         self.rollout_counts_sent: deque[tuple[int, float]] = deque(
             maxlen=KEPT_HEARTBEATS
         )
-        self.rollouts_heard: dict[str, tuple[str, int]] = {}
+        self.rollout_counts_received: dict[str, tuple[str, int]] = {}
         self.registry_confirmed_at = -inf
         self.store_down_since = inf
         self.store_era = 0
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -4,20 +4,24 @@
 from json import loads
 from logging import getLogger
 from random import Random
+from unittest.mock import Mock
 
 import pytest
 from twisted.internet.defer import fail
 from twisted.internet.defer import succeed
 
 from magnoliaflow.cluster.rollouts import RolloutBook
+from magnoliaflow.cluster.rolloutsteps import make_step
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codec import decode_record
+from magnoliaflow.common.codec import encode_record
 from magnoliaflow.common.errors import FormatError
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.common.messages import RolloutCounts
 from magnoliaflow.common.messages import RolloutNews
+from magnoliaflow.common.records import Record
 from magnoliaflow.common.records import RolloutStep
 from magnoliaflow.entry import duties
 from magnoliaflow.entry.duties import DutyLog
@@ -27,6 +31,7 @@
 from magnoliaflow.entry.rolloutnews import handle_rollout_counts
 from magnoliaflow.entry.rolloutnews import handle_rollout_news
 from magnoliaflow.entry.rolloutnews import make_steps
+from magnoliaflow.entry.rolloutnews import RolloutSender
 from magnoliaflow.entry import rollouts
 from magnoliaflow.entry.rollouts import RolloutDuty
 from magnoliaflow.entry import rolloutstatus
@@ -355,7 +360,12 @@
         (decide(RolloutStage.RAMP), "v1", BOTH, (("v1",),)),
         (decide(RolloutStage.RAMP, shares=()), "v2", BOTH, (("v2",), ("v1",))),
         (decide(RolloutStage.RAMP, shares=()), None, BOTH, (("v1",),)),
+        (decide(RolloutStage.RAMP, shares=(("look", 0.01),)), "v1")
+        + ({"v2": ["b1"]}, (("v2",), ())),
+        (decide(RolloutStage.RAMP, shares=()), None, {"v2": ["b1"]}, ((),)),
         (decide(RolloutStage.FULL), "v1", BOTH, (("v1",), ("v2",))),
+        (decide(RolloutStage.FULL), None, BOTH, (("v2",),)),
+        (decide(RolloutStage.FULL), None, {"v1": ["a1"]}, (("v2",), ("v1",))),
         (decide(RolloutStage.COMPLETED), None, BOTH, (("v2",),)),
         (decide(RolloutStage.COMPLETED), "v1", BOTH, (("v2",),)),
         (decide(RolloutStage.ROLLED_BACK), "v2", BOTH, (("v1",),)),
@@ -474,3 +484,233 @@
     assert ("rollout/app", "completed", "v2") not in store.status
     sides = book.sides("app", "look", "r1", registered, **before)
     assert sides == (("v1",),)
+
+
+def route(host, clock, read_at):
+    """Return the sides of a request at a host."""
+    return host.state.rollouts.sides(
+        *("app", "look", "r1", host.state.routing.versions["app"]),
+        now=clock.now,
+        orders_read_at=read_at,
+        began_on=None,
+    )
+
+
+@pytest.mark.parametrize("read_at", [float("-inf"), None])
+def test_a_request_before_the_order_was_read_judges_on(
+    host, store, clock, read_at
+):
+    """Guards against a version that is completed without being judged."""
+    host.order()
+    host.run(1.0)
+    other = Host(store, 2, clock)
+    sides = route(other, clock, clock.now if read_at is None else read_at)
+    assert sides == (("v1",), ("v2",))
+    other.order(is_new=False)
+    other.run(8.0)
+    assert other.state.lease_manager.holds(clock.now)
+    assert other.decision.stage is RolloutStage.CANARY
+    assert not other.duty.plans["app"].serving
+
+
+def test_a_registry_in_parts_hides_no_rollback():
+    """Guards against requests to a version that went back."""
+    book = RolloutBook()
+    book.learn_order(RolloutOrder("app", "v2", 12.0, 5), 1.0, is_new=True)
+
+    def sides(registered):
+        return book.sides(
+            *("app", "look", "r1", registered),
+            now=1.0,
+            orders_read_at=1.0,
+            began_on=None,
+        )
+
+    sides({"v2": ["b1"]})
+    book.observe(decide(RolloutStage.ROLLED_BACK), 1, 1.0, 1.0)
+    assert book.barred("app") == {"v2"}
+    assert sides(BOTH) == (("v1",),)
+
+
+@pytest.mark.parametrize(
+    ("last", "end"),
+    [
+        (RolloutStage.RAMP, RolloutStage.ROLLED_BACK),
+        (RolloutStage.FULL, RolloutStage.COMPLETED),
+    ],
+)
+def test_a_decision_whose_order_is_gone_ends(store, clock, last, end):
+    """Guards against a share that nobody judges."""
+    step = make_step(decide(last), 1, boot_time())
+    store.records.append(encode_record(Record("r", step)))
+    host = Host(store, 1, clock)
+    host.run(8.0)
+    assert host.decision.stage is last
+    assert host.state.rollouts.age_s("app", clock.now) > 2.5
+    host.state.orders_read_at = clock.now
+    host.run(2.0)
+    assert host.decision.stage is end
+    assert not host.state.rollouts.has_two_versions("app", clock.now + 60.0)
+
+
+def test_a_mended_version_that_is_ordered_again_is_judged(host, store, clock):
+    """Guards against the end of an earlier order, taken for a later one's."""
+    host.order()
+    host.run(1.0)
+    host.order(None, offset=6)
+    host.run(1.0)
+    assert store.status[-1] == ("rollout/app", "rolled_back", "v2")
+    other = Host(store, 2, clock)
+    other.order(offset=7, is_new=False)
+    other.run(8.0)
+    assert other.state.lease_manager.holds(clock.now)
+    assert other.decision.stage is RolloutStage.CANARY
+
+
+@pytest.mark.parametrize("is_judged", [True, False])
+def test_a_version_that_is_learned_later_replaces_no_engine(
+    store, clock, is_judged
+):
+    """Guards against lost loads and prefixes while builds are replaced."""
+    host = Host(store, 1, clock)
+    if not is_judged:
+        host.state.host_settings = replace(
+            host.state.host_settings, judges_rollouts=False
+        )
+    entry = EngineEntry("c1", "app", "10.1.0.3:80", "z1", 4, False)
+    apply_registration(host.state, "c1", entry, 4)
+    engine = host.state.routing.engines["c1"]
+    changed_at = host.state.registry.last_change_offset
+    apply_registration(host.state, "c1", replace(entry, version="v1"), 5)
+    assert host.state.routing.engines["c1"] is engine
+    versions = host.state.routing.versions["app"]
+    if is_judged:
+        assert "c1" in versions["v1"] and "c1" not in versions.get("", ())
+        assert engine.cfg.version == "v1"
+    else:
+        assert host.state.registry.last_change_offset == changed_at
+        assert "c1" in versions[""]
+
+
+def receive_counts(host, clock, number, **changes):
+    """Let the holder receive the counts of another host; return its fact."""
+    fact = replace(
+        host.state.own_fact(clock.now), host="e-2", identity="e-2-a", **changes
+    )
+    position = host.decision.order
+    rows = (RolloutCount("app", position, number, 1, 0.0, ()),)
+    handle_rollout_counts(host.state, RolloutCounts(fact, 1, 1, "", rows))
+    return fact
+
+
+def all_in_force(host, clock):
+    known = host.state.rollouts.orders["app"]
+    return host.duty._gather(known.order.position, known, clock.now)[2]
+
+
+@pytest.mark.parametrize("identity", ["e-2-a", "e-2-b"])
+def test_counts_are_of_the_process_that_sent_them(
+    host, clock, monkeypatch, identity
+):
+    """Guards against a completion beside a process that has just begun."""
+    host.order()
+    host.run(1.0)
+    fact = receive_counts(host, clock, 9)
+    live = replace(fact, identity=identity)
+    monkeypatch.setattr(EntryState, "live_hosts", lambda *_: [live])
+    assert all_in_force(host, clock) is (identity == "e-2-a")
+
+
+@pytest.mark.parametrize("number", [0, 9])
+def test_a_leaving_host_has_decisions_and_is_waited_for(host, clock, number):
+    """Guards against requests to old engines from a host that leaves."""
+    host.order()
+    host.run(1.0)
+    fact = receive_counts(host, clock, number, leaving=True)
+    sender = RolloutSender(host.state, None)
+    assert sender._receivers(clock.now) == [fact]
+    assert all_in_force(host, clock) is bool(number)
+    clock.now += 2.5
+    assert sender._receivers(clock.now) == []
+    assert all_in_force(host, clock)
+
+
+def test_an_old_version_that_comes_back_is_served():
+    """Guards against engines that stay idle for ever."""
+    book = RolloutBook()
+
+    def sides(registered, now):
+        return book.sides(
+            *("app", "look", "r1", registered),
+            now=now,
+            orders_read_at=now,
+            began_on=None,
+        )
+
+    sides(BOTH, 0.0)
+    book.observe(decide(RolloutStage.COMPLETED), 1, 1.0, 1.0)
+    assert sides(BOTH, 9.0) == (("v2",),)
+    assert sides({"v2": ["b1"]}, 10.0) == ()
+    assert sides(BOTH, 11.0) == (("v2",), ("v1",))
+    assert sides(BOTH, 19.0) == ()
+
+
+@pytest.mark.parametrize(
+    ("stage", "age_s", "expected"),
+    [
+        (RolloutStage.RAMP, 2.0, (("v2",), ("v1",))),
+        (RolloutStage.RAMP, 3.0, (("v1",),)),
+        (RolloutStage.FULL, 3.0, (("v2",), ("v1",))),
+    ],
+)
+def test_a_repeat_leaves_a_target_that_is_not_confirmed(
+    stage, age_s, expected
+):
+    book = RolloutBook()
+    book.observe(decide(stage), 1, 1.0, 1.0)
+    now = 1.0 + age_s
+    assert expected == book.sides(
+        *("app", "look", "r1", BOTH),
+        now=now,
+        orders_read_at=now,
+        began_on="v2",
+    )
+
+
+def test_a_status_is_put_again_after_one_without_an_answer(
+    host, store, monkeypatch
+):
+    """Guards against a status in progress that lands after the end."""
+    host.run(3.0)
+    host.order()
+    host.run(1.0)
+    put, lost = store.put, []
+
+    def lose(*status):
+        lost.append(status)
+        return fail(PortError("no answer"))
+
+    monkeypatch.setattr(store, "put", lose)
+    host.order(None, offset=6)
+    host.run(0.3)
+    assert lost
+    monkeypatch.setattr(store, "put", put)
+    host.run(1.0)
+    end = ("rollout/app", "rolled_back", "v2")
+    assert store.status.count(end) == 1
+    host.run(8.0)
+    assert store.status.count(end) == 2
+
+
+def test_counts_end_some_time_after_the_order(host, store, clock):
+    """Guards against messages for ever once any order has existed."""
+    other, links = Host(store, 2, clock), Mock()
+    other.run(0.5)
+    other.state.view.meet(host.state.own_fact(clock.now), clock.now)
+    book, now = other.state.rollouts, clock.now
+    book.observe(decide(RolloutStage.COMPLETED), 1, now, now)
+    sender = RolloutSender(other.state, links)
+    sender.send_counts(now + 1.0)
+    assert links.send.call_count == 1
+    sender.send_counts(now + 6.0)
+    assert links.send.call_count == 1
