Send a second time only to the first engine's version

Cause: a roll-out may move a request's side between its two sends (read, when roll-outs and second sends were merged). Change: an engine of another version is not asked.

--- a/src/magnoliaflow/entry/hedges.py
+++ b/src/magnoliaflow/entry/hedges.py
@@ -165,6 +165,8 @@
         if choice is None:
             return Refused.NO_SLOT
         engine = state.routing.engines[choice.engine]
+        if engine.cfg.version != attempt.engine.cfg.version:
+            return Refused.NOT_ALLOWED
         elapsed_s = now - attempt.opened_at
         objection: Refused | None = state.hedging.objection(
             handler.service,
