Describe second sends as the code makes them

The counter of second sends counts connections begun, that of refused ones each look; a slow request is looked at more than once again; the budgets are taken at the connection.

--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -57,13 +57,13 @@
         )
         self.hedges = Counter(
             "magnoliaflow_entry_hedges",
-            "Second sends of slow requests: sent, and how they ended.",
+            "Second sends of slow requests: begun, and how they ended.",
             ["outcome"],
             registry=registry,
         )
         self.hedges_refused = Counter(
             "magnoliaflow_entry_hedges_refused",
-            "Slow requests that were not sent a second time, by cause.",
+            "Looks at slow requests without a second send, by cause.",
             ["cause"],
             registry=registry,
         )
