--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -425,3 +425,44 @@
     assert both[winner].on_data(event) == 1
     assert loser.ended and loser.on_data(event) == 0
     assert handler.count_usage.call_count == 1
+
+
+MAY, NOT_RUN, UNSENT = Failure.MAY_HAVE_RUN, Failure.NOT_RUN, Failure.UNSENT
+
+
+@pytest.mark.parametrize("second_first", [False, True])
+@pytest.mark.parametrize(
+    ("first", "second", "next_step", "may_have_run"),
+    [
+        (MAY, MAY, "fail_unserved", True),
+        (MAY, NOT_RUN, "fail_unserved", True),
+        (MAY, UNSENT, "dispatch", True),
+        (NOT_RUN, MAY, "fail_unserved", True),
+        (NOT_RUN, NOT_RUN, "fail_unserved", True),
+        (NOT_RUN, UNSENT, "dispatch", False),
+    ],
+)
+def test_a_request_ends_once_if_both_engines_fail(
+    begin, first, second, next_step, may_have_run, second_first
+):
+    """The first failure leaves it to the other engine, the next decides."""
+    req = begin(RouteKind.STREAM)
+    req.fire("_on_overdue")
+    handler = req.handler
+    if second is not UNSENT:
+        req.second.sent, handler.attempts_sent = True, 2
+        CallHandler.earn_retry(handler)
+    handler.unsent = 0
+    steps = [(req.first, first), (req.second, second)]
+    for attempt, failure in steps[::-1] if second_first else steps:
+        assert not handler.dispatch.called
+        assert not handler.fail_unserved.called
+        attempt.abandon()
+        CallHandler.attempt_failed(handler, attempt, failure, "reason")
+    called = [
+        name
+        for name in ("dispatch", "fail_unserved", "refuse")
+        if getattr(handler, name).called
+    ]
+    assert called == [next_step]
+    assert handler.may_have_run == may_have_run and not req.fire("_end_race")
