Use learned speeds with an aggregator of an old build

Cause: its digest has no columns of speeds, but each host took its own out of it: the others' weight was clamped to 0, their total was not and cancelled the host's own, so that every rate went to 30,000. Change: a host takes out only the columns that the digest has, and leaves others' evidence out wholly where its weight is not positive. The same for recent rates.

--- a/src/magnoliaflow/cluster/sums.py
+++ b/src/magnoliaflow/cluster/sums.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 from magnoliaflow.common.messages import LoadSums
 
@@ -85,6 +86,18 @@
         )
 
 
+def included_loads(own: LoadSums, loads: LoadSums) -> LoadSums:
+    """Return a host's own loads as they are included in sums with others.
+
+    Aggregators of old versions leave out the columns that they do not know.
+    """
+    if not loads.speed_weights:
+        own = replace(own, speed_weights=(), speed_totals=())
+    if not loads.recent_rates:
+        own = replace(own, recent_rates=())
+    return own
+
+
 def _speed_column(
     speeds: dict[str, list[int]], engines: list[str], index: int
 ) -> tuple[int, ...]:
--- a/src/magnoliaflow/cluster/views.py
+++ b/src/magnoliaflow/cluster/views.py
@@ -24,6 +24,7 @@
 from magnoliaflow.cluster.groups import group_names
 from magnoliaflow.cluster.groups import rank_aggregators
 from magnoliaflow.cluster.leasemanager import host_of
+from magnoliaflow.cluster.sums import included_loads
 from magnoliaflow.cluster.sums import Sums
 from magnoliaflow.common.codec import decode_value
 from magnoliaflow.common.codec import encode_value
@@ -547,7 +548,7 @@
             if group == self.group:
                 if own_sums:
                     continue
-                sums.add(view.own, -1)
+                sums.add(included_loads(view.own, view.digest.loads), -1)
             sums.add(view.digest.loads)
         if own_sums:
             for member in self._fresh_members(now).values():
--- a/src/magnoliaflow/entry/enginespeeds.py
+++ b/src/magnoliaflow/entry/enginespeeds.py
@@ -87,8 +87,10 @@
     for engine in engines:
         weight, total = engine.speed.current(now)
         of_others = others.get(engine.name, (0, 0))
-        weight += max(0, of_others[0]) / SCALE
-        total += of_others[1] / SCALE
+        # Differences of sums of different age may leave a total alone.
+        if of_others[0] > 0:
+            weight += of_others[0] / SCALE
+            total += of_others[1] / SCALE
         evidence[engine.name] = (weight, total)
         engine.known_weight = weight
     prior = service_prior(evidence.values())
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -15,11 +15,14 @@
 import pytest
 
 from magnoliaflow.cluster.sums import Sums
+from magnoliaflow.cluster.views import GroupView
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codec import from_wire
 from magnoliaflow.common.codec import to_wire
+from magnoliaflow.common.messages import Digest
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import LoadSums
+from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.settings import BackendServer
 from magnoliaflow.entry.enginespeeds import record_first_token
 from magnoliaflow.entry.enginespeeds import speed_details
@@ -350,6 +353,40 @@
     assert total.loads({}).recent_rates == (12.0,)
 
 
+@pytest.mark.parametrize("takes_out", ["view", "sums"])
+def test_an_old_aggregator_does_not_hide_what_a_host_has_learned(
+    takes_out, monkeypatch
+):
+    """Its digest lacks the evidence that the host would take out of it."""
+    monkeypatch.setattr(EntryState, "uses_groups", lambda state: True)
+    state = entry_state(gap_ms=500)
+    update_speeds(state)
+    for _ in range(20):
+        record_first_token(state, state.routing.engines["m1"], 6_000, 0.12)
+    state.local_loads["llm"].record(900, boot_time())
+    now = boot_time()
+    own = state.own_sums(now).loads({})
+    old = replace(own, speed_weights=(), speed_totals=(), recent_rates=())
+    if takes_out == "view":
+        digest = Digest(
+            *(state.view.group, "p", 1, 1, (), (), (), old),
+            *(Progress(1, 0.0, 0, 0.0, 0, 0), (), 0.0, (), ()),
+        )
+        state.view.groups[state.view.group] = GroupView(
+            digest, b"", now, now, own
+        )
+        state.view_sums = state.view.others(now)
+        assert state.view_sums.recent_rates == {"llm": 0.0}
+        assert not state.view_sums.speeds
+    else:
+        state.view_sums.add(old)
+        state.view_sums.add(own, -1)
+    state.next_speed_update_at = 0.0
+    update_speeds(state)
+    learned = state.routing.engines["m1"].learned_rate
+    assert learned == pytest.approx(60_000, rel=0.05)
+
+
 def decode_loads(loads):
     """Return loads as another host reads them."""
     return from_wire(to_wire(loads))
