Cost nothing where no service learns speeds, and send no small evidence

Cause: each report and heartbeat decayed the evidence of all engines, also with no service that learns; a sample was sent for 46 s, and hosts added up the others' evidence to set no rate. Change: reports and heartbeats look at evidence of learning services only and send a weight of 0.2 or more (MIN_SENT_WEIGHT); update_speeds returns before it adds up others' evidence when no service learns, and clears learned rates once when a service stops to learn.

--- a/src/magnoliaflow/entry/enginespeeds.py
+++ b/src/magnoliaflow/entry/enginespeeds.py
@@ -56,22 +56,26 @@
     if now < state.next_speed_update_at or state.route_table is None:
         return
     state.next_speed_update_at = now + UPDATE_INTERVAL_S
-    state.learning_services = {
+    learning = {
         name
         for name in state.route_table.services
         if service_learns(state, name)
     }
+    ended = state.learning_services - learning
+    state.learning_services = learning
+    for service in ended:
+        for name in state.routing.groups.get(service, ()):
+            state.routing.engines[name].learned_rate = 0.0
+    if not learning:
+        return
     logs = now >= state.next_speed_log_at
     if logs:
         state.next_speed_log_at = now + LOG_INTERVAL_S
     others = state.others_speeds(now)
-    for service, names in state.routing.groups.items():
+    for service in sorted(learning):
+        names = state.routing.groups.get(service, ())
         engines = [state.routing.engines[name] for name in names]
-        if service in state.learning_services:
-            _update_service(state, service, engines, others, now, logs=logs)
-            continue
-        for engine in engines:
-            engine.learned_rate = 0.0
+        _update_service(state, service, engines, others, now, logs=logs)
 
 
 def _update_service(
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -214,6 +214,7 @@
     usage = []
     if peer is not None and needs_usage_counts(state, peer):
         usage = state.usage.counts_for(state.identity)
+    speeds = state.own_speeds(now)
     return Beat(
         identity=state.identity,
         host=state.host_settings.host,
@@ -251,11 +252,10 @@
                 engine.name,
                 engine.local_running,
                 engine.unread_tokens,
-                *evidence,
+                *speeds.get(engine.name, ()),
             )
             for engine in state.routing.engines.values()
-            if (evidence := engine.speed.scaled(now))[0]
-            or engine.local_running
+            if engine.local_running or (speeds and engine.name in speeds)
         ),
         services=tuple(
             ServiceLoad(
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -353,11 +353,7 @@
                 for engine in self.routing.engines.values()
                 if engine.local_running
             },
-            speeds={
-                engine.name: list(evidence)
-                for engine in self.routing.engines.values()
-                if (evidence := engine.speed.scaled(now))[0]
-            },
+            speeds=self.own_speeds(now),
             rates=dict(self.reported_demands),
             services={
                 name: [load.demand.current(now), load.running]
@@ -369,6 +365,18 @@
             },
         )
 
+    def own_speeds(self, now: float) -> dict[str, list[int]]:
+        """Return this host's evidence of engines' rates, scaled."""
+        if not self.learning_services:
+            return {}
+        return {
+            engine.name: list(evidence)
+            for engine in self.routing.engines.values()
+            if engine.speed.weight
+            and engine.cfg.backend in self.learning_services
+            and (evidence := engine.speed.scaled(now))[0]
+        }
+
     def _counted_peers(self, now: float) -> list[PeerHost]:
         """Return the live peers that no digest includes."""
         grouped = self.uses_groups()
--- a/src/magnoliaflow/policy/enginespeeds.py
+++ b/src/magnoliaflow/policy/enginespeeds.py
@@ -43,8 +43,9 @@
 # Half-life of samples: several of the half seconds in which an engine may be
 # slow, and less than a reclaimed engine takes to be replaced twice.
 HALF_LIFE_S = 6.0
-# Factor of evidence as integers between hosts, and the least that is sent.
+# Factor of evidence as integers between hosts, and the least weight sent.
 SCALE = 100
+MIN_SENT_WEIGHT = 0.2
 # Routes with a longer target between events do not call for learned rates.
 MAX_GAP_TARGET_S = 0.5
 
@@ -72,8 +73,10 @@
         return self.weight * factor, self.total * factor
 
     def scaled(self, now: float) -> tuple[int, int]:
-        """Return the sums as integers for other hosts."""
+        """Return the sums as integers for other hosts, 0 for a low weight."""
         weight, total = self.current(now)
+        if weight < MIN_SENT_WEIGHT:
+            return 0, 0
         return round(weight * SCALE), round(total * SCALE)
 
 
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -22,6 +22,7 @@
 from magnoliaflow.common.codec import to_wire
 from magnoliaflow.common.messages import Digest
 from magnoliaflow.common.messages import EngineEntry
+from magnoliaflow.common.messages import EngineLoad
 from magnoliaflow.common.messages import LoadSums
 from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.settings import BackendServer
@@ -36,6 +37,7 @@
 from magnoliaflow.platform.document import decode_document
 from magnoliaflow.platform.nodefile import decode_host_settings
 from magnoliaflow.policy.engines import new_engine
+from magnoliaflow.policy.enginespeeds import Evidence
 from magnoliaflow.policy.enginespeeds import learned_rate
 from magnoliaflow.policy.enginespeeds import learns_speeds
 from magnoliaflow.policy.enginespeeds import REFERENCE_RATE
@@ -366,6 +368,38 @@
     assert state.own_sums(boot_time()).loads({}).speed_weights == ()
 
 
+def test_hosts_send_evidence_of_some_weight_only():
+    """One sample is not sent for much longer than it counts."""
+    evidence = Evidence()
+    evidence.add(0.7, 1.0, now=0.0)
+    assert evidence.scaled(10.0) == (31, 22)
+    assert evidence.scaled(16.0) == (0, 0)
+    assert evidence.current(16.0)[0] > 0.1
+
+
+def test_nothing_is_sent_or_added_up_where_no_service_learns(monkeypatch):
+    """A change of the target ends the learning of what was learned."""
+    state = entry_state(gap_ms=500)
+    update_speeds(state)
+    for _ in range(20):
+        record_first_token(state, state.routing.engines["m1"], 6_000, 0.12)
+    state.next_speed_update_at = 0.0
+    update_speeds(state)
+    now = boot_time()
+    assert state.own_sums(now).speeds and make_heartbeat(
+        state, now, None
+    ).engines == (
+        EngineLoad("m1", 0, 0, *state.own_sums(now).speeds["m1"]),
+    )
+    state.route_table = entry_state(gap_ms=1000).route_table
+    monkeypatch.delattr(EntryState, "others_speeds")
+    state.next_speed_update_at = 0.0
+    update_speeds(state)
+    assert not state.routing.engines["m1"].learned_rate
+    assert not state.own_sums(now).speeds
+    assert not make_heartbeat(state, now, None).engines
+
+
 def test_sums_with_hosts_of_an_old_build():
     """They send no evidence, and their smoothed rates count as recent."""
     old = LoadSums(("m0",), (2,), (900,), (), (), (), ("llm",), (5.0,), (2,))
