Remember learned rates for plans on every host

Cause: the holder of the duty alone recorded them, so that one that takes over in an outage planned with the rate of the outage. Change: each host records them beside the load, once a second.

--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -27,6 +27,8 @@
 # The same where rates are learned and the load is forecast.
 FORECAST_PEAK_S = 8.0
 ON_DEMAND_FORECAST_PEAK_S = 3.0
+# Interval at which learned rates are recorded for plans.
+RATE_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
@@ -69,8 +71,20 @@
                 history.recent_loads, now, service.scaling.boot_s
             )
             _append(history.forecasts, now, expected, PEAK_WINDOW_S)
+            self._record_rate(name, now)
         return load
 
+    def _record_rate(self, name: str, now: float) -> None:
+        """Record the learned rate of a service's engines when due."""
+        rates = self.histories[name].rates
+        while rates and rates[0].at < now - RATE_MEMORY_S:
+            rates.popleft()
+        if rates and now < rates[-1].at + RATE_INTERVAL_S:
+            return
+        speeds = service_speeds(self.state, name)
+        if speeds is not None:
+            rates.append(Sample(now, learned_rate(speeds)))
+
     def current(self, name: str) -> Load:
         """Return the last recorded load."""
         history = self.histories[name]
@@ -99,11 +113,6 @@
     def capacity(self, service: Service, now: float) -> Capacity:
         """Return what a plan counts on for each engine of a service."""
         rates = self.histories[service.name].rates
-        speeds = service_speeds(self.state, service.name)
-        if speeds is not None:
-            rates.append(Sample(now, learned_rate(speeds)))
-        while rates and rates[0].at < now - RATE_MEMORY_S:
-            rates.popleft()
         if not rates or service.name not in self.state.learning_services:
             return Capacity(DEFAULT_PREFILL_RATE)
         return Capacity(remembered_rate(rates), target_running(service.slots))
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -31,6 +31,7 @@
 from magnoliaflow.entry.enginespeeds import update_speeds
 from magnoliaflow.entry.heartbeats import make_heartbeat
 from magnoliaflow.entry.planloads import FORECAST_PEAK_S
+from magnoliaflow.entry.planloads import PlanLoads
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.state import PeerHost
 from magnoliaflow.entry.updates import apply_registration
@@ -50,6 +51,7 @@
 from magnoliaflow.policy.loadforecast import Sample
 from magnoliaflow.policy.placement import first_token
 from magnoliaflow.policy.placement import first_token_s
+from magnoliaflow.policy.routes import Scaling
 from magnoliaflow.policy.routing import CostWeights
 from magnoliaflow.policy.routing import RoutingRequest
 from magnoliaflow.policy.routing import RoutingState
@@ -368,6 +370,29 @@
     assert state.own_sums(boot_time()).loads({}).speed_weights == ()
 
 
+def planned_service(state):
+    """Return the state's service, with engines to be ordered for it."""
+    scaling = Scaling(1, 9, 4.0, 0.2, {"a": 1.0})
+    return replace(state.route_table.services["llm"], scaling=scaling)
+
+
+def test_a_takeover_remembers_the_rate_from_before_an_outage():
+    """Every host records it, whether it holds the duty or not."""
+    state = entry_state(gap_ms=500)
+    update_speeds(state)
+    service, loads = planned_service(state), PlanLoads(state)
+    start = boot_time()
+    for step in range(120):
+        rate = 60_000.0 if step < 80 else 26_000.0
+        for engine in state.routing.engines.values():
+            engine.learned_rate = rate
+        loads.record(service, start + step / 4)
+    each = loads.capacity(service, start + 30.0)
+    assert each.tokens_per_s == pytest.approx(54_000)
+    # One a second.
+    assert len(loads.histories["llm"].rates) <= 31
+
+
 def test_hosts_send_evidence_of_some_weight_only():
     """One sample is not sent for much longer than it counts."""
     evidence = Evidence()
