Plan for as many requests an engine before rates are learned as after

Cause: without a learned rate a plan filled 28 requests an engine, with the first one 0.85 of the slots, so that engines were ordered at once. Change: services that learn rates use the slots in both cases. Measured: 28 and then 13.6 at 16 slots before, 13.6 in both now; test_engine_speeds.py and test_entry_orders.py pass.

--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -113,9 +113,12 @@
     def capacity(self, service: Service, now: float) -> Capacity:
         """Return what a plan counts on for each engine of a service."""
         rates = self.histories[service.name].rates
-        if not rates or service.name not in self.state.learning_services:
+        if service.name not in self.state.learning_services:
             return Capacity(DEFAULT_PREFILL_RATE)
-        return Capacity(remembered_rate(rates), target_running(service.slots))
+        return Capacity(
+            remembered_rate(rates) if rates else DEFAULT_PREFILL_RATE,
+            target_running(service.slots),
+        )
 
 
 def _append(
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -393,6 +393,20 @@
     assert len(loads.histories["llm"].rates) <= 31
 
 
+def test_the_first_learned_rate_leaves_the_requests_an_engine_as_they_are():
+    state = entry_state(gap_ms=500)
+    update_speeds(state)
+    service, loads = planned_service(state), PlanLoads(state)
+    loads.record(service, 0.0)
+    before = loads.capacity(service, 0.0)
+    for engine in state.routing.engines.values():
+        engine.learned_rate = REFERENCE_RATE
+    loads.record(service, 1.0)
+    after = loads.capacity(service, 1.0)
+    assert before == Capacity(REFERENCE_RATE, 13.6)
+    assert after == Capacity(0.9 * REFERENCE_RATE, 13.6)
+
+
 def test_hosts_send_evidence_of_some_weight_only():
     """One sample is not sent for much longer than it counts."""
     evidence = Evidence()
