Plan for 0.8 of the highest rate of 15 s at least

Cause: waves of 0.5 in 24 s and more rise faster than the forecast, which is held for 8 s and raised by 0.3 at most, so that too few engines ran. Change: a floor for the tokens a second of reclaimable engines (PEAK_FLOOR).

--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -27,6 +27,9 @@
 # The same where rates are learned and the load is forecast.
 FORECAST_PEAK_S = 8.0
 ON_DEMAND_FORECAST_PEAK_S = 3.0
+# Share of the highest rate of the peak window for which reclaimable engines
+# are planned at least: a steep wave rises faster than a forecast follows.
+PEAK_FLOOR = 0.8
 # Interval at which learned rates are recorded for plans.
 RATE_INTERVAL_S = 1.0
 
@@ -101,8 +104,16 @@
         """Return the loads to plan for: reclaimable and on-demand engines."""
         history = self.histories[name]
         if name in self.state.learning_services and history.forecasts:
+            expected = _peak(history.forecasts, now - FORECAST_PEAK_S)
+            highest = _peak(history.recent_loads, now - PEAK_WINDOW_S)
             return (
-                _peak(history.forecasts, now - FORECAST_PEAK_S),
+                Load(
+                    max(
+                        expected.tokens_per_s,
+                        PEAK_FLOOR * highest.tokens_per_s,
+                    ),
+                    expected.running,
+                ),
                 _peak(history.forecasts, now - ON_DEMAND_FORECAST_PEAK_S),
             )
         return (
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -393,6 +393,38 @@
     assert len(loads.histories["llm"].rates) <= 31
 
 
+@pytest.mark.parametrize(
+    "height, period_s, utilization",
+    [(0.3, 40.0, 0.85), (0.5, 24.0, 0.85), (0.6, 30.0, 0.9)],
+)
+def test_plans_carry_a_steep_wave_without_a_zone(
+    height, period_s, utilization
+):
+    """Engines run a boot time after their order and end with their plan."""
+
+    def rate_at(at):
+        return 500_000.0 * (1.0 + height * sin(2 * pi * at / period_s))
+
+    state = entry_state(gap_ms=500)
+    update_speeds(state)
+    service, loads = planned_service(state), PlanLoads(state)
+    rates = [BASE_RATE * factor for factor in FACTORS]
+    for engine, rate in zip(state.routing.engines.values(), rates):
+        engine.learned_rate = rate
+    totals = []
+    for step in range(int(12 * period_s)):
+        now = step / 4
+        state.local_loads["llm"].record(int(rate_at(now) / 4), now)
+        loads.record(service, now)
+        load, _ = loads.peaks("llm", now)
+        each = loads.capacity(service, now)
+        totals.append(spot_total(load, each, zones=3))
+        running = min(totals[-17:])
+        left = running - ceil(running / 3)
+        if now > period_s:
+            assert left * fmean(rates) * utilization > rate_at(now)
+
+
 def test_the_first_learned_rate_leaves_the_requests_an_engine_as_they_are():
     state = entry_state(gap_ms=500)
     update_speeds(state)
