Admit by the rate that plans count on at least

Cause: queues that no host sees lower all learned rates of an outage; plans remember the rate from before, admission followed the lower one. Change: admission counts on 0.8 of the remembered rate for each usable engine at least (a service whose engines are ordered; others as before).

--- a/src/magnoliaflow/entry/capshares.py
+++ b/src/magnoliaflow/entry/capshares.py
@@ -71,12 +71,13 @@
             live_hosts,
         )
         bucket = state.rate_limits.get(name)
+        remembered = state.remembered_rates.get(name, 0.0)
         if bucket is None:
             bucket = state.rate_limits[name] = Bucket(0.0, 0.0, updated_at=now)
-            set_rate_limit(bucket, engines, share)
+            set_rate_limit(bucket, engines, share, remembered)
             bucket.level = bucket.burst * share
         bucket.refill(now)
-        set_rate_limit(bucket, engines, share)
+        set_rate_limit(bucket, engines, share, remembered)
 
 
 def _live_share(state: EntryState, live_hosts: int) -> float:
--- a/src/magnoliaflow/entry/enginespeeds.py
+++ b/src/magnoliaflow/entry/enginespeeds.py
@@ -64,6 +64,7 @@
     ended = state.learning_services - learning
     state.learning_services = learning
     for service in ended:
+        state.remembered_rates.pop(service, None)
         for name in state.routing.groups.get(service, ()):
             state.routing.engines[name].learned_rate = 0.0
     if not learning:
--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -87,6 +87,10 @@
         speeds = service_speeds(self.state, name)
         if speeds is not None:
             rates.append(Sample(now, learned_rate(speeds)))
+        if rates:
+            self.state.remembered_rates[name] = remembered_rate(rates)
+        else:
+            self.state.remembered_rates.pop(name, None)
 
     def current(self, name: str) -> Load:
         """Return the last recorded load."""
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -171,6 +171,7 @@
         "account_demands",
         "local_loads",
         "registry_confirmed_at",
+        "remembered_rates",
         "peers",
         "probed_engines",
         "identity",
@@ -274,6 +275,8 @@
         self.next_speed_update_at = -inf
         self.learning_services: set[str] = set()
         self.rate_limits: dict[str, Bucket] = {}
+        # What plans count on for each engine of learning services.
+        self.remembered_rates: dict[str, float] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.usage = UsageCounter(window_s=host_settings.usage_window_s)
         self.lease_manager = LeaseManager(
--- a/src/magnoliaflow/policy/ratelimit.py
+++ b/src/magnoliaflow/policy/ratelimit.py
@@ -6,8 +6,6 @@
 is late.  Refusing the excess at once keeps the remaining answers on time.
 """
 
-from collections.abc import Iterable
-
 from magnoliaflow.policy.caps import Bucket
 from magnoliaflow.policy.engines import Engine
 
@@ -31,14 +29,23 @@
 
 
 def set_rate_limit(
-    bucket: Bucket, engines: Iterable[Engine], share: float
+    bucket: Bucket,
+    engines: list[Engine],
+    share: float,
+    remembered_rate: float = 0.0,
 ) -> None:
-    """Set the admission rate from the usable engines and the host's share."""
+    """Set the admission rate from the usable engines and the host's share.
+
+    ``remembered_rate`` is what plans count on for each engine, in tokens a
+    second, 0 if rates are not learned: queues of an outage lower the learned
+    rates and shall not lower what is admitted.
+    """
     rate = sum(
         engine.prefill_rate
         * (LEARNED_ADMITTED_SHARE if engine.learned_rate else ADMITTED_SHARE)
         for engine in engines
     )
+    rate = max(rate, remembered_rate * LEARNED_ADMITTED_SHARE * len(engines))
     bucket.rate = rate
     bucket.burst = rate * BURST_S
     bucket.share = share
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -26,6 +26,7 @@
 from magnoliaflow.common.messages import LoadSums
 from magnoliaflow.common.messages import Progress
 from magnoliaflow.common.settings import BackendServer
+from magnoliaflow.entry.capshares import update_rate_limits
 from magnoliaflow.entry.enginespeeds import record_first_token
 from magnoliaflow.entry.enginespeeds import speed_details
 from magnoliaflow.entry.enginespeeds import update_speeds
@@ -389,6 +390,9 @@
         loads.record(service, start + step / 4)
     each = loads.capacity(service, start + 30.0)
     assert each.tokens_per_s == pytest.approx(54_000)
+    # Admission goes by it as well.
+    update_rate_limits(state)
+    assert state.rate_limits["llm"].rate == pytest.approx(0.8 * 3 * 54_000)
     # One a second.
     assert len(loads.histories["llm"].rates) <= 31
 
