--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -8,6 +8,7 @@
 from magnoliaflow.entry.enginespeeds import service_speeds
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.updates import DEFAULT_PREFILL_RATE
+from magnoliaflow.policy.enginespeeds import MAX_COUNTED_FACTOR
 from magnoliaflow.policy.loadforecast import forecast
 from magnoliaflow.policy.loadforecast import RATE_MEMORY_S
 from magnoliaflow.policy.loadforecast import remembered_rate
@@ -86,7 +87,8 @@
             return
         speeds = service_speeds(self.state, name)
         if speeds is not None:
-            rates.append(Sample(now, learned_rate(speeds)))
+            bound = MAX_COUNTED_FACTOR * DEFAULT_PREFILL_RATE
+            rates.append(Sample(now, min(bound, learned_rate(speeds))))
         if rates:
             self.state.remembered_rates[name] = remembered_rate(rates)
         else:
--- a/src/magnoliaflow/policy/enginespeeds.py
+++ b/src/magnoliaflow/policy/enginespeeds.py
@@ -46,6 +46,8 @@
 # Factor of evidence as integers between hosts, and the least weight sent.
 SCALE = 100
 MIN_SENT_WEIGHT = 0.2
+# Plans and admission count on this multiple of the assumed rate at most.
+MAX_COUNTED_FACTOR = 3.0
 # Routes with a longer target between events do not call for learned rates.
 MAX_GAP_TARGET_S = 0.5
 
--- a/src/magnoliaflow/policy/ratelimit.py
+++ b/src/magnoliaflow/policy/ratelimit.py
@@ -8,6 +8,7 @@
 
 from magnoliaflow.policy.caps import Bucket
 from magnoliaflow.policy.engines import Engine
+from magnoliaflow.policy.enginespeeds import MAX_COUNTED_FACTOR
 
 # Admitted share of the engines' prefill rate; a higher one slows running
 # answers by more than their latency targets allow.
@@ -40,17 +41,21 @@
     second, 0 if rates are not learned: queues of an outage lower the learned
     rates and shall not lower what is admitted.
     """
-    rate = sum(
-        engine.prefill_rate
-        * (LEARNED_ADMITTED_SHARE if engine.learned_rate else ADMITTED_SHARE)
-        for engine in engines
-    )
+    rate = sum(map(_admitted_rate, engines))
     rate = max(rate, remembered_rate * LEARNED_ADMITTED_SHARE * len(engines))
     bucket.rate = rate
     bucket.burst = rate * BURST_S
     bucket.share = share
 
 
+def _admitted_rate(engine: Engine) -> float:
+    assumed = engine.cfg.prefill_rate
+    if not engine.learned_rate:
+        return assumed * ADMITTED_SHARE
+    counted = min(engine.learned_rate, MAX_COUNTED_FACTOR * assumed)
+    return counted * LEARNED_ADMITTED_SHARE
+
+
 def admit(
     bucket: Bucket, tokens: int, priority: int, queue_s: float, now: float
 ) -> float:
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -429,6 +429,20 @@
             assert left * fmean(rates) * utilization > rate_at(now)
 
 
+def test_plans_and_admission_bound_what_unknown_cached_parts_show():
+    """They let engines seem to read at several times their rate."""
+    state = entry_state(gap_ms=500)
+    update_speeds(state)
+    service, loads = planned_service(state), PlanLoads(state)
+    for engine in state.routing.engines.values():
+        engine.learned_rate = 172_000.0
+    update_rate_limits(state)
+    loads.record(service, 0.0)
+    bound = 3.0 * REFERENCE_RATE
+    assert loads.capacity(service, 0.0).tokens_per_s == bound
+    assert state.rate_limits["llm"].rate == pytest.approx(0.8 * 3 * bound)
+
+
 def test_the_first_learned_rate_leaves_the_requests_an_engine_as_they_are():
     state = entry_state(gap_ms=500)
     update_speeds(state)
