Forget an engine's slowness when its rate is learned

Cause: it is not updated beside a learned rate and counted again, out of date, when the rate lapsed. Change: it is set to 1 when learning starts. Measured: 5.0 stayed before, 1.0 now; test_engine_speeds.py passes.

--- a/src/magnoliaflow/entry/enginespeeds.py
+++ b/src/magnoliaflow/entry/enginespeeds.py
@@ -101,6 +101,9 @@
     prior = service_prior(evidence.values())
     for engine in engines:
         rate = learned_rate(*evidence[engine.name], prior)
+        if rate and not engine.learned_rate:
+            # It is not updated beside a learned rate.
+            engine.slowness = 1.0
         engine.learned_rate = rate
     summary = service_speeds(state, service)
     if summary is None:
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -429,6 +429,18 @@
             assert left * fmean(rates) * utilization > rate_at(now)
 
 
+def test_slowness_of_before_does_not_count_again_when_a_rate_lapses():
+    state = entry_state(gap_ms=500)
+    update_speeds(state)
+    engine = state.routing.engines["m1"]
+    engine.slowness = 5.0
+    for _ in range(20):
+        record_first_token(state, engine, 6_000, 0.12)
+    state.next_speed_update_at = 0.0
+    update_speeds(state)
+    assert engine.learned_rate and engine.slowness == 1.0
+
+
 def test_plans_and_admission_bound_what_unknown_cached_parts_show():
     """They let engines seem to read at several times their rate."""
     state = entry_state(gap_ms=500)
