Send recent rates of learning services only

Cause: each report, digest and heartbeat had a column of recent rates, also where no plan uses them. Change: hosts send them for learning services; sums leave the column out when it equals the smoothed rates, which readers take in its place. A service without a recent rate counts with its smoothed one, not with 0.

--- a/src/magnoliaflow/cluster/sums.py
+++ b/src/magnoliaflow/cluster/sums.py
@@ -64,6 +64,8 @@
             if name in speeds or any(self.engines[name])
         ]
         none = (0, 0)
+        smoothed = {name: load[0] for name, load in self.services.items()}
+        recent = {**smoothed, **self.recent_rates}
         return LoadSums(
             engines=tuple(engines),
             running=tuple(self.engines.get(name, none)[0] for name in engines),
@@ -78,8 +80,11 @@
             service_running=tuple(
                 int(load[1]) for load in self.services.values()
             ),
-            recent_rates=tuple(
-                self.recent_rates.get(name, 0.0) for name in self.services
+            # Readers take the smoothed rates in place of missing ones.
+            recent_rates=(
+                ()
+                if recent == smoothed
+                else tuple(recent[name] for name in self.services)
             ),
             speed_weights=_speed_column(speeds, engines, 0),
             speed_totals=_speed_column(speeds, engines, 1),
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -262,7 +262,11 @@
                 name,
                 local_load.demand.current(now),
                 local_load.running,
-                local_load.recent.current(now),
+                (
+                    local_load.recent.current(now)
+                    if name in state.learning_services
+                    else -1.0
+                ),
             )
             for name, local_load in state.local_loads.items()
         ),
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -365,6 +365,7 @@
             recent_rates={
                 name: load.recent.current(now)
                 for name, load in self.local_loads.items()
+                if name in self.learning_services
             },
         )
 
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -498,6 +498,17 @@
     update_speeds(state)
     assert not state.routing.engines["m1"].learned_rate
     assert not state.own_sums(now).speeds
+    state.local_loads["llm"].record(900, now)
+    own = state.own_sums(boot_time()).loads({})
+    assert own.token_rates != (0.0,) and own.recent_rates == ()
+    (beat,) = make_heartbeat(state, boot_time(), None).services
+    assert beat.recent_rate < 0.0
+    # A digest of such reports has no recent rates either.
+    total = Sums()
+    for _ in range(3):
+        total.add(own)
+    assert total.recent_rates == {"llm": 3 * own.token_rates[0]}
+    assert total.loads({}).recent_rates == ()
     assert not make_heartbeat(state, now, None).engines
 
 
