--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -15,12 +15,11 @@
 from magnoliaflow.policy.loadforecast import Sample
 from magnoliaflow.policy.routes import Service
 from magnoliaflow.policy.scaling import Capacity
-from magnoliaflow.policy.scaling import learned_rate
 from magnoliaflow.policy.scaling import Load
+from magnoliaflow.policy.scaling import planned_rate
 from magnoliaflow.policy.scaling import target_running
 
-# A load peak counts for this long: half the period of the daily load wave as
-# the test workloads play it.
+# A load peak counts for this long: half the period of a wave of the load.
 PEAK_WINDOW_S = 15.0
 # The same for on-demand engines, which start again in four seconds and cost
 # several times as much.
@@ -88,7 +87,7 @@
         speeds = service_speeds(self.state, name)
         if speeds is not None:
             bound = MAX_COUNTED_FACTOR * DEFAULT_PREFILL_RATE
-            rates.append(Sample(now, min(bound, learned_rate(speeds))))
+            rates.append(Sample(now, min(bound, planned_rate(speeds))))
         if rates:
             self.state.remembered_rates[name] = remembered_rate(rates)
         else:
--- a/src/magnoliaflow/policy/scaling.py
+++ b/src/magnoliaflow/policy/scaling.py
@@ -83,7 +83,7 @@
     return max(1.0, for_prefill, load.running / each.running)
 
 
-def learned_rate(speeds: SpeedSummary) -> float:
+def planned_rate(speeds: SpeedSummary) -> float:
     """Return the tokens a second that a plan counts on for each engine.
 
     Sends do not follow the engines' speed exactly, so that engines of
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -57,8 +57,8 @@
 from magnoliaflow.policy.routing import RoutingRequest
 from magnoliaflow.policy.routing import RoutingState
 from magnoliaflow.policy.scaling import Capacity
-from magnoliaflow.policy.scaling import learned_rate as planned_rate
 from magnoliaflow.policy.scaling import Load
+from magnoliaflow.policy.scaling import planned_rate
 from magnoliaflow.policy.scaling import spot_total
 from magnoliaflow.policy.scaling import target_running
 
