--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -206,6 +206,7 @@
     ``with_addresses``: include the addresses of the other peers.
     """
     route_table = state.route_table
+    speeds = state.own_speeds(now)
     number = heard_number = -1
     if peer is not None:
         number = state.sent_heartbeats[peer.name].add(now)
@@ -214,7 +215,6 @@
     usage = []
     if peer is not None and needs_usage_counts(state, peer):
         usage = state.usage.counts_for(state.identity)
-    speeds = state.own_speeds(now)
     return Beat(
         identity=state.identity,
         host=state.host_settings.host,
