--- a/src/magnoliaflow/cluster/sums.py
+++ b/src/magnoliaflow/cluster/sums.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 from magnoliaflow.common.messages import LoadSums
 
@@ -63,6 +64,8 @@
             if name in speeds or any(self.engines[name])
         ]
         none = (0, 0)
+        smoothed = {name: load[0] for name, load in self.services.items()}
+        recent = {**smoothed, **self.recent_rates}
         return LoadSums(
             engines=tuple(engines),
             running=tuple(self.engines.get(name, none)[0] for name in engines),
@@ -77,14 +80,29 @@
             service_running=tuple(
                 int(load[1]) for load in self.services.values()
             ),
-            recent_rates=tuple(
-                self.recent_rates.get(name, 0.0) for name in self.services
+            # Readers take the smoothed rates in place of missing ones.
+            recent_rates=(
+                ()
+                if recent == smoothed
+                else tuple(recent[name] for name in self.services)
             ),
             speed_weights=_speed_column(speeds, engines, 0),
             speed_totals=_speed_column(speeds, engines, 1),
         )
 
 
+def included_loads(own: LoadSums, loads: LoadSums) -> LoadSums:
+    """Return a host's own loads as they are included in sums with others.
+
+    Aggregators of old versions leave out the columns that they do not know.
+    """
+    if not loads.speed_weights:
+        own = replace(own, speed_weights=(), speed_totals=())
+    if not loads.recent_rates:
+        own = replace(own, recent_rates=())
+    return own
+
+
 def _speed_column(
     speeds: dict[str, list[int]], engines: list[str], index: int
 ) -> tuple[int, ...]:
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -210,6 +210,7 @@
     ``with_addresses``: include the addresses of the other peers.
     """
     route_table = state.route_table
+    speeds = state.own_speeds(now)
     number = heard_number = -1
     if peer is not None:
         number = state.sent_heartbeats[peer.name].add(now)
@@ -252,18 +253,21 @@
                 engine.name,
                 engine.local_running,
                 engine.unread_tokens,
-                *evidence,
+                *speeds.get(engine.name, ()),
             )
             for engine in state.routing.engines.values()
-            if (evidence := engine.speed.scaled(now))[0]
-            or engine.local_running
+            if engine.local_running or (speeds and engine.name in speeds)
         ),
         services=tuple(
             ServiceLoad(
                 name,
                 local_load.demand.current(now),
                 local_load.running,
-                local_load.recent.current(now),
+                (
+                    local_load.recent.current(now)
+                    if name in state.learning_services
+                    else -1.0
+                ),
             )
             for name, local_load in state.local_loads.items()
         ),
--- a/src/magnoliaflow/entry/planloads.py
+++ b/src/magnoliaflow/entry/planloads.py
@@ -8,18 +8,18 @@
 from magnoliaflow.entry.enginespeeds import service_speeds
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.updates import DEFAULT_PREFILL_RATE
+from magnoliaflow.policy.enginespeeds import MAX_COUNTED_FACTOR
 from magnoliaflow.policy.loadforecast import forecast
 from magnoliaflow.policy.loadforecast import RATE_MEMORY_S
 from magnoliaflow.policy.loadforecast import remembered_rate
 from magnoliaflow.policy.loadforecast import Sample
 from magnoliaflow.policy.routes import Service
 from magnoliaflow.policy.scaling import Capacity
-from magnoliaflow.policy.scaling import learned_rate
 from magnoliaflow.policy.scaling import Load
+from magnoliaflow.policy.scaling import planned_rate
 from magnoliaflow.policy.scaling import target_running
 
-# A load peak counts for this long: half the period of the daily load wave as
-# the test workloads play it.
+# A load peak counts for this long: half the period of a wave of the load.
 PEAK_WINDOW_S = 15.0
 # The same for on-demand engines, which start again in four seconds and cost
 # several times as much.
@@ -27,6 +27,11 @@
 # The same where rates are learned and the load is forecast.
 FORECAST_PEAK_S = 8.0
 ON_DEMAND_FORECAST_PEAK_S = 3.0
+# Share of the highest rate of the peak window for which reclaimable engines
+# are planned at least: a steep wave rises faster than a forecast follows.
+PEAK_FLOOR = 0.8
+# Interval at which learned rates are recorded for plans.
+RATE_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
@@ -69,8 +74,25 @@
                 history.recent_loads, now, service.scaling.boot_s
             )
             _append(history.forecasts, now, expected, PEAK_WINDOW_S)
+            self._record_rate(name, now)
         return load
 
+    def _record_rate(self, name: str, now: float) -> None:
+        """Record the learned rate of a service's engines when due."""
+        rates = self.histories[name].rates
+        while rates and rates[0].at < now - RATE_MEMORY_S:
+            rates.popleft()
+        if rates and now < rates[-1].at + RATE_INTERVAL_S:
+            return
+        speeds = service_speeds(self.state, name)
+        if speeds is not None:
+            bound = MAX_COUNTED_FACTOR * DEFAULT_PREFILL_RATE
+            rates.append(Sample(now, min(bound, planned_rate(speeds))))
+        if rates:
+            self.state.remembered_rates[name] = remembered_rate(rates)
+        else:
+            self.state.remembered_rates.pop(name, None)
+
     def current(self, name: str) -> Load:
         """Return the last recorded load."""
         history = self.histories[name]
@@ -87,8 +109,16 @@
         """Return the loads to plan for: reclaimable and on-demand engines."""
         history = self.histories[name]
         if name in self.state.learning_services and history.forecasts:
+            expected = _peak(history.forecasts, now - FORECAST_PEAK_S)
+            highest = _peak(history.recent_loads, now - PEAK_WINDOW_S)
             return (
-                _peak(history.forecasts, now - FORECAST_PEAK_S),
+                Load(
+                    max(
+                        expected.tokens_per_s,
+                        PEAK_FLOOR * highest.tokens_per_s,
+                    ),
+                    expected.running,
+                ),
                 _peak(history.forecasts, now - ON_DEMAND_FORECAST_PEAK_S),
             )
         return (
@@ -99,14 +129,12 @@
     def capacity(self, service: Service, now: float) -> Capacity:
         """Return what a plan counts on for each engine of a service."""
         rates = self.histories[service.name].rates
-        speeds = service_speeds(self.state, service.name)
-        if speeds is not None:
-            rates.append(Sample(now, learned_rate(speeds)))
-        while rates and rates[0].at < now - RATE_MEMORY_S:
-            rates.popleft()
-        if not rates or service.name not in self.state.learning_services:
+        if service.name not in self.state.learning_services:
             return Capacity(DEFAULT_PREFILL_RATE)
-        return Capacity(remembered_rate(rates), target_running(service.slots))
+        return Capacity(
+            remembered_rate(rates) if rates else DEFAULT_PREFILL_RATE,
+            target_running(service.slots),
+        )
 
 
 def _append(
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -174,6 +174,7 @@
         "account_demands",
         "local_loads",
         "registry_confirmed_at",
+        "remembered_rates",
         "peers",
         "probed_engines",
         "identity",
@@ -299,6 +300,8 @@
         self.next_speed_update_at = -inf
         self.learning_services: set[str] = set()
         self.rate_limits: dict[str, Bucket] = {}
+        # What plans count on for each engine of learning services.
+        self.remembered_rates: dict[str, float] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.hedging = Hedging(extra_share)
         self.usage = UsageCounter(window_s=host_settings.usage_window_s)
@@ -392,11 +395,7 @@
                 for engine in self.routing.engines.values()
                 if engine.local_running
             },
-            speeds={
-                engine.name: list(evidence)
-                for engine in self.routing.engines.values()
-                if (evidence := engine.speed.scaled(now))[0]
-            },
+            speeds=self.own_speeds(now),
             rates=dict(self.reported_demands),
             services={
                 name: [load.demand.current(now), load.running]
@@ -405,9 +404,22 @@
             recent_rates={
                 name: load.recent.current(now)
                 for name, load in self.local_loads.items()
+                if name in self.learning_services
             },
         )
 
+    def own_speeds(self, now: float) -> dict[str, list[int]]:
+        """Return this host's evidence of engines' rates, scaled."""
+        if not self.learning_services:
+            return {}
+        return {
+            engine.name: list(evidence)
+            for engine in self.routing.engines.values()
+            if engine.speed.weight
+            and engine.cfg.backend in self.learning_services
+            and (evidence := engine.speed.scaled(now))[0]
+        }
+
     def _counted_peers(self, now: float) -> list[PeerHost]:
         """Return the live peers that no digest includes."""
         grouped = self.uses_groups()
