Resume a connection whose large answer began over a full buffer

A head that pushed the transport's buffer over 64 KiB set is_unread; the writer of the body then took the producer's place, so that nothing reset it and the next pipelined request was not read until the idle timeout. The writer resets it when it registers the connection again.

--- a/src/magnoliaflow/transport/inbound.py
+++ b/src/magnoliaflow/transport/inbound.py
@@ -166,6 +166,8 @@
         if self.position >= len(self.body):
             conn = self.inbound.conn
             conn.transport.unregisterProducer()
+            # A pause before this writer was registered is not resumed.
+            conn.is_unread = False
             conn.transport.registerProducer(conn, True)
             self.inbound.finish()
             self.stopProducing()
--- /dev/null
+++ b/tests/test_caller_fuzz.py
@@ -0,0 +1,90 @@
+"""Pipelined requests over real sockets, from callers that read slowly."""
+
+import random
+import socket
+import subprocess
+import sys
+from threading import Thread
+import time
+
+import pytest
+
+# The transport pauses its producer over 65,536 bytes, heads included.
+ANSWER_BYTES = [3000, 60_000, 65_400, 65_440, 65_470, 65_500, 65_537, 200_000]
+BODY_BYTES = [0, 0, 100, 5000, 20_000, 50_000]
+SERVER = """
+from magnoliaflow.common.loop import reactor
+from magnoliaflow.transport.limits import ServerLimits
+from magnoliaflow.transport.server import ServerFactory
+
+def handle(inbound):
+    size = int(inbound.target[1:])
+    answer = lambda: inbound.respond(200, [], b"x" * size)
+    if size == 7:
+        inbound.on_disconnect = lambda: print("left", flush=True)
+    elif size % 3:
+        reactor.callLater((size % 3 - 1) * 0.002, answer)
+    else:
+        answer()
+
+factory = ServerFactory(handle, ServerLimits())
+port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+print(port.getHost().port, flush=True)
+reactor.run()
+"""
+
+
+@pytest.fixture(scope="module")
+def server():
+    """Return a process that answers with as many bytes as a target names."""
+    with subprocess.Popen(
+        [sys.executable, "-c", SERVER], stdout=subprocess.PIPE
+    ) as process:
+        process.port = int(process.stdout.readline())
+        yield process
+        process.kill()
+
+
+def encode(answer, body):
+    head = b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+    return head % (answer, body) + b"b" * body
+
+
+def connect(server, window=65_536):
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+    sock.settimeout(4)
+    sock.connect(("127.0.0.1", server.port))
+    return sock
+
+
+def read_answers(sock, count, rand):
+    """Return the number of answers that arrive, at most ``count``."""
+    seen, tail, mark = 0, b"", b"HTTP/1.1 200"
+    while seen < count:
+        try:
+            data = sock.recv(rand.choice([2000, 65_536, 1 << 20]))
+        except OSError:
+            break
+        if not data:
+            break
+        seen += (tail + data).count(mark) - tail.count(mark)
+        tail = data[1 - len(mark) :]
+    return seen
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_every_pipelined_request_is_answered(server, seed):
+    rand = random.Random(seed)
+    rows = [
+        (
+            rand.choice(ANSWER_BYTES) - rand.randint(0, 60),
+            rand.choice(BODY_BYTES),
+        )
+        for _ in range(rand.randint(20, 100))
+    ]
+    with connect(server, rand.choice([4096, 65_536, 300_000])) as sock:
+        data = b"".join(encode(*row) for row in rows)
+        Thread(target=sock.sendall, args=(data,), daemon=True).start()
+        time.sleep(rand.choice([0, 0.05, 0.2]))
+        assert read_answers(sock, len(rows), rand) == len(rows)
