Read on behind a pipelined request that is handed on

The pause for bytes behind a request was lifted only while no request ran, so that a caller that left after a pipelined body of 20 kB was not noticed. The test of the fuzz file failed before and passes now.

--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -215,9 +215,8 @@
         if self.unparsed and not self.pauses & {"memory", "turn"}:
             self._begin_reading()
             self._parse()
-        if self.current is None and (
-            self.reading or self.unparsed <= MAX_PIPELINED_BYTES
-        ):
+        is_reading = self.current is None and self.reading
+        if is_reading or self.unparsed <= MAX_PIPELINED_BYTES:
             self._resume("pipeline")
 
     def _pause(self, cause: str) -> None:
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -88,3 +88,17 @@
         Thread(target=sock.sendall, args=(data,), daemon=True).start()
         time.sleep(rand.choice([0, 0.05, 0.2]))
         assert read_answers(sock, len(rows), rand) == len(rows)
+
+
+def test_a_caller_that_leaves_a_pipelined_request_is_noticed(server):
+    with connect(server) as sock:
+        sock.sendall(encode(0, 0) + encode(7, 20_000))
+        assert read_answers(sock, 1, random.Random(0)) == 1
+        time.sleep(0.1)
+    lines = []
+    reader = Thread(
+        target=lambda: lines.append(server.stdout.readline()), daemon=True
+    )
+    reader.start()
+    reader.join(2)
+    assert lines == [b"left\n"]
