Write a large request to its engine in parts; count its body once

A running body was held twice until its engine had read it, and counted twice for the whole run, also through a stream, so that a few legal requests filled the account.

--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -28,8 +28,6 @@
 SMALL_BYTES = 4096
 # Unused part of a buffer that grows: one byte in eight.
 GROWTH_PART = 8
-# A body in progress is kept once, and once more until its engine has read it.
-RUNNING_COPIES = 2
 # Descriptors that the platform reserves for files, and the share of the rest
 # for callers; the engines, the peers and the store need the remainder.
 FILE_DESCRIPTORS = 200
@@ -73,7 +71,7 @@
     >>> held_bytes(incomplete=0, running=800, unparsed=0, unsent=0)
     0
     """
-    size = incomplete + incomplete // GROWTH_PART + running * RUNNING_COPIES
+    size = incomplete + incomplete // GROWTH_PART + running
     size += unparsed + unsent
     return size + CONNECTION_BYTES if size > SMALL_BYTES else 0
 
--- a/src/magnoliaflow/transport/client.py
+++ b/src/magnoliaflow/transport/client.py
@@ -26,6 +26,8 @@
 from magnoliaflow.common.errors import PortError
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.common.sockets import release_local_port
+from magnoliaflow.transport.requestwriter import PART_BYTES
+from magnoliaflow.transport.requestwriter import RequestWriter
 
 # A connection is aborted when sent data stays unacknowledged for this long.
 # Twice the longest round trip between regions would suffice; the rest covers
@@ -102,7 +104,7 @@
         self.credited_at = 0.0
 
     def connectionMade(self) -> None:
-        """Send the whole request."""
+        """Send the request, a large body as the peer reads it."""
         if self.finished:
             self.transport.abortConnection()
             return
@@ -112,6 +114,10 @@
         if self.finished:
             return
         data = self.conn.send(self.request)
+        if len(self.body) > PART_BYTES:
+            self.transport.write(data)
+            self.transport.registerProducer(RequestWriter(self), False)
+            return
         if self.body:
             data += self.conn.send(h11.Data(data=self.body))
         data += self.conn.send(h11.EndOfMessage())
