Let ordinary bodies pass while large ones wait; wait for 5 s at most

Over the wait mark every body of more than 16 KiB waited up to idleTimeoutMs, so that a few open streams with large bodies shut out ordinary requests. A body of up to 64 KiB waits only if it would pass the limit itself, and one that waits for 5 s gets 503 with Retry-After (it has not run). Waiting bodies are resumed by the same rule, at most once a turn.

--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -39,6 +39,10 @@
 # Share of the limit over which one address or one account loses its own work
 # before others do.
 FAIR_SHARE = 0.5
+# A body up to the first length never waits; one up to the second waits only
+# if it would pass the limit itself.
+SMALL_BODY_BYTES = 16 * 1024
+ORDINARY_BODY_BYTES = 64 * 1024
 # Time constant of the decay of progress.
 PROGRESS_S = 2.0
 # Less progress per held byte is none.
@@ -185,9 +189,22 @@
                 del self.by_key[key]
 
     def is_short(self) -> bool:
-        """Return whether new bodies have to wait."""
+        """Return whether new large bodies have to wait."""
         return self.total > self.limit_bytes * WAIT_SHARE
 
+    def must_wait(self, length: int) -> bool:
+        """Return whether a body waits; ``length`` is -1 if it is unknown.
+
+        >>> memory = CallerMemory(MB); memory.put("streams", 900_000, now=0.0)
+        >>> [memory.must_wait(n) for n in (10_000, 50_000, 80_000, -1)]
+        [False, False, True, True]
+        """
+        if 0 < length <= SMALL_BODY_BYTES:
+            return False
+        if 0 < length <= ORDINARY_BODY_BYTES:
+            return self.total + length > self.limit_bytes
+        return self.is_short()
+
     def choose(
         self, excess: float, now: float, *, idle_s: float = -inf
     ) -> list[Hashable]:
--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -16,7 +16,7 @@
 from magnoliaflow.transport.limits import LINGER_S
 from magnoliaflow.transport.limits import MAX_EVENTS_PER_TURN
 from magnoliaflow.transport.limits import MAX_PIPELINED_BYTES
-from magnoliaflow.transport.limits import SMALL_BODY_BYTES
+from magnoliaflow.transport.limits import MAX_WAIT_S
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -242,7 +242,7 @@
         """Read a body for which there is room now."""
         if self.is_lost or self.is_rejected:
             return
-        self.has_moved = True
+        self._start_timer(self.factory.limits.idle_timeout_s)
         self._resume("memory")
         self._expect_body()
         if "turn" not in self.pauses:
@@ -307,10 +307,10 @@
         self.keys = (address, f"account {account}") if account else (address,)
         self._release()
         self._start_timer(limits.idle_timeout_s)
-        small = 0 < length <= SMALL_BODY_BYTES
-        if not small and self.factory.buffers.is_short():
+        if self.factory.buffers.must_wait(length):
             self._pause("memory")
-            self.factory.buffers.wait(self, self._resume_body)
+            self._start_timer(min(limits.idle_timeout_s, MAX_WAIT_S))
+            self.factory.buffers.wait(self, length, self._resume_body)
             return False
         self._expect_body()
         return True
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -40,6 +40,14 @@
     held: int
 
 
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """A body that waits for room; its length is -1 if it is unknown."""
+
+    length: int
+    resume: Callable[[], None]
+
+
 class BufferBudget:
     """Buffered bytes by holder.
 
@@ -56,7 +64,13 @@
     20
     """
 
-    __slots__ = ("memory", "on_evicted", "reclaim_timer", "waiting")
+    __slots__ = (
+        "memory",
+        "on_evicted",
+        "reclaim_timer",
+        "resume_call",
+        "waiting",
+    )
 
     def __init__(
         self,
@@ -66,7 +80,8 @@
     ) -> None:
         self.memory = CallerMemory(limit_bytes)
         self.on_evicted = on_evicted
-        self.waiting: dict[Any, Callable[[], None]] = {}
+        self.waiting: dict[Any, Waiter] = {}
+        self.resume_call: Any = None
         self.reclaim_timer: Any = None
 
     @property
@@ -83,9 +98,9 @@
     def limit_bytes(self, value: int) -> None:
         self.memory.limit_bytes = value
 
-    def is_short(self) -> bool:
-        """Return whether new bodies have to wait."""
-        return self.memory.is_short()
+    def must_wait(self, length: int) -> bool:
+        """Return whether a body waits; ``length`` is -1 if it is unknown."""
+        return self.memory.must_wait(length)
 
     def hold(
         self,
@@ -112,12 +127,14 @@
     def release(self, holder: BufferHolder) -> None:
         """Forget a holder."""
         self.memory.drop(holder)
-        if self.waiting and not self.memory.is_short():
-            reactor.callLater(0, self._resume)
+        if self.waiting and self.resume_call is None:
+            self.resume_call = reactor.callLater(0, self._resume)
 
-    def wait(self, holder: BufferHolder, resume: Callable[[], None]) -> None:
-        """Call ``resume`` once there is room for a new body."""
-        self.waiting[holder] = resume
+    def wait(
+        self, holder: BufferHolder, length: int, resume: Callable[[], None]
+    ) -> None:
+        """Call ``resume`` once there is room for a body of a length."""
+        self.waiting[holder] = Waiter(length, resume)
         if self.reclaim_timer is None:
             self.reclaim_timer = reactor.callLater(
                 RECLAIM_INTERVAL_S, self._reclaim
@@ -129,8 +146,11 @@
 
     def _resume(self) -> None:
         """Let waiting bodies be read, the oldest first."""
-        while self.waiting and not self.memory.is_short():
-            self.waiting.pop(next(iter(self.waiting)))()
+        self.resume_call = None
+        for holder, waiter in list(self.waiting.items()):
+            if not self.memory.must_wait(waiter.length):
+                self.stop_waiting(holder)
+                waiter.resume()
 
     def _reclaim(self) -> None:
         """Evict stalled holders while bodies wait for room."""
@@ -140,7 +160,8 @@
         if self.waiting and excess > 0:
             stalled = self.memory.choose(excess, now, idle_s=STALLED_S)
             self._evict(stalled, now)
-        self._resume()
+        if self.resume_call is None:
+            self._resume()
         if self.waiting:
             self.reclaim_timer = reactor.callLater(
                 RECLAIM_INTERVAL_S, self._reclaim
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -244,3 +244,21 @@
         if transport.producer is not None:
             transport.producer.resumeProducing()
     assert sent == len(body) and exchange.conn.our_state is h11.DONE
+
+
+def fill(conn, share):
+    """Hold a share of the limit for requests that run."""
+    budget = conn.factory.buffers
+    budget.hold(Mock(), int(budget.limit_bytes * share), fixed=True)
+
+
+def test_ordinary_bodies_do_not_wait_for_large_ones(open_connection):
+    conn, clock, seen = open_connection()
+    fill(conn, 0.9)
+    feed(conn, clock, encode(0, b"b" * 60_000, 0), 30_000)
+    assert [len(body) for _, body in seen] == [60_000]
+    conn.dataReceived(encode(1, b"b" * 70_000, 0))
+    clock.advance(5.1)
+    answer = conn.transport.value()
+    assert b" 503 " in answer and b"Retry-After: 1\r\n" in answer
+    assert len(seen) == 1
