Refuse a request that would take the room of waiting callers

Nothing bounded what one address or account held for requests that run, which are never dropped. A complete request that would take its address or account over half of the limit gets 503 with Retry-After before it runs, if bodies of others wait.

--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -62,7 +62,11 @@
 
 
 def held_bytes(
-    *, incomplete: int, running: int, unparsed: int, unsent: int
+    *,
+    incomplete: int = 0,
+    running: int = 0,
+    unparsed: int = 0,
+    unsent: int = 0,
 ) -> int:
     """Return the memory of a connection for the bytes that it holds.
 
@@ -70,9 +74,9 @@
     of one that an engine may read, 0 if the connection holds none.  What is
     small is bounded by the number of connections.
 
-    >>> held_bytes(incomplete=8000, running=0, unparsed=0, unsent=0)
+    >>> held_bytes(incomplete=8000)
     41768
-    >>> held_bytes(incomplete=0, running=800, unparsed=0, unsent=0)
+    >>> held_bytes(running=800)
     0
     """
     size = incomplete + incomplete // GROWTH_PART + running
@@ -108,6 +112,11 @@
     fixed: bool = False
     waiting: bool = False
 
+    @property
+    def fixed_bytes(self) -> int:
+        """Return the bytes that are not dropped."""
+        return self.size if self.fixed else 0
+
     def move(self, count: int, now: float) -> None:
         """Count bytes as progress."""
         self.moved = self.progress(now) + count
@@ -136,12 +145,13 @@
     ['stopped']
     """
 
-    __slots__ = ("by_key", "limit_bytes", "shares", "total")
+    __slots__ = ("by_key", "fixed_by_key", "limit_bytes", "shares", "total")
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.shares: dict[Hashable, Share] = {}
         self.by_key: dict[str, int] = defaultdict(int)
+        self.fixed_by_key: dict[str, int] = defaultdict(int)
         self.total = 0
 
     def put(
@@ -162,12 +172,13 @@
         grown = size - share.size
         if grown > 0:
             share.move(grown, now)
+        fixed_grown = (size if fixed else 0) - share.fixed_bytes
         share.fixed = fixed
         if share.waiting and not waiting:
             share.moved_at = now
         share.waiting = waiting
         share.size = size
-        self._add(share, grown)
+        self._add(share, grown, fixed_grown)
 
     def touch(self, holder: Hashable, count: int, now: float) -> None:
         """Count bytes as progress that do not change what is held."""
@@ -179,14 +190,18 @@
         """Forget a holder."""
         share = self.shares.pop(holder, None)
         if share is not None:
-            self._add(share, -share.size)
+            self._add(share, -share.size, -share.fixed_bytes)
 
-    def _add(self, share: Share, size: int) -> None:
+    def _add(self, share: Share, size: int, fixed: int) -> None:
         self.total += size
         for key in share.keys:
-            self.by_key[key] += size
-            if not self.by_key[key]:
-                del self.by_key[key]
+            for sums, change in (
+                (self.by_key, size),
+                (self.fixed_by_key, fixed),
+            ):
+                sums[key] += change
+                if not sums[key]:
+                    del sums[key]
 
     def is_short(self) -> bool:
         """Return whether new large bodies have to wait."""
@@ -205,6 +220,17 @@
             return self.total + length > self.limit_bytes
         return self.is_short()
 
+    def greedy_keys(self, keys: tuple[str, ...], size: int) -> set[str]:
+        """Return the keys whose running work would pass its share.
+
+        >>> memory = CallerMemory(100)
+        >>> memory.put("a", 40, now=0.0, keys=("key",), fixed=True)
+        >>> memory.greedy_keys(("key",), 9), memory.greedy_keys(("key",), 11)
+        (set(), {'key'})
+        """
+        most = self.limit_bytes * FAIR_SHARE - size
+        return {key for key in keys if self.fixed_by_key.get(key, 0) > most}
+
     def choose(
         self, excess: float, now: float, *, idle_s: float = -inf
     ) -> list[Hashable]:
--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -310,7 +310,9 @@
         if self.factory.buffers.must_wait(length):
             self._pause("memory")
             self._start_timer(min(limits.idle_timeout_s, MAX_WAIT_S))
-            self.factory.buffers.wait(self, length, self._resume_body)
+            self.factory.buffers.wait(
+                self, length, self.keys, self._resume_body
+            )
             return False
         self._expect_body()
         return True
@@ -323,8 +325,12 @@
         """Hand a complete request to the handler."""
         self._cancel_timer()
         inbound = self.incoming
-        inbound.body = self.body.take()
         self.unparsed = len(self.conn.trailing_data[0])
+        size = held_bytes(running=len(self.body))
+        if self.factory.buffers.crowds_out(self.keys, size):
+            self._reject(503, has_room=False)
+            return
+        inbound.body = self.body.take()
         self.current = inbound
         self.factory.open.set_running(self)
         self.account()
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -45,6 +45,7 @@
     """A body that waits for room; its length is -1 if it is unknown."""
 
     length: int
+    keys: tuple[str, ...]
     resume: Callable[[], None]
 
 
@@ -130,11 +131,28 @@
         if self.waiting and self.resume_call is None:
             self.resume_call = reactor.callLater(0, self._resume)
 
+    def crowds_out(self, keys: tuple[str, ...], size: int) -> bool:
+        """Return whether a request would take the room of waiting ones.
+
+        Its address or account would hold more than its share for requests
+        that run, while bodies of others wait.
+        """
+        if not (self.waiting and size):
+            return False
+        greedy = self.memory.greedy_keys(keys, size)
+        return bool(greedy) and any(
+            greedy.isdisjoint(waiter.keys) for waiter in self.waiting.values()
+        )
+
     def wait(
-        self, holder: BufferHolder, length: int, resume: Callable[[], None]
+        self,
+        holder: BufferHolder,
+        length: int,
+        keys: tuple[str, ...],
+        resume: Callable[[], None],
     ) -> None:
         """Call ``resume`` once there is room for a body of a length."""
-        self.waiting[holder] = Waiter(length, resume)
+        self.waiting[holder] = Waiter(length, keys, resume)
         if self.reclaim_timer is None:
             self.reclaim_timer = reactor.callLater(
                 RECLAIM_INTERVAL_S, self._reclaim
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -262,3 +262,33 @@
     answer = conn.transport.value()
     assert b" 503 " in answer and b"Retry-After: 1\r\n" in answer
     assert len(seen) == 1
+
+
+def test_one_account_does_not_take_the_room_of_those_that_wait(
+    open_connection,
+):
+    conn, clock, seen = open_connection()
+    budget = conn.factory.buffers
+    budget.hold(
+        Mock(),
+        budget.limit_bytes // 2,
+        keys=("account a", *conn.keys),
+        fixed=True,
+    )
+    data = encode(0, b"b" * 70_000, 0)
+    feed(conn, clock, data, 30_000)
+    assert len(seen) == 1
+    conn.dataReceived(data[:-1])
+    other = Mock()
+    budget.wait(other, budget.limit_bytes, conn.keys, Mock())
+    conn.dataReceived(data[-1:])
+    clock.pump([0.001] * 20)
+    assert len(seen) == 2
+    conn.dataReceived(data[:-1])
+    budget.wait(other, budget.limit_bytes, ("account b",), Mock())
+    conn.dataReceived(data[-1:])
+    assert b" 503 " in conn.transport.value() and len(seen) == 2
+    small, clock, seen = open_connection()
+    small.factory.buffers = budget
+    feed(small, clock, encode(0, b"b" * 500, 0), 600)
+    assert len(seen) == 1
