--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -13,8 +13,8 @@
 
 from magnoliaflow.policy.callermemory import CallerMemory
 from magnoliaflow.transport import client
-from magnoliaflow.transport import connection
 from magnoliaflow.transport.client import Exchange
+from magnoliaflow.transport import connection
 from magnoliaflow.transport.connections import OpenConnections
 from magnoliaflow.transport import inbound
 from magnoliaflow.transport.limits import ServerLimits
