Resume only as many waiting bodies as fit

A release of room resumed every waiting body at once; they then passed the limit together and most were evicted. The room of a resumed body is reserved, up to its announced length, until it is complete or has not moved for 1 s; the oldest goes on first and new large bodies queue behind those that wait. Test seen to fail before.

--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -134,6 +134,14 @@
         return round(log2(max(MIN_PACE, ratio)))
 
 
+@dataclass(slots=True)
+class Promise:
+    """Bytes reserved for the rest of a body, and when it last moved."""
+
+    left: int
+    moved_at: float
+
+
 class CallerMemory:
     """Account of the bytes that a host holds for its callers.
 
@@ -145,13 +153,23 @@
     ['stopped']
     """
 
-    __slots__ = ("by_key", "fixed_by_key", "limit_bytes", "shares", "total")
+    __slots__ = (
+        "by_key",
+        "fixed_by_key",
+        "limit_bytes",
+        "promised",
+        "promises",
+        "shares",
+        "total",
+    )
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.shares: dict[Hashable, Share] = {}
         self.by_key: dict[str, int] = defaultdict(int)
         self.fixed_by_key: dict[str, int] = defaultdict(int)
+        self.promises: dict[Hashable, Promise] = {}
+        self.promised = 0
         self.total = 0
 
     def put(
@@ -172,6 +190,7 @@
         grown = size - share.size
         if grown > 0:
             share.move(grown, now)
+            self._keep_promise(holder, grown, now)
         fixed_grown = (size if fixed else 0) - share.fixed_bytes
         share.fixed = fixed
         if share.waiting and not waiting:
@@ -203,23 +222,63 @@
                 if not sums[key]:
                     del sums[key]
 
+    def promise(self, holder: Hashable, length: int, now: float) -> None:
+        """Reserve room for the rest of a body that is read from now on."""
+        share = self.shares.get(holder)
+        left = max(0, length - share.size) if share else length
+        self.withdraw(holder)
+        self.promises[holder] = Promise(left, now)
+        self.promised += left
+
+    def _keep_promise(self, holder: Hashable, size: int, now: float) -> None:
+        promise = self.promises.get(holder)
+        if promise is not None:
+            used = min(size, promise.left)
+            promise.left -= used
+            promise.moved_at = now
+            self.promised -= used
+
+    def withdraw(self, holder: Hashable) -> None:
+        """Give up the room reserved for a holder."""
+        promise = self.promises.pop(holder, None)
+        if promise is not None:
+            self.promised -= promise.left
+
+    def withdraw_stalled(self, now: float) -> None:
+        """Give up the room reserved for bodies that do not arrive."""
+        for holder, promise in list(self.promises.items()):
+            if now - promise.moved_at >= STALLED_S:
+                self.withdraw(holder)
+
     def is_short(self) -> bool:
         """Return whether new large bodies have to wait."""
-        return self.total > self.limit_bytes * WAIT_SHARE
+        return self.total + self.promised > self.limit_bytes * WAIT_SHARE
 
     def must_wait(self, length: int) -> bool:
-        """Return whether a body waits; ``length`` is -1 if it is unknown.
+        """Return whether a body of at most so many bytes waits.
 
         >>> memory = CallerMemory(MB); memory.put("streams", 900_000, now=0.0)
-        >>> [memory.must_wait(n) for n in (10_000, 50_000, 80_000, -1)]
-        [False, False, True, True]
+        >>> [memory.must_wait(n) for n in (10_000, 50_000, 80_000)]
+        [False, False, True]
         """
-        if 0 < length <= SMALL_BODY_BYTES:
+        if length <= SMALL_BODY_BYTES:
             return False
-        if 0 < length <= ORDINARY_BODY_BYTES:
+        if length <= ORDINARY_BODY_BYTES:
             return self.total + length > self.limit_bytes
         return self.is_short()
 
+    def may_go_on(self, length: int) -> bool:
+        """Return whether there is room for a body that has waited.
+
+        One body goes on below the mark; others beside it must fit.
+        """
+        if self.must_wait(length):
+            return False
+        if length <= ORDINARY_BODY_BYTES or not self.promised:
+            return True
+        used = self.total + self.promised + length
+        return used <= self.limit_bytes * WAIT_SHARE
+
     def greedy_keys(self, keys: tuple[str, ...], size: int) -> set[str]:
         """Return the keys whose running work would pass its share.
 
--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -302,6 +302,8 @@
         length = body_length(inbound.headers)
         if not length:
             return True
+        if length < 0:
+            length = limits.max_body_bytes
         account = self.factory.name_account(inbound)
         address = self.keys[0]
         self.keys = (address, f"account {account}") if account else (address,)
@@ -326,6 +328,7 @@
         self._cancel_timer()
         inbound = self.incoming
         self.unparsed = len(self.conn.trailing_data[0])
+        self.factory.buffers.stop_waiting(self)
         size = held_bytes(running=len(self.body))
         if self.factory.buffers.crowds_out(self.keys, size):
             self._reject(503, has_room=False)
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -8,6 +8,7 @@
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.policy.callermemory import CallerMemory
+from magnoliaflow.policy.callermemory import ORDINARY_BODY_BYTES
 from magnoliaflow.policy.callermemory import STALLED_S
 from magnoliaflow.policy.callermemory import WAIT_SHARE
 
@@ -42,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Waiter:
-    """A body that waits for room; its length is -1 if it is unknown."""
+    """A body that waits for room; ``length`` is its most bytes."""
 
     length: int
     keys: tuple[str, ...]
@@ -100,8 +101,14 @@
         self.memory.limit_bytes = value
 
     def must_wait(self, length: int) -> bool:
-        """Return whether a body waits; ``length`` is -1 if it is unknown."""
-        return self.memory.must_wait(length)
+        """Return whether a body of at most so many bytes waits.
+
+        A large one waits behind others that do.
+        """
+        is_large = length > ORDINARY_BODY_BYTES
+        return self.memory.must_wait(length) or (
+            is_large and bool(self.waiting)
+        )
 
     def hold(
         self,
@@ -151,7 +158,10 @@
         keys: tuple[str, ...],
         resume: Callable[[], None],
     ) -> None:
-        """Call ``resume`` once there is room for a body of a length."""
+        """Call ``resume`` once there is room for a body of a length.
+
+        The room is reserved until the body is complete or stalls.
+        """
         self.waiting[holder] = Waiter(length, keys, resume)
         if self.reclaim_timer is None:
             self.reclaim_timer = reactor.callLater(
@@ -159,16 +169,26 @@
             )
 
     def stop_waiting(self, holder: BufferHolder) -> None:
-        """Forget a holder that waits."""
+        """Forget that a holder waits, and the room reserved for it."""
         self.waiting.pop(holder, None)
+        self.memory.withdraw(holder)
 
     def _resume(self) -> None:
         """Let waiting bodies be read, the oldest first."""
         self.resume_call = None
+        now = boot_time()
+        self.memory.withdraw_stalled(now)
+        is_full = False
         for holder, waiter in list(self.waiting.items()):
-            if not self.memory.must_wait(waiter.length):
-                self.stop_waiting(holder)
-                waiter.resume()
+            is_large = waiter.length > ORDINARY_BODY_BYTES
+            if is_large and is_full:
+                continue
+            if not self.memory.may_go_on(waiter.length):
+                is_full = is_full or is_large
+                continue
+            del self.waiting[holder]
+            self.memory.promise(holder, waiter.length, now)
+            waiter.resume()
 
     def _reclaim(self) -> None:
         """Evict stalled holders while bodies wait for room."""
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -19,6 +19,7 @@
 from magnoliaflow.transport import inbound
 from magnoliaflow.transport.limits import ServerLimits
 from magnoliaflow.transport import memory
+from magnoliaflow.transport.memory import BufferBudget
 from magnoliaflow.transport.server import ServerFactory
 
 LIMIT = 1000
@@ -292,3 +293,35 @@
     small.factory.buffers = budget
     feed(small, clock, encode(0, b"b" * 500, 0), 600)
     assert len(seen) == 1
+
+
+def test_no_more_bodies_go_on_than_fit_and_stalled_ones_give_way(
+    open_connection, monkeypatch
+):
+    """Freed room must not be filled by all that wait at once."""
+    now = [0.0]
+    monkeypatch.setattr(memory, "boot_time", lambda: now[0])
+    conn, clock, _ = open_connection()
+    budget = BufferBudget(LIMIT * 1000)
+    full = Mock()
+    budget.hold(full, 900_000, fixed=True)
+    resumed = []
+    bodies = [Mock(name=str(number)) for number in range(6)]
+    for body in bodies:
+        assert budget.must_wait(200_000)
+        budget.wait(body, 200_000, (), lambda body=body: resumed.append(body))
+    budget.release(full)
+    clock.advance(0)
+    assert resumed == bodies[:3]
+    assert budget.must_wait(200_000) and not budget.must_wait(60_000)
+    budget.hold(bodies[0], 150_000)
+    budget.release(bodies[0])
+    budget.stop_waiting(bodies[0])
+    clock.advance(0)
+    assert resumed == bodies[:4]
+    now[0] = 1.1
+    clock.advance(0.6)
+    assert resumed == bodies
+    for body in bodies:
+        budget.stop_waiting(body)
+    assert budget.memory.promised == 0 and not budget.waiting
