Drop a crowd's bodies before answers of work that is done

Small holders without progress went first: engines' answers of 3 kB were evicted, their work lost, before the bodies of a crowd, and freed next to nothing. Holders of up to 4 KiB and engines' answers of up to 64 KiB now come last, and such answers make no room for bodies that wait; among the rest, work that has not run goes before work that has. Test fails without this order.

--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -210,7 +210,7 @@
         """Count buffered bytes, for which an attempt may be evicted."""
         budget = self.handler.state.buffers
         if size:
-            budget.hold(self, size)
+            budget.hold(self, size, ran=True)
         else:
             budget.release(self)
 
--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -102,7 +102,8 @@
 
     ``keys`` name its caller's address and account.  ``fixed`` bytes belong
     to a request that an engine may run; they are not dropped.  A ``waiting``
-    holder is not read and cannot progress; it goes after all others.
+    holder is not read and cannot progress; it goes after those that are.
+    ``ran`` holds the answer of a request that must not run again.
     """
 
     size: int
@@ -111,6 +112,7 @@
     moved_at: float
     fixed: bool = False
     waiting: bool = False
+    ran: bool = False
 
     @property
     def fixed_bytes(self) -> int:
@@ -128,6 +130,21 @@
             return 0.0
         return self.moved * exp((self.moved_at - now) / PROGRESS_S)
 
+    @property
+    def is_last(self) -> bool:
+        """Return whether all others are dropped before this holder.
+
+        It frees next to nothing, or loses work that has been done.
+        """
+        most = ORDINARY_BODY_BYTES if self.ran else SMALL_BYTES
+        return self.size <= most
+
+    def is_stalled(self, since: float) -> bool:
+        """Return whether a holder has stopped and may make room."""
+        if self.waiting or (self.ran and self.is_last):
+            return False
+        return self.moved_at <= since
+
     def pace(self, now: float) -> int:
         """Return the class of progress per held byte, a factor of two each."""
         ratio = self.progress(now) / max(1, self.size)
@@ -181,6 +198,7 @@
         keys: tuple[str, ...] = (),
         fixed: bool = False,
         waiting: bool = False,
+        ran: bool = False,
     ) -> None:
         """Set the bytes of a holder; growth counts as progress."""
         share = self.shares.get(holder)
@@ -196,6 +214,7 @@
         if share.waiting and not waiting:
             share.moved_at = now
         share.waiting = waiting
+        share.ran = ran
         share.size = size
         self._add(share, grown, fixed_grown)
 
@@ -296,22 +315,23 @@
         """Return the holders to evict, in order, to free ``excess`` bytes.
 
         With ``idle_s``, only those that could progress and did not for so
-        many seconds are taken.
+        many seconds are taken, and no answers of ordinary size.
         """
         candidates = [
             (holder, share)
             for holder, share in self.shares.items()
             if not share.fixed
-            and (idle_s == -inf or not share.waiting)
-            and now - share.moved_at >= idle_s
+            and (idle_s == -inf or share.is_stalled(now - idle_s))
         ]
         greedy = self._greedy_key()
         ordered = sorted(
             candidates,
             key=lambda row: (
                 greedy not in row[1].keys,
+                row[1].is_last,
                 row[1].waiting,
                 row[1].pace(now),
+                row[1].ran,
                 -row[1].size,
             ),
         )
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -118,11 +118,18 @@
         keys: tuple[str, ...] = (),
         fixed: bool = False,
         waiting: bool = False,
+        ran: bool = False,
     ) -> None:
         """Set the bytes of a holder; evict while there are too many."""
         now = boot_time()
         self.memory.put(
-            holder, size, now=now, keys=keys, fixed=fixed, waiting=waiting
+            holder,
+            size,
+            now=now,
+            keys=keys,
+            fixed=fixed,
+            waiting=waiting,
+            ran=ran,
         )
         excess = self.memory.total - self.memory.limit_bytes
         if excess > 0:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -55,6 +55,20 @@
     assert account.choose(2000, 9.0, idle_s=1.0) == []
 
 
+def test_answers_of_work_that_is_done_outlive_bodies_of_a_crowd(account):
+    account.limit_bytes = 4_000_000
+    for number in range(50):
+        account.put(f"answer {number}", 3000, now=0.0, ran=True)
+    for number in range(20):
+        account.put(number, 900_000, now=9.0)
+    account.put("endless answer", 900_000, now=0.0, ran=True)
+    chosen = account.choose(account.total - account.limit_bytes, 9.5)
+    assert chosen[0] == "endless answer" and len(chosen) == 17
+    assert set(chosen[1:]) < set(range(20))
+    stalled = account.choose(account.total, 11.0, idle_s=1.0)
+    assert len(stalled) == 21
+
+
 @given(
     st.lists(
         st.tuples(
