Bound the log lines of rejected input

Each eviction also wrote a CALL_REJECTED line, so that a crowd filled the log although the lines of evictions were bounded. Test seen to fail before (without record_rejection).

--- a/src/magnoliaflow/entry/callerlog.py
+++ b/src/magnoliaflow/entry/callerlog.py
@@ -41,6 +41,11 @@
         self.state.metrics.callers_closed.labels("connections").inc()
         self._log(LogEvent.CONNECTION_CLOSED, address=address)
 
+    def record_rejection(self, status: int) -> None:
+        """Record input that is not handled, by the status of its answer."""
+        self.state.metrics.refusals.labels(f"HTTP_{status}").inc()
+        self._log(LogEvent.CALL_REJECTED, status=status)
+
     def _log(self, event: LogEvent, **details: Any) -> None:
         second = int(boot_time())
         if second != self.second:
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -133,7 +133,7 @@
         self.caller_factory = ServerFactory(
             self.handle_call,
             self.server_limits,
-            on_rejected=self.handle_rejected,
+            on_rejected=self.state.caller_log.record_rejection,
             buffers=self.state.buffers,
             max_connections=caller_connections(
                 host_settings.descriptors,
@@ -248,11 +248,6 @@
             return ""
         return route_table.keys.get(credential(inbound), "")
 
-    def handle_rejected(self, status: int) -> None:
-        """Count and log input that is not a valid request."""
-        self.state.metrics.refusals.labels(f"HTTP_{status}").inc()
-        self.state.log(LogEvent.CALL_REJECTED, status=status)
-
     def may_act(self, fence: int) -> bool:
         """Return whether a call of a duty may still be sent.
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -11,6 +11,8 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.entry import callerlog
 from magnoliaflow.policy.callermemory import CallerMemory
 from magnoliaflow.transport import client
 from magnoliaflow.transport.client import Exchange
@@ -20,6 +22,7 @@
 from magnoliaflow.transport.limits import ServerLimits
 from magnoliaflow.transport import memory
 from magnoliaflow.transport.memory import BufferBudget
+from magnoliaflow.transport.memory import Eviction
 from magnoliaflow.transport.server import ServerFactory
 
 LIMIT = 1000
@@ -339,3 +342,22 @@
     for body in bodies:
         budget.stop_waiting(body)
     assert budget.memory.promised == 0 and not budget.waiting
+
+
+def test_a_crowd_that_is_rejected_writes_a_bounded_log(monkeypatch):
+    now = [5.0]
+    monkeypatch.setattr(callerlog, "boot_time", lambda: now[0])
+    state = Mock()
+    log = callerlog.CallerLog(state)
+    for _ in range(100):
+        log.record_eviction(Eviction("ServerConnection", 9, (), 0.0, 9))
+        log.record_rejection(503)
+    assert state.log.call_count == callerlog.MAX_LINES_PER_S
+    assert state.metrics.refusals.labels().inc.call_count == 100
+    now[0] = 6.0
+    log.record_rejection(413)
+    state.log.assert_called_with(
+        LogEvent.CALL_REJECTED,
+        omitted=200 - callerlog.MAX_LINES_PER_S,
+        status=413,
+    )
