Hand no request on once its connection is being closed

_resume_reading did not check whether the transport is disconnecting, so that a pipelined request ran and its answer was lost. Test seen to fail before.

--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -209,6 +209,8 @@
         """Parse what has arrived behind the last request."""
         if self.is_lost or self.is_rejected or self.current is not None:
             return
+        if self.transport.disconnecting:
+            return
         if self.is_unread:
             self._pause("pipeline")
             return
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -361,3 +361,21 @@
         omitted=200 - callerlog.MAX_LINES_PER_S,
         status=413,
     )
+
+
+def test_no_request_is_handed_on_after_the_connection_is_closed(
+    open_connection,
+):
+    """Its answer would be lost, and the work done with it."""
+    conn, clock, _ = open_connection()
+    seen = []
+
+    def answer(request):
+        seen.append(request.target)
+        request.respond(200, [], b"")
+
+    conn.factory.handler = answer
+    conn.dataReceived(encode(0, b"", 0) + encode(1, b"", 0))
+    conn.close_if_idle()
+    clock.advance(1)
+    assert seen == [b"/0"]
