Check the shares of memory and descriptors in the settings file

callers.memoryShare and callers.descriptorShare were taken as they came. A value outside of 0 to 1 is a fault that names the remedy.

--- a/src/magnoliaflow/platform/nodefile.py
+++ b/src/magnoliaflow/platform/nodefile.py
@@ -64,6 +64,12 @@
     def endpoint(key: str) -> str:
         return checked(key, values.get(key, ""))
 
+    def share(key: str, default: float) -> float:
+        value: float = get(key, float, default)
+        if not 0 < value <= 1:
+            faults.append(f"{key}: {value:g} is no share; use 0 < share <= 1")
+        return value
+
     zones = {
         key.removeprefix("zones."): region
         for key, region in values.items()
@@ -114,11 +120,9 @@
         directory_ttl_s=get("bounds.ttl_max_s", float, 5),
         memory_mb=get("limits.memoryMb", float, 0),
         descriptors=get("limits.fileDescriptors", float, 0),
-        caller_memory_share=get(
-            "callers.memoryShare", float, CALLER_MEMORY_SHARE
-        ),
-        caller_descriptor_share=get(
-            "callers.descriptorShare", float, CALLER_DESCRIPTOR_SHARE
+        caller_memory_share=share("callers.memoryShare", CALLER_MEMORY_SHARE),
+        caller_descriptor_share=share(
+            "callers.descriptorShare", CALLER_DESCRIPTOR_SHARE
         ),
     )
     if faults:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -321,3 +321,10 @@
     assert (b"x-expected-instance", b"m1") in forwarded
     assert (b"x-token-usage", b"1460,80") in forwarded
     assert call.parts == ((0x5C1E07A2, 800), (0x91BD3F06, 410))
+
+
+@pytest.mark.parametrize("value", ["0", "-0.1", "1.5"])
+def test_a_share_out_of_range_names_its_remedy(value):
+    line = f"callers.memoryShare={value}\n"
+    with pytest.raises(SettingsError, match="use 0 < share <= 1"):
+        decode_host_settings(BOOT_FILE + line)
