--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 import h11
-from twisted.internet.protocol import Protocol
 
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.policy.callermemory import held_bytes
@@ -17,11 +16,12 @@
 from magnoliaflow.transport.limits import MAX_EVENTS_PER_TURN
 from magnoliaflow.transport.limits import MAX_PIPELINED_BYTES
 from magnoliaflow.transport.limits import MAX_WAIT_S
+from magnoliaflow.transport.pausable import PausableProtocol
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ServerConnection(Protocol):
+class ServerConnection(PausableProtocol):
     """A caller's connection; one request at a time.
 
     ``pauses`` holds the causes for which it is not read: ``turn`` (others
@@ -29,9 +29,8 @@
     (enough bytes behind the request in progress).
     """
 
-    transport: Any
-
     def __init__(self, factory: Any) -> None:
+        super().__init__()
         self.factory = factory
         self.conn = h11.Connection(
             h11.SERVER,
@@ -40,15 +39,11 @@
         self.current: InboundRequest | None = None
         self.incoming: Any = None
         self.body = BodyBuffer()
-        self.timer: Any = None
         self.reading = False
         self.is_rejected = False
-        self.is_lost = False
         self.is_held = False
         self.is_unread = False
-        self.has_moved = False
         self.keys: tuple[str, ...] = ()
-        self.pauses: set[str] = set()
         self.source: Any = None
         self.unparsed = 0
 
@@ -221,18 +216,6 @@
         if is_reading or self.unparsed <= MAX_PIPELINED_BYTES:
             self._resume("pipeline")
 
-    def _pause(self, cause: str) -> None:
-        if not self.pauses:
-            self.transport.pauseProducing()
-        self.pauses.add(cause)
-
-    def _resume(self, cause: str) -> None:
-        if cause not in self.pauses:
-            return
-        self.pauses.discard(cause)
-        if not (self.pauses or self.is_lost or self.transport.disconnecting):
-            self.transport.resumeProducing()
-
     def _take_turn(self) -> None:
         if self.is_lost or self.is_rejected:
             return
@@ -393,16 +376,6 @@
             self.factory.limits.idle_timeout_s, self.transport.abortConnection
         )
 
-    def _start_timer(self, delay_s: float) -> None:
-        self._cancel_timer()
-        self.has_moved = False
-        self.timer = reactor.callLater(delay_s, self._timed_out)
-
-    def _cancel_timer(self) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.timer = None
-
     def _timed_out(self) -> None:
         self.timer = None
         if not self.reading:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -23,6 +23,7 @@
 from magnoliaflow.transport import memory
 from magnoliaflow.transport.memory import BufferBudget
 from magnoliaflow.transport.memory import Eviction
+from magnoliaflow.transport import pausable
 from magnoliaflow.transport.server import ServerFactory
 
 LIMIT = 1000
@@ -136,7 +137,7 @@
 
     def start():
         clock = Clock()
-        for module in (connection, inbound, memory):
+        for module in (connection, inbound, memory, pausable):
             patches.setattr(module, "reactor", clock)
         seen = []
 
