Notice a caller that leaves over 16 KiB behind a request

A connection that is paused for its pipelined bytes is not read, so that the end of its input went unnoticed and the request ran on. Its state is looked at every 0.25 s. Test over real sockets seen to fail before.

--- a/src/magnoliaflow/transport/limits.py
+++ b/src/magnoliaflow/transport/limits.py
@@ -4,6 +4,8 @@
 MAX_EVENTS_PER_TURN = 32
 # Bytes behind a request in progress at which its connection is not read.
 MAX_PIPELINED_BYTES = 16 * 1024
+# How often a caller that is not read is looked at, as it may have left.
+LEFT_CHECK_S = 0.25
 # A body that waits for room for so long is rejected; it may be sent again.
 MAX_WAIT_S = 5.0
 # A rejected caller that still sends may read its answer for so long.
--- a/src/magnoliaflow/transport/pausable.py
+++ b/src/magnoliaflow/transport/pausable.py
@@ -1,10 +1,23 @@
 """A connection that is read unless there is a cause not to, and its timer."""
 
+from socket import IPPROTO_TCP
+from socket import TCP_INFO
 from typing import Any
 
 from twisted.internet.protocol import Protocol
 
 from magnoliaflow.common.loop import reactor
+from magnoliaflow.transport.limits import LEFT_CHECK_S
+
+TCP_ESTABLISHED = 1
+
+
+def is_established(transport: Any) -> bool:
+    """Return whether neither side has closed a connection."""
+    sock = transport.getHandle()
+    return bool(
+        sock.getsockopt(IPPROTO_TCP, TCP_INFO, 1)[0] == TCP_ESTABLISHED
+    )
 
 
 class PausableProtocol(Protocol):
@@ -15,6 +28,7 @@
     def __init__(self) -> None:
         self.pauses: set[str] = set()
         self.timer: Any = None
+        self.left_check: Any = None
         self.is_lost = False
         self.has_moved = False
 
@@ -22,6 +36,18 @@
         if not self.pauses:
             self.transport.pauseProducing()
         self.pauses.add(cause)
+        if cause == "pipeline" and self.left_check is None:
+            self.left_check = reactor.callLater(LEFT_CHECK_S, self._check_left)
+
+    def _check_left(self) -> None:
+        """Close a connection that is not read if its caller has left."""
+        self.left_check = None
+        if self.is_lost or "pipeline" not in self.pauses:
+            return
+        if is_established(self.transport):
+            self.left_check = reactor.callLater(LEFT_CHECK_S, self._check_left)
+        else:
+            self.transport.abortConnection()
 
     def _resume(self, cause: str) -> None:
         if cause not in self.pauses:
--- a/tests/test_caller_fuzz.py
+++ b/tests/test_caller_fuzz.py
@@ -113,6 +113,15 @@
     assert read_line(server) == b"left\n"
 
 
+def test_a_caller_that_leaves_much_behind_a_request_is_noticed(server):
+    with connect(server) as sock:
+        sock.sendall(encode(7, 0))
+        time.sleep(0.1)
+        sock.sendall(encode(9, 30_000))
+        time.sleep(0.1)
+    assert read_line(server) == b"left\n"
+
+
 def test_a_body_whose_caller_left_while_it_waited_does_not_run(server):
     rand = random.Random(0)
     with connect(server) as sock:
