Count trailers that are not complete

Bytes that the parser has not used were set to none while a body was read, so that trailers of up to maxHeaderBytes were not counted. Test seen to fail.

--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -256,7 +256,7 @@
             event = self.conn.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 if self.conn.their_state is h11.SEND_BODY:
-                    self.unparsed = 0
+                    self.unparsed = len(self.conn.trailing_data[0])
                 return
             if isinstance(event, h11.ConnectionClosed):
                 self._close()
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -380,3 +380,10 @@
     conn.close_if_idle()
     clock.advance(1)
     assert seen == [b"/0"]
+
+
+def test_trailers_are_counted(open_connection):
+    conn, _, _ = open_connection()
+    body = encode(0, b"b" * 10, 10).removesuffix(b"\r\n")
+    conn.dataReceived(body + b"X-A: %s" % (b"a" * 9000))
+    assert conn.factory.buffers.total > 9000
