--- a/src/magnoliaflow/policy/callermemory.py
+++ b/src/magnoliaflow/policy/callermemory.py
@@ -28,8 +28,6 @@
 SMALL_BYTES = 4096
 # Unused part of a buffer that grows: one byte in eight.
 GROWTH_PART = 8
-# A body in progress is kept once, and once more until its engine has read it.
-RUNNING_COPIES = 2
 # Descriptors that the platform reserves for files, and the share of the rest
 # for callers; the engines, the peers and the store need the remainder.
 FILE_DESCRIPTORS = 200
@@ -41,6 +39,10 @@
 # Share of the limit over which one address or one account loses its own work
 # before others do.
 FAIR_SHARE = 0.5
+# A body up to the first length never waits; one up to the second waits only
+# if it would pass the limit itself.
+SMALL_BODY_BYTES = 16 * 1024
+ORDINARY_BODY_BYTES = 64 * 1024
 # Time constant of the decay of progress.
 PROGRESS_S = 2.0
 # Less progress per held byte is none.
@@ -60,7 +62,11 @@
 
 
 def held_bytes(
-    *, incomplete: int, running: int, unparsed: int, unsent: int
+    *,
+    incomplete: int = 0,
+    running: int = 0,
+    unparsed: int = 0,
+    unsent: int = 0,
 ) -> int:
     """Return the memory of a connection for the bytes that it holds.
 
@@ -68,12 +74,12 @@
     of one that an engine may read, 0 if the connection holds none.  What is
     small is bounded by the number of connections.
 
-    >>> held_bytes(incomplete=8000, running=0, unparsed=0, unsent=0)
+    >>> held_bytes(incomplete=8000)
     41768
-    >>> held_bytes(incomplete=0, running=800, unparsed=0, unsent=0)
+    >>> held_bytes(running=800)
     0
     """
-    size = incomplete + incomplete // GROWTH_PART + running * RUNNING_COPIES
+    size = incomplete + incomplete // GROWTH_PART + running
     size += unparsed + unsent
     return size + CONNECTION_BYTES if size > SMALL_BYTES else 0
 
@@ -96,7 +102,8 @@
 
     ``keys`` name its caller's address and account.  ``fixed`` bytes belong
     to a request that an engine may run; they are not dropped.  A ``waiting``
-    holder is not read and cannot progress; it goes after all others.
+    holder is not read and cannot progress; it goes after those that are.
+    ``ran`` holds the answer of a request that must not run again.
     """
 
     size: int
@@ -105,6 +112,12 @@
     moved_at: float
     fixed: bool = False
     waiting: bool = False
+    ran: bool = False
+
+    @property
+    def fixed_bytes(self) -> int:
+        """Return the bytes that are not dropped."""
+        return self.size if self.fixed else 0
 
     def move(self, count: int, now: float) -> None:
         """Count bytes as progress."""
@@ -117,12 +130,35 @@
             return 0.0
         return self.moved * exp((self.moved_at - now) / PROGRESS_S)
 
+    @property
+    def is_last(self) -> bool:
+        """Return whether all others are dropped before this holder.
+
+        It frees next to nothing, or loses work that has been done.
+        """
+        most = ORDINARY_BODY_BYTES if self.ran else SMALL_BYTES
+        return self.size <= most
+
+    def is_stalled(self, since: float) -> bool:
+        """Return whether a holder has stopped and may make room."""
+        if self.waiting or (self.ran and self.is_last):
+            return False
+        return self.moved_at <= since
+
     def pace(self, now: float) -> int:
         """Return the class of progress per held byte, a factor of two each."""
         ratio = self.progress(now) / max(1, self.size)
         return round(log2(max(MIN_PACE, ratio)))
 
 
+@dataclass(slots=True)
+class Promise:
+    """Bytes reserved for the rest of a body, and when it last moved."""
+
+    left: int
+    moved_at: float
+
+
 class CallerMemory:
     """Account of the bytes that a host holds for its callers.
 
@@ -134,12 +170,23 @@
     ['stopped']
     """
 
-    __slots__ = ("by_key", "limit_bytes", "shares", "total")
+    __slots__ = (
+        "by_key",
+        "fixed_by_key",
+        "limit_bytes",
+        "promised",
+        "promises",
+        "shares",
+        "total",
+    )
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.shares: dict[Hashable, Share] = {}
         self.by_key: dict[str, int] = defaultdict(int)
+        self.fixed_by_key: dict[str, int] = defaultdict(int)
+        self.promises: dict[Hashable, Promise] = {}
+        self.promised = 0
         self.total = 0
 
     def put(
@@ -151,6 +198,7 @@
         keys: tuple[str, ...] = (),
         fixed: bool = False,
         waiting: bool = False,
+        ran: bool = False,
     ) -> None:
         """Set the bytes of a holder; growth counts as progress."""
         share = self.shares.get(holder)
@@ -160,12 +208,15 @@
         grown = size - share.size
         if grown > 0:
             share.move(grown, now)
+            self._keep_promise(holder, grown, now)
+        fixed_grown = (size if fixed else 0) - share.fixed_bytes
         share.fixed = fixed
         if share.waiting and not waiting:
             share.moved_at = now
         share.waiting = waiting
+        share.ran = ran
         share.size = size
-        self._add(share, grown)
+        self._add(share, grown, fixed_grown)
 
     def touch(self, holder: Hashable, count: int, now: float) -> None:
         """Count bytes as progress that do not change what is held."""
@@ -177,18 +228,86 @@
         """Forget a holder."""
         share = self.shares.pop(holder, None)
         if share is not None:
-            self._add(share, -share.size)
+            self._add(share, -share.size, -share.fixed_bytes)
 
-    def _add(self, share: Share, size: int) -> None:
+    def _add(self, share: Share, size: int, fixed: int) -> None:
         self.total += size
         for key in share.keys:
-            self.by_key[key] += size
-            if not self.by_key[key]:
-                del self.by_key[key]
+            for sums, change in (
+                (self.by_key, size),
+                (self.fixed_by_key, fixed),
+            ):
+                sums[key] += change
+                if not sums[key]:
+                    del sums[key]
+
+    def promise(self, holder: Hashable, length: int, now: float) -> None:
+        """Reserve room for the rest of a body that is read from now on."""
+        share = self.shares.get(holder)
+        left = max(0, length - share.size) if share else length
+        self.withdraw(holder)
+        self.promises[holder] = Promise(left, now)
+        self.promised += left
+
+    def _keep_promise(self, holder: Hashable, size: int, now: float) -> None:
+        promise = self.promises.get(holder)
+        if promise is not None:
+            used = min(size, promise.left)
+            promise.left -= used
+            promise.moved_at = now
+            self.promised -= used
+
+    def withdraw(self, holder: Hashable) -> None:
+        """Give up the room reserved for a holder."""
+        promise = self.promises.pop(holder, None)
+        if promise is not None:
+            self.promised -= promise.left
+
+    def withdraw_stalled(self, now: float) -> None:
+        """Give up the room reserved for bodies that do not arrive."""
+        for holder, promise in list(self.promises.items()):
+            if now - promise.moved_at >= STALLED_S:
+                self.withdraw(holder)
 
     def is_short(self) -> bool:
-        """Return whether new bodies have to wait."""
-        return self.total > self.limit_bytes * WAIT_SHARE
+        """Return whether new large bodies have to wait."""
+        return self.total + self.promised > self.limit_bytes * WAIT_SHARE
+
+    def must_wait(self, length: int) -> bool:
+        """Return whether a body of at most so many bytes waits.
+
+        >>> memory = CallerMemory(MB); memory.put("streams", 900_000, now=0.0)
+        >>> [memory.must_wait(n) for n in (10_000, 50_000, 80_000)]
+        [False, False, True]
+        """
+        if length <= SMALL_BODY_BYTES:
+            return False
+        if length <= ORDINARY_BODY_BYTES:
+            return self.total + length > self.limit_bytes
+        return self.is_short()
+
+    def may_go_on(self, length: int) -> bool:
+        """Return whether there is room for a body that has waited.
+
+        One body goes on below the mark; others beside it must fit.
+        """
+        if self.must_wait(length):
+            return False
+        if length <= ORDINARY_BODY_BYTES or not self.promised:
+            return True
+        used = self.total + self.promised + length
+        return used <= self.limit_bytes * WAIT_SHARE
+
+    def greedy_keys(self, keys: tuple[str, ...], size: int) -> set[str]:
+        """Return the keys whose running work would pass its share.
+
+        >>> memory = CallerMemory(100)
+        >>> memory.put("a", 40, now=0.0, keys=("key",), fixed=True)
+        >>> memory.greedy_keys(("key",), 9), memory.greedy_keys(("key",), 11)
+        (set(), {'key'})
+        """
+        most = self.limit_bytes * FAIR_SHARE - size
+        return {key for key in keys if self.fixed_by_key.get(key, 0) > most}
 
     def choose(
         self, excess: float, now: float, *, idle_s: float = -inf
@@ -196,22 +315,23 @@
         """Return the holders to evict, in order, to free ``excess`` bytes.
 
         With ``idle_s``, only those that could progress and did not for so
-        many seconds are taken.
+        many seconds are taken, and no answers of ordinary size.
         """
         candidates = [
             (holder, share)
             for holder, share in self.shares.items()
             if not share.fixed
-            and (idle_s == -inf or not share.waiting)
-            and now - share.moved_at >= idle_s
+            and (idle_s == -inf or share.is_stalled(now - idle_s))
         ]
         greedy = self._greedy_key()
         ordered = sorted(
             candidates,
             key=lambda row: (
                 greedy not in row[1].keys,
+                row[1].is_last,
                 row[1].waiting,
                 row[1].pace(now),
+                row[1].ran,
                 -row[1].size,
             ),
         )
--- a/src/magnoliaflow/transport/connection.py
+++ b/src/magnoliaflow/transport/connection.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 import h11
-from twisted.internet.protocol import Protocol
 
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.policy.callermemory import held_bytes
@@ -16,12 +15,13 @@
 from magnoliaflow.transport.limits import LINGER_S
 from magnoliaflow.transport.limits import MAX_EVENTS_PER_TURN
 from magnoliaflow.transport.limits import MAX_PIPELINED_BYTES
-from magnoliaflow.transport.limits import SMALL_BODY_BYTES
+from magnoliaflow.transport.limits import MAX_WAIT_S
+from magnoliaflow.transport.pausable import PausableProtocol
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ServerConnection(Protocol):
+class ServerConnection(PausableProtocol):
     """A caller's connection; one request at a time.
 
     ``pauses`` holds the causes for which it is not read: ``turn`` (others
@@ -29,9 +29,8 @@
     (enough bytes behind the request in progress).
     """
 
-    transport: Any
-
     def __init__(self, factory: Any) -> None:
+        super().__init__()
         self.factory = factory
         self.conn = h11.Connection(
             h11.SERVER,
@@ -40,15 +39,11 @@
         self.current: InboundRequest | None = None
         self.incoming: Any = None
         self.body = BodyBuffer()
-        self.timer: Any = None
         self.reading = False
         self.is_rejected = False
-        self.is_lost = False
         self.is_held = False
         self.is_unread = False
-        self.has_moved = False
         self.keys: tuple[str, ...] = ()
-        self.pauses: set[str] = set()
         self.source: Any = None
         self.unparsed = 0
 
@@ -209,29 +204,18 @@
         """Parse what has arrived behind the last request."""
         if self.is_lost or self.is_rejected or self.current is not None:
             return
+        if self.transport.disconnecting:
+            return
         if self.is_unread:
             self._pause("pipeline")
             return
         if self.unparsed and not self.pauses & {"memory", "turn"}:
             self._begin_reading()
             self._parse()
-        if self.current is None and (
-            self.reading or self.unparsed <= MAX_PIPELINED_BYTES
-        ):
+        is_reading = self.current is None and self.reading
+        if is_reading or self.unparsed <= MAX_PIPELINED_BYTES:
             self._resume("pipeline")
 
-    def _pause(self, cause: str) -> None:
-        if not self.pauses:
-            self.transport.pauseProducing()
-        self.pauses.add(cause)
-
-    def _resume(self, cause: str) -> None:
-        if cause not in self.pauses:
-            return
-        self.pauses.discard(cause)
-        if not (self.pauses or self.is_lost or self.transport.disconnecting):
-            self.transport.resumeProducing()
-
     def _take_turn(self) -> None:
         if self.is_lost or self.is_rejected:
             return
@@ -243,10 +227,16 @@
         """Read a body for which there is room now."""
         if self.is_lost or self.is_rejected:
             return
-        self.has_moved = True
+        self._start_timer(self.factory.limits.idle_timeout_s)
         self._resume("memory")
         self._expect_body()
-        if "turn" not in self.pauses:
+        # A caller that has left is noticed first.
+        reactor.callLater(0, self._parse_waited)
+
+    def _parse_waited(self) -> None:
+        if self.is_lost or self.is_rejected or self.current is not None:
+            return
+        if self.reading and not self.pauses & {"memory", "turn"}:
             self._parse()
 
     def _parse(self) -> None:
@@ -266,7 +256,7 @@
             event = self.conn.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 if self.conn.their_state is h11.SEND_BODY:
-                    self.unparsed = 0
+                    self.unparsed = len(self.conn.trailing_data[0])
                 return
             if isinstance(event, h11.ConnectionClosed):
                 self._close()
@@ -303,15 +293,19 @@
         length = body_length(inbound.headers)
         if not length:
             return True
+        if length < 0:
+            length = limits.max_body_bytes
         account = self.factory.name_account(inbound)
         address = self.keys[0]
         self.keys = (address, f"account {account}") if account else (address,)
         self._release()
         self._start_timer(limits.idle_timeout_s)
-        small = 0 < length <= SMALL_BODY_BYTES
-        if not small and self.factory.buffers.is_short():
+        if self.factory.buffers.must_wait(length):
             self._pause("memory")
-            self.factory.buffers.wait(self, self._resume_body)
+            self._start_timer(min(limits.idle_timeout_s, MAX_WAIT_S))
+            self.factory.buffers.wait(
+                self, length, self.keys, self._resume_body
+            )
             return False
         self._expect_body()
         return True
@@ -324,8 +318,13 @@
         """Hand a complete request to the handler."""
         self._cancel_timer()
         inbound = self.incoming
-        inbound.body = self.body.take()
         self.unparsed = len(self.conn.trailing_data[0])
+        self.factory.buffers.stop_waiting(self)
+        size = held_bytes(running=len(self.body))
+        if self.factory.buffers.crowds_out(self.keys, size):
+            self._reject(503, has_room=False)
+            return
+        inbound.body = self.body.take()
         self.current = inbound
         self.factory.open.set_running(self)
         self.account()
@@ -377,16 +376,6 @@
             self.factory.limits.idle_timeout_s, self.transport.abortConnection
         )
 
-    def _start_timer(self, delay_s: float) -> None:
-        self._cancel_timer()
-        self.has_moved = False
-        self.timer = reactor.callLater(delay_s, self._timed_out)
-
-    def _cancel_timer(self) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.timer = None
-
     def _timed_out(self) -> None:
         self.timer = None
         if not self.reading:
--- a/src/magnoliaflow/transport/memory.py
+++ b/src/magnoliaflow/transport/memory.py
@@ -8,6 +8,7 @@
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.loop import reactor
 from magnoliaflow.policy.callermemory import CallerMemory
+from magnoliaflow.policy.callermemory import ORDINARY_BODY_BYTES
 from magnoliaflow.policy.callermemory import STALLED_S
 from magnoliaflow.policy.callermemory import WAIT_SHARE
 
@@ -40,6 +41,15 @@
     held: int
 
 
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """A body that waits for room; ``length`` is its most bytes."""
+
+    length: int
+    keys: tuple[str, ...]
+    resume: Callable[[], None]
+
+
 class BufferBudget:
     """Buffered bytes by holder.
 
@@ -56,7 +66,13 @@
     20
     """
 
-    __slots__ = ("memory", "on_evicted", "reclaim_timer", "waiting")
+    __slots__ = (
+        "memory",
+        "on_evicted",
+        "reclaim_timer",
+        "resume_call",
+        "waiting",
+    )
 
     def __init__(
         self,
@@ -66,7 +82,8 @@
     ) -> None:
         self.memory = CallerMemory(limit_bytes)
         self.on_evicted = on_evicted
-        self.waiting: dict[Any, Callable[[], None]] = {}
+        self.waiting: dict[Any, Waiter] = {}
+        self.resume_call: Any = None
         self.reclaim_timer: Any = None
 
     @property
@@ -83,9 +100,15 @@
     def limit_bytes(self, value: int) -> None:
         self.memory.limit_bytes = value
 
-    def is_short(self) -> bool:
-        """Return whether new bodies have to wait."""
-        return self.memory.is_short()
+    def must_wait(self, length: int) -> bool:
+        """Return whether a body of at most so many bytes waits.
+
+        A large one waits behind others that do.
+        """
+        is_large = length > ORDINARY_BODY_BYTES
+        return self.memory.must_wait(length) or (
+            is_large and bool(self.waiting)
+        )
 
     def hold(
         self,
@@ -95,11 +118,18 @@
         keys: tuple[str, ...] = (),
         fixed: bool = False,
         waiting: bool = False,
+        ran: bool = False,
     ) -> None:
         """Set the bytes of a holder; evict while there are too many."""
         now = boot_time()
         self.memory.put(
-            holder, size, now=now, keys=keys, fixed=fixed, waiting=waiting
+            holder,
+            size,
+            now=now,
+            keys=keys,
+            fixed=fixed,
+            waiting=waiting,
+            ran=ran,
         )
         excess = self.memory.total - self.memory.limit_bytes
         if excess > 0:
@@ -112,25 +142,60 @@
     def release(self, holder: BufferHolder) -> None:
         """Forget a holder."""
         self.memory.drop(holder)
-        if self.waiting and not self.memory.is_short():
-            reactor.callLater(0, self._resume)
+        if self.waiting and self.resume_call is None:
+            self.resume_call = reactor.callLater(0, self._resume)
+
+    def crowds_out(self, keys: tuple[str, ...], size: int) -> bool:
+        """Return whether a request would take the room of waiting ones.
+
+        Its address or account would hold more than its share for requests
+        that run, while bodies of others wait.
+        """
+        if not (self.waiting and size):
+            return False
+        greedy = self.memory.greedy_keys(keys, size)
+        return bool(greedy) and any(
+            greedy.isdisjoint(waiter.keys) for waiter in self.waiting.values()
+        )
 
-    def wait(self, holder: BufferHolder, resume: Callable[[], None]) -> None:
-        """Call ``resume`` once there is room for a new body."""
-        self.waiting[holder] = resume
+    def wait(
+        self,
+        holder: BufferHolder,
+        length: int,
+        keys: tuple[str, ...],
+        resume: Callable[[], None],
+    ) -> None:
+        """Call ``resume`` once there is room for a body of a length.
+
+        The room is reserved until the body is complete or stalls.
+        """
+        self.waiting[holder] = Waiter(length, keys, resume)
         if self.reclaim_timer is None:
             self.reclaim_timer = reactor.callLater(
                 RECLAIM_INTERVAL_S, self._reclaim
             )
 
     def stop_waiting(self, holder: BufferHolder) -> None:
-        """Forget a holder that waits."""
+        """Forget that a holder waits, and the room reserved for it."""
         self.waiting.pop(holder, None)
+        self.memory.withdraw(holder)
 
     def _resume(self) -> None:
         """Let waiting bodies be read, the oldest first."""
-        while self.waiting and not self.memory.is_short():
-            self.waiting.pop(next(iter(self.waiting)))()
+        self.resume_call = None
+        now = boot_time()
+        self.memory.withdraw_stalled(now)
+        is_full = False
+        for holder, waiter in list(self.waiting.items()):
+            is_large = waiter.length > ORDINARY_BODY_BYTES
+            if is_large and is_full:
+                continue
+            if not self.memory.may_go_on(waiter.length):
+                is_full = is_full or is_large
+                continue
+            del self.waiting[holder]
+            self.memory.promise(holder, waiter.length, now)
+            waiter.resume()
 
     def _reclaim(self) -> None:
         """Evict stalled holders while bodies wait for room."""
@@ -140,7 +205,8 @@
         if self.waiting and excess > 0:
             stalled = self.memory.choose(excess, now, idle_s=STALLED_S)
             self._evict(stalled, now)
-        self._resume()
+        if self.resume_call is None:
+            self._resume()
         if self.waiting:
             self.reclaim_timer = reactor.callLater(
                 RECLAIM_INTERVAL_S, self._reclaim
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -1,7 +1,9 @@
 """Decisions on callers' memory, and the reader of requests under noise."""
 
 from unittest.mock import Mock
+from unittest.mock import patch
 
+import h11
 from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,12 +11,19 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from magnoliaflow.common.eventlog import LogEvent
+from magnoliaflow.entry import callerlog
 from magnoliaflow.policy.callermemory import CallerMemory
+from magnoliaflow.transport import client
+from magnoliaflow.transport.client import Exchange
 from magnoliaflow.transport import connection
 from magnoliaflow.transport.connections import OpenConnections
 from magnoliaflow.transport import inbound
 from magnoliaflow.transport.limits import ServerLimits
 from magnoliaflow.transport import memory
+from magnoliaflow.transport.memory import BufferBudget
+from magnoliaflow.transport.memory import Eviction
+from magnoliaflow.transport import pausable
 from magnoliaflow.transport.server import ServerFactory
 
 LIMIT = 1000
@@ -50,6 +59,20 @@
     assert account.choose(2000, 9.0, idle_s=1.0) == []
 
 
+def test_answers_of_work_that_is_done_outlive_bodies_of_a_crowd(account):
+    account.limit_bytes = 4_000_000
+    for number in range(50):
+        account.put(f"answer {number}", 3000, now=0.0, ran=True)
+    for number in range(20):
+        account.put(number, 900_000, now=9.0)
+    account.put("endless answer", 900_000, now=0.0, ran=True)
+    chosen = account.choose(account.total - account.limit_bytes, 9.5)
+    assert chosen[0] == "endless answer" and len(chosen) == 17
+    assert set(chosen[1:]) < set(range(20))
+    stalled = account.choose(account.total, 11.0, idle_s=1.0)
+    assert len(stalled) == 21
+
+
 @given(
     st.lists(
         st.tuples(
@@ -110,12 +133,12 @@
 @pytest.fixture(scope="module")
 def open_connection():
     """Return a function that opens a connection without a network."""
-    patch = pytest.MonkeyPatch()
+    patches = pytest.MonkeyPatch()
 
     def start():
         clock = Clock()
-        for module in (connection, inbound, memory):
-            patch.setattr(module, "reactor", clock)
+        for module in (connection, inbound, memory, pausable):
+            patches.setattr(module, "reactor", clock)
         seen = []
 
         def answer(request):
@@ -128,7 +151,7 @@
         return conn, clock, seen
 
     yield start
-    patch.undo()
+    patches.undo()
 
 
 def feed(conn, clock, data, size):
@@ -212,3 +235,155 @@
     clock.pump([1.0] * 40)
     assert conn.factory.buffers.total == 0
     assert len(conn.factory.open) == 0 and not conn.factory.connections
+
+
+def test_a_running_body_is_held_once(open_connection):
+    """Its engine gets it in parts, so that no copy of it waits."""
+    conn, _, _ = open_connection()
+    conn.factory.handler = lambda request: None
+    body = b"b" * 3_000_000
+    conn.dataReceived(encode(0, body, 0))
+    assert len(body) < conn.factory.buffers.total < 1.1 * len(body)
+
+    exchange = Exchange(b"POST", b"/", [(b"Host", b"a")], body)
+    exchange.request = h11.Request(
+        method="POST",
+        target="/",
+        headers=[("Host", "a"), ("Content-Length", str(len(body)))],
+    )
+    exchange.listener = Mock()
+    exchange.transport = transport = Transport()
+    with patch.object(client, "set_socket_limits"):
+        exchange.connectionMade()
+    sent = 0
+    while transport.producer is not None or transport.value():
+        assert len(transport.value()) < 150_000
+        sent += transport.value().count(b"b")
+        transport.clear()
+        if transport.producer is not None:
+            transport.producer.resumeProducing()
+    assert sent == len(body) and exchange.conn.our_state is h11.DONE
+
+
+def fill(conn, share):
+    """Hold a share of the limit for requests that run."""
+    budget = conn.factory.buffers
+    budget.hold(Mock(), int(budget.limit_bytes * share), fixed=True)
+
+
+def test_ordinary_bodies_do_not_wait_for_large_ones(open_connection):
+    conn, clock, seen = open_connection()
+    fill(conn, 0.9)
+    feed(conn, clock, encode(0, b"b" * 60_000, 0), 30_000)
+    assert [len(body) for _, body in seen] == [60_000]
+    conn.dataReceived(encode(1, b"b" * 70_000, 0))
+    clock.advance(5.1)
+    answer = conn.transport.value()
+    assert b" 503 " in answer and b"Retry-After: 1\r\n" in answer
+    assert len(seen) == 1
+
+
+def test_one_account_does_not_take_the_room_of_those_that_wait(
+    open_connection,
+):
+    conn, clock, seen = open_connection()
+    budget = conn.factory.buffers
+    budget.hold(
+        Mock(),
+        budget.limit_bytes // 2,
+        keys=("account a", *conn.keys),
+        fixed=True,
+    )
+    data = encode(0, b"b" * 70_000, 0)
+    feed(conn, clock, data, 30_000)
+    assert len(seen) == 1
+    conn.dataReceived(data[:-1])
+    other = Mock()
+    budget.wait(other, budget.limit_bytes, conn.keys, Mock())
+    conn.dataReceived(data[-1:])
+    clock.pump([0.001] * 20)
+    assert len(seen) == 2
+    conn.dataReceived(data[:-1])
+    budget.wait(other, budget.limit_bytes, ("account b",), Mock())
+    conn.dataReceived(data[-1:])
+    assert b" 503 " in conn.transport.value() and len(seen) == 2
+    small, clock, seen = open_connection()
+    small.factory.buffers = budget
+    feed(small, clock, encode(0, b"b" * 500, 0), 600)
+    assert len(seen) == 1
+
+
+def test_no_more_bodies_go_on_than_fit_and_stalled_ones_give_way(
+    open_connection, monkeypatch
+):
+    """Freed room must not be filled by all that wait at once."""
+    now = [0.0]
+    monkeypatch.setattr(memory, "boot_time", lambda: now[0])
+    conn, clock, _ = open_connection()
+    budget = BufferBudget(LIMIT * 1000)
+    full = Mock()
+    budget.hold(full, 900_000, fixed=True)
+    resumed = []
+    bodies = [Mock(name=str(number)) for number in range(6)]
+    for body in bodies:
+        assert budget.must_wait(200_000)
+        budget.wait(body, 200_000, (), lambda body=body: resumed.append(body))
+    budget.release(full)
+    clock.advance(0)
+    assert resumed == bodies[:3]
+    assert budget.must_wait(200_000) and not budget.must_wait(60_000)
+    budget.hold(bodies[0], 150_000)
+    budget.release(bodies[0])
+    budget.stop_waiting(bodies[0])
+    clock.advance(0)
+    assert resumed == bodies[:4]
+    now[0] = 1.1
+    clock.advance(0.6)
+    assert resumed == bodies
+    for body in bodies:
+        budget.stop_waiting(body)
+    assert budget.memory.promised == 0 and not budget.waiting
+
+
+def test_a_crowd_that_is_rejected_writes_a_bounded_log(monkeypatch):
+    now = [5.0]
+    monkeypatch.setattr(callerlog, "boot_time", lambda: now[0])
+    state = Mock()
+    log = callerlog.CallerLog(state)
+    for _ in range(100):
+        log.record_eviction(Eviction("ServerConnection", 9, (), 0.0, 9))
+        log.record_rejection(503)
+    assert state.log.call_count == callerlog.MAX_LINES_PER_S
+    assert state.metrics.refusals.labels().inc.call_count == 100
+    now[0] = 6.0
+    log.record_rejection(413)
+    state.log.assert_called_with(
+        LogEvent.CALL_REJECTED,
+        omitted=200 - callerlog.MAX_LINES_PER_S,
+        status=413,
+    )
+
+
+def test_no_request_is_handed_on_after_the_connection_is_closed(
+    open_connection,
+):
+    """Its answer would be lost, and the work done with it."""
+    conn, clock, _ = open_connection()
+    seen = []
+
+    def answer(request):
+        seen.append(request.target)
+        request.respond(200, [], b"")
+
+    conn.factory.handler = answer
+    conn.dataReceived(encode(0, b"", 0) + encode(1, b"", 0))
+    conn.close_if_idle()
+    clock.advance(1)
+    assert seen == [b"/0"]
+
+
+def test_trailers_are_counted(open_connection):
+    conn, _, _ = open_connection()
+    body = encode(0, b"b" * 10, 10).removesuffix(b"\r\n")
+    conn.dataReceived(body + b"X-A: %s" % (b"a" * 9000))
+    assert conn.factory.buffers.total > 9000
