Give the stub of a roll-out's request a kind of route

A request is counted in its account's usage by the kind of its route since the usage counts were merged; the stub route had none, and the test ended with AttributeError. The check is unchanged.

--- a/tests/test_rollout_attempts.py
+++ b/tests/test_rollout_attempts.py
@@ -23,6 +23,7 @@
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import RolloutStage
+from magnoliaflow.policy.routes import RouteKind
 from magnoliaflow.policy.routing import choose
 from magnoliaflow.policy.routing import find_policy
 from magnoliaflow.policy.routing import RoutingRequest
@@ -62,7 +63,7 @@
     """Return an attempt at the new version's engine."""
     handler = StubHandler(state)
     handler.service = "desk"
-    handler.route = SimpleNamespace(name="look")
+    handler.route = SimpleNamespace(name="look", kind=RouteKind.IDEMPOTENT)
     handler.call = SimpleNamespace(request_id="r1")
     handler.code = Code.ACCEPTED
     handler.attempt = Attempt(handler, state.routing.engines["new"], 10)
