Name the messages of roll-outs after what they hold

Hosts receive decisions and send counts; both were called news, also where one of them was meant. Names, comments and docs only: RolloutDecisions, entry/rolloutmessages.py, counts_age_s. The wire's field numbers are unchanged.

tests/test_rollouts.py, test_rollout_duty.py, test_rollout_fleet.py, test_rollout_attempts.py and test_codec.py pass.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -193,7 +193,7 @@
   1: string host, 2: list<SuspectPart> parts, 3: list<NamedLimit> limits,
   4: optional list<SuspectPart> requests
 }
-struct RolloutNews {
+struct RolloutDecisions {
   1: string host, 2: string identity, 3: list<RolloutStep> steps,
   4: list<double> ages, 5: i64 heard_number
 }
@@ -219,7 +219,7 @@
   14: optional HostNotice host_notice, 15: optional Beat beat,
   16: optional Report report, 17: optional View view,
   18: optional Changes changes, 19: optional UsageCounts usage_counts,
-  20: optional Findings findings, 21: optional RolloutNews rollout_news,
+  20: optional Findings findings, 21: optional RolloutDecisions rollout_decisions,
   22: optional RolloutCounts rollout_counts
 }
 service Peer {
--- a/src/magnoliaflow/cluster/peers.py
+++ b/src/magnoliaflow/cluster/peers.py
@@ -21,7 +21,7 @@
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import RolloutCounts
-from magnoliaflow.common.messages import RolloutNews
+from magnoliaflow.common.messages import RolloutDecisions
 from magnoliaflow.common.messages import View
 from magnoliaflow.common.sockets import release_local_port
 from magnoliaflow.wire import Peer
@@ -30,7 +30,7 @@
 CONNECT_TIMEOUT_S = 1
 MAX_QUEUED_MESSAGES = 20_000
 # Messages that replace an earlier one that still waits for the connection.
-SUPERSEDING = (Beat, Report, View, Findings, RolloutCounts, RolloutNews)
+SUPERSEDING = (Beat, Report, View, Findings, RolloutCounts, RolloutDecisions)
 RETRY_DELAY_S = 0.1
 PROTOCOL = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
 
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -527,7 +527,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RolloutNews:
+class RolloutDecisions:
     """The roll-outs as the sender has them.
 
     ``ages`` are the seconds since each step was confirmed as the newest.
@@ -560,7 +560,7 @@
     """Tallies of a service, and the step that its hosts route by.
 
     ``number`` and ``stage`` are the lowest of the hosts, ``age`` the seconds
-    since the oldest news in them.
+    since the oldest count in them.
     """
 
     backend: str
@@ -607,6 +607,6 @@
     Changes,
     UsageCounts,
     Findings,
-    RolloutNews,
+    RolloutDecisions,
     RolloutCounts,
 ]
--- a/src/magnoliaflow/entry/daemon.py
+++ b/src/magnoliaflow/entry/daemon.py
@@ -52,8 +52,8 @@
 from magnoliaflow.entry import maintenance
 from magnoliaflow.entry.orders import OrderDuty
 from magnoliaflow.entry.reports import ReportSender
-from magnoliaflow.entry.rolloutnews import rollout_details
-from magnoliaflow.entry.rolloutnews import RolloutSender
+from magnoliaflow.entry.rolloutmessages import rollout_details
+from magnoliaflow.entry.rolloutmessages import RolloutSender
 from magnoliaflow.entry.rollouts import RolloutDuty
 from magnoliaflow.entry.signals import SIGNALS
 from magnoliaflow.entry.state import EntryState
@@ -299,7 +299,7 @@
         self._run("reports", self.report_sender.tick, now)
         self._run("usage counts", self.usage_sender.tick, now)
         self._run("findings", self.findings_sender.tick, now)
-        self._run("rollout news", self.rollout_sender.tick, now)
+        self._run("roll-out messages", self.rollout_sender.tick, now)
         self._run("registration", self._register, now)
         self._run("discovery", self._discover_peers, now)
         for _, name, function in ENTRY_SYSTEMS:
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -21,7 +21,7 @@
 from magnoliaflow.common.messages import Message
 from magnoliaflow.common.messages import Report
 from magnoliaflow.common.messages import RolloutCounts
-from magnoliaflow.common.messages import RolloutNews
+from magnoliaflow.common.messages import RolloutDecisions
 from magnoliaflow.common.messages import ServiceLoad
 from magnoliaflow.common.messages import UsageCounts
 from magnoliaflow.common.messages import View
@@ -31,8 +31,8 @@
 from magnoliaflow.entry.reports import handle_report
 from magnoliaflow.entry.reports import handle_view
 from magnoliaflow.entry.reports import OTHERS
-from magnoliaflow.entry.rolloutnews import handle_rollout_counts
-from magnoliaflow.entry.rolloutnews import handle_rollout_news
+from magnoliaflow.entry.rolloutmessages import handle_rollout_counts
+from magnoliaflow.entry.rolloutmessages import handle_rollout_decisions
 from magnoliaflow.entry.state import DUTY_LEASE
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.state import heartbeat_interval
@@ -301,7 +301,7 @@
     Changes: handle_changes,
     Findings: handle_findings,
     RolloutCounts: handle_rollout_counts,
-    RolloutNews: handle_rollout_news,
+    RolloutDecisions: handle_rollout_decisions,
 }
 
 
--- a/src/magnoliaflow/entry/rolloutnews.py
+++ b/src/magnoliaflow/entry/rolloutmessages.py
@@ -17,7 +17,7 @@
 from magnoliaflow.common.messages import HostFact
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.common.messages import RolloutCounts
-from magnoliaflow.common.messages import RolloutNews
+from magnoliaflow.common.messages import RolloutDecisions
 from magnoliaflow.common.records import RolloutStep
 from magnoliaflow.entry.rolloutentries import apply_step
 from magnoliaflow.entry.rolloutentries import learn_order
@@ -28,9 +28,9 @@
 
 # Interval of counts and decisions while an order is in progress and for a
 # time after; decisions go on at the second one, for hosts that start later.
-NEWS_INTERVAL_S = 0.4
+DECISIONS_INTERVAL_S = 0.4
 ENDED_INTERVAL_S = 2.0
-ENDED_NEWS_S = 5.0
+ENDED_DECISIONS_S = 5.0
 # Counts that are older may be of a host that has ended.
 FRESH_S = 2.0
 UNKNOWN_AGE_S = 1e6
@@ -42,7 +42,7 @@
     __slots__ = (
         "links",
         "next_counts_at",
-        "next_news_at",
+        "next_decisions_at",
         "number",
         "sent_change",
         "state",
@@ -53,7 +53,7 @@
         self.links = links
         self.number = 0
         self.next_counts_at = -inf
-        self.next_news_at = -inf
+        self.next_decisions_at = -inf
         self.sent_change = -inf
 
     def tick(self, now: float) -> None:
@@ -66,18 +66,20 @@
             return
         is_recent = self._is_recent(now)
         if is_recent and now >= self.next_counts_at:
-            self.next_counts_at = now + NEWS_INTERVAL_S
+            self.next_counts_at = now + DECISIONS_INTERVAL_S
             self.send_counts(now)
-        if now >= self.next_news_at or book.changed_at > self.sent_change:
+        if now >= self.next_decisions_at or book.changed_at > self.sent_change:
             self.sent_change = book.changed_at
-            self.next_news_at = now + (
-                NEWS_INTERVAL_S if is_recent else ENDED_INTERVAL_S
+            self.next_decisions_at = now + (
+                DECISIONS_INTERVAL_S if is_recent else ENDED_INTERVAL_S
             )
-            self._send_news(now)
+            self._send_decisions(now)
 
     def _is_recent(self, now: float) -> bool:
         book = self.state.rollouts
-        return book.any_in_progress() or now < book.changed_at + ENDED_NEWS_S
+        return (
+            book.any_in_progress() or now < book.changed_at + ENDED_DECISIONS_S
+        )
 
     def send_counts(self, now: float) -> None:
         """Send counts of orders of late towards the lease holder."""
@@ -135,7 +137,7 @@
         known = self.state.view.hosts.get(host)
         return "" if known is None else known.fact.peer_address
 
-    def _send_news(self, now: float) -> None:
+    def _send_decisions(self, now: float) -> None:
         """Send decisions to the hosts that this one serves."""
         state = self.state
         receivers = self._receivers(now)
@@ -148,7 +150,7 @@
             )
             self.links.send(
                 fact.peer_address,
-                RolloutNews(
+                RolloutDecisions(
                     state.host_settings.host,
                     state.identity,
                     steps,
@@ -282,7 +284,9 @@
     )
 
 
-def handle_rollout_news(state: EntryState, news: RolloutNews) -> None:
+def handle_rollout_decisions(
+    state: EntryState, decisions: RolloutDecisions
+) -> None:
     """Take in decisions from another host."""
     if not state.host_settings.judges_rollouts:
         return
@@ -291,11 +295,11 @@
         (
             at
             for number, at in state.rollout_counts_sent
-            if number == news.heard_number
+            if number == decisions.heard_number
         ),
         default=-inf,
     )
-    for step, age in zip(news.steps, news.ages):
+    for step, age in zip(decisions.steps, decisions.ages):
         if not step.stage:
             order = RolloutOrder(step.backend, step.target, 0.0, step.order)
             learn_order(state, order, now - step.elapsed, is_new=True)
--- a/src/magnoliaflow/entry/rollouts.py
+++ b/src/magnoliaflow/entry/rollouts.py
@@ -26,7 +26,7 @@
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry.followers import record_store_failure
 from magnoliaflow.entry.rolloutentries import lost_orders
-from magnoliaflow.entry.rolloutnews import FRESH_S
+from magnoliaflow.entry.rolloutmessages import FRESH_S
 from magnoliaflow.entry.rolloutstatus import StatusWriter
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.rollouts import decode_final
@@ -214,7 +214,7 @@
         plan.decision = decision
         if known.is_withdrawn:
             return plan.withdraw(elapsed_s)
-        tallies, news_age_s, in_force = self._gather(
+        tallies, counts_age_s, in_force = self._gather(
             order.position, known, now
         )
         engines = [
@@ -232,7 +232,7 @@
         made = plan.step(
             elapsed_s,
             tallies,
-            news_age_s=news_age_s,
+            counts_age_s=counts_age_s,
             hosts_in_force=in_force,
             target_engines=target,
             old_engines=old,
@@ -246,7 +246,7 @@
                 number=made.number,
                 shares=dict(made.shares),
                 elapsed_s=round(elapsed_s, 3),
-                news_age_s=round(news_age_s, 3),
+                counts_age_s=round(counts_age_s, 3),
                 engines=[target, old],
                 answers={
                     f"{route}/{'new' if is_target else 'old'}": [
--- a/src/magnoliaflow/policy/rolloutevidence.py
+++ b/src/magnoliaflow/policy/rolloutevidence.py
@@ -16,9 +16,9 @@
 # A slow answer is this many classes above the old version's median: it lasts
 # longer than 2 to 2.5 times its latency.
 SLOW_CLASSES = 4
-# A request that may be younger than the news say is overdue later, by the age
-# of the news, but not later than after as many of them.
-NEWS_AGES = 2.0
+# A request that may be younger than the counts say is overdue later, by their
+# age, but at most by this many times the age.
+COUNT_AGES = 2.0
 STRATUM_S = 0.4
 # The old version's share of bad answers of late weighs as this many answers.
 RATE_ANSWERS = 20.0
@@ -125,13 +125,13 @@
         at_s: float,
         grown: VersionTally,
         slow_class: int,
-        news_age_s: float,
+        counts_age_s: float,
     ) -> tuple[int, int]:
         """Return the growth of (slow answers, answers), with overdue ones."""
         longest_s = class_end_s(slow_class - 1)
         # Hosts report at other times than this is called.
         after_s = max(
-            longest_s, min(longest_s + news_age_s, NEWS_AGES * news_age_s)
+            longest_s, min(longest_s + counts_age_s, COUNT_AGES * counts_age_s)
         )
         overdue = self.overdue(at_s, after_s)
         self.slow += sum(grown.latencies[slow_class:])
@@ -165,7 +165,7 @@
         target: VersionTally,
         old: VersionTally,
         *,
-        news_age_s: float,
+        counts_age_s: float,
         alone: bool,
         uneven: bool,
     ) -> dict[str, Counts]:
@@ -185,10 +185,10 @@
         }
         if self.slow_class is not None:
             target_slow, target_ended = self.target.slow_growth(
-                at_s, target_grown, self.slow_class, news_age_s
+                at_s, target_grown, self.slow_class, counts_age_s
             )
             old_slow, old_ended = self.old.slow_growth(
-                at_s, old_grown, self.slow_class, news_age_s
+                at_s, old_grown, self.slow_class, counts_age_s
             )
             kinds["slow"] = Counts(
                 target_ended, target_slow, old_ended, old_slow
--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -1,8 +1,8 @@
 """Share of a service's new requests that go to another version, over time.
 
 It answers an order to move a service's traffic to a version that may be bad:
-at once, later, under load or on one route only, with news of its answers that
-is seconds old.  The holder of the duty runs one RolloutPlan an order; hosts
+at once, later, under load or on one route only, with counts of its answers
+that are seconds old.  The holder of the duty runs one RolloutPlan an order; hosts
 apply its decisions by share_in_force and sends_to_target.
 
 A bad version may get a part of the service's requests, the exposure budget.
@@ -79,7 +79,7 @@
 COMPLETION_MARGIN_S = 0.8
 # Before all requests go to the target, the share is 0 while the tallies of a
 # live host are older; below the time of a rollback.
-NEWS_LIMIT_S = 3.0
+MAX_COUNTS_AGE_S = 3.0
 # Shares change if they differ by this factor, and not more often than this.
 SHARE_CHANGE = 1.3
 SHARE_INTERVAL_S = 1.0
@@ -199,27 +199,27 @@
         elapsed_s: float,
         tallies: Tallies,
         *,
-        news_age_s: float,
+        counts_age_s: float,
         hosts_in_force: bool,
         target_engines: int,
         old_engines: int,
     ) -> RolloutDecision | None:
         """Return the next decision, None if nothing changes.
 
-        ``news_age_s``: age of the oldest live host's tallies.
+        ``counts_age_s``: age of the oldest live host's tallies.
         ``hosts_in_force``: all live hosts reported that they apply the
         decision.
         """
         if self.stage in ENDED:
             return None
         full = self.stage == RolloutStage.FULL
-        self.traffic.feed(elapsed_s, tallies, news_age_s)
+        self.traffic.feed(elapsed_s, tallies, counts_age_s)
         self.traffic.observe(elapsed_s, self.shares)
-        self._observe_lag(elapsed_s, news_age_s, hosts_in_force)
+        self._observe_lag(elapsed_s, counts_age_s, hosts_in_force)
         self.verdict.feed(
             elapsed_s,
             tallies,
-            news_age_s=news_age_s,
+            counts_age_s=counts_age_s,
             alone=frozenset(
                 route
                 for route, _ in tallies
@@ -239,7 +239,7 @@
             return self._roll_back(elapsed_s, self.verdict.reason)
         if full:
             return self._complete(
-                elapsed_s, news_age_s, hosts_in_force, old_runs, old_engines
+                elapsed_s, counts_age_s, hosts_in_force, old_runs, old_engines
             )
         if self.decision is None and not old_engines and not old_runs:
             return self._decide(
@@ -249,20 +249,20 @@
             return self._decide(
                 elapsed_s, RolloutStage.FULL, {}, "the target serves already"
             )
-        if self.decision is not None and news_age_s > NEWS_LIMIT_S:
-            reason = f"news {news_age_s:.1f} s old"
+        if self.decision is not None and counts_age_s > MAX_COUNTS_AGE_S:
+            reason = f"counts {counts_age_s:.1f} s old"
             if elapsed_s >= self.order.duration_s * (1 + SUSPICION_PART):
                 return self._roll_back(elapsed_s, reason)
             return self._pause(elapsed_s, reason)
-        return self._advance(elapsed_s, news_age_s)
+        return self._advance(elapsed_s, counts_age_s)
 
     def _observe_lag(
-        self, elapsed_s: float, news_age_s: float, hosts_in_force: bool
+        self, elapsed_s: float, counts_age_s: float, hosts_in_force: bool
     ) -> None:
         """Follow the time from a decision to the report of all hosts."""
         largest = MAX_LAG_PART * self.order.duration_s
         if self.decision is None or not self.lag_s:
-            self.lag_s = min(largest, news_age_s + DELIVERY_S)
+            self.lag_s = min(largest, counts_age_s + DELIVERY_S)
         elif not self.in_force:
             self.in_force = hosts_in_force
             taken = elapsed_s - self.decision.elapsed_s
@@ -336,7 +336,7 @@
     def _complete(
         self,
         elapsed_s: float,
-        news_age_s: float,
+        counts_age_s: float,
         hosts_in_force: bool,
         old_runs: bool,
         old_engines: int,
@@ -351,7 +351,7 @@
         if (
             not hosts_in_force
             or old_runs
-            or news_age_s > NEWS_LIMIT_S
+            or counts_age_s > MAX_COUNTS_AGE_S
             or self.verdict.suspected
             and not late
             or elapsed_s < self.order.duration_s - COMPLETION_MARGIN_S
@@ -365,11 +365,11 @@
             f"nothing runs on {old_engines} old engines",
         )
 
-    def _budget(self, elapsed_s: float, news_age_s: float) -> float:
+    def _budget(self, elapsed_s: float, counts_age_s: float) -> float:
         """Return how many requests the target may get until the limit."""
         # The hosts' reports are between new and as old as the oldest.
         expected = self.traffic.expected(
-            elapsed_s - news_age_s / 2, self.order.duration_s
+            elapsed_s - counts_age_s / 2, self.order.duration_s
         )
         return BUDGET_PART * (
             self.limits.exposure_share * expected
@@ -391,11 +391,11 @@
         return canary_shares(rates, weights, rate)
 
     def _advance(
-        self, elapsed_s: float, news_age_s: float
+        self, elapsed_s: float, counts_age_s: float
     ) -> RolloutDecision | None:
         """Return the next decision before all requests go to the target."""
         rates = self.traffic.rates()
-        budget = self._budget(elapsed_s, news_age_s)
+        budget = self._budget(elapsed_s, counts_age_s)
         shares = self._canary(budget)
         if self.decision is None:
             return self._decide(elapsed_s, RolloutStage.CANARY, shares, "new")
--- a/src/magnoliaflow/policy/rollouttallies.py
+++ b/src/magnoliaflow/policy/rollouttallies.py
@@ -1,7 +1,7 @@
 """Counts of requests to two versions, over all hosts.
 
-They answer news that come late and add up in any order; a host that ends takes
-its counts along.
+They arrive late and add up in any order; a host that ends takes its counts
+along.
 """
 
 from dataclasses import dataclass
--- a/src/magnoliaflow/policy/rollouttraffic.py
+++ b/src/magnoliaflow/policy/rollouttraffic.py
@@ -55,12 +55,12 @@
         # All requests until the time limit.
         self.in_time = 0
 
-    def feed(self, at_s: float, tallies: Tallies, news_age_s: float) -> None:
+    def feed(self, at_s: float, tallies: Tallies, counts_age_s: float) -> None:
         for key, tally in tallies.items():
             grown = max(0, tally.sent - self.seen.get(key, 0))
             self.seen[key] = tally.sent
             self.sent[key] = self.sent.get(key, 0) + grown
-        if at_s < news_age_s:
+        if at_s < counts_age_s:
             # Some hosts have not reported since the order.
             return
         self.samples.append((at_s, dict(self.sent)))
--- a/src/magnoliaflow/policy/rolloutverdict.py
+++ b/src/magnoliaflow/policy/rolloutverdict.py
@@ -92,7 +92,7 @@
         at_s: float,
         tallies: Tallies,
         *,
-        news_age_s: float = 0.0,
+        counts_age_s: float = 0.0,
         alone: frozenset[str] = frozenset(),
         uneven: frozenset[str] = frozenset(),
     ) -> None:
@@ -113,7 +113,7 @@
                 at_s,
                 tallies.get((route, True), evidence.target.seen),
                 tallies.get((route, False), evidence.old.seen),
-                news_age_s=news_age_s,
+                counts_age_s=counts_age_s,
                 alone=route in alone,
                 uneven=route in uneven,
             )
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -7024,7 +7024,7 @@
         return not (self == other)
 
 
-class RolloutNews(object):
+class RolloutDecisions(object):
     """
     Attributes:
      - host
@@ -7105,7 +7105,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RolloutNews')
+        oprot.writeStructBegin('RolloutDecisions')
         if self.host is not None:
             oprot.writeFieldBegin('host', TType.STRING, 1)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
@@ -7591,7 +7591,7 @@
      - changes
      - usage_counts
      - findings
-     - rollout_news
+     - rollout_decisions
      - rollout_counts
 
     """
@@ -7617,12 +7617,12 @@
         'changes',
         'usage_counts',
         'findings',
-        'rollout_news',
+        'rollout_decisions',
         'rollout_counts',
     )
 
 
-    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None, report=None, view=None, changes=None, usage_counts=None, findings=None, rollout_news=None, rollout_counts=None,):
+    def __init__(self, heartbeat=None, hold=None, hold_ack=None, extend=None, finish=None, handover=None, stop=None, claim_handover=None, news_request=None, news=None, drop=None, find=None, found=None, host_notice=None, beat=None, report=None, view=None, changes=None, usage_counts=None, findings=None, rollout_decisions=None, rollout_counts=None,):
         self.heartbeat = heartbeat
         self.hold = hold
         self.hold_ack = hold_ack
@@ -7643,7 +7643,7 @@
         self.changes = changes
         self.usage_counts = usage_counts
         self.findings = findings
-        self.rollout_news = rollout_news
+        self.rollout_decisions = rollout_decisions
         self.rollout_counts = rollout_counts
 
     def read(self, iprot):
@@ -7777,8 +7777,8 @@
                     iprot.skip(ftype)
             elif fid == 21:
                 if ftype == TType.STRUCT:
-                    self.rollout_news = RolloutNews()
-                    self.rollout_news.read(iprot)
+                    self.rollout_decisions = RolloutDecisions()
+                    self.rollout_decisions.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 22:
@@ -7877,9 +7877,9 @@
             oprot.writeFieldBegin('findings', TType.STRUCT, 20)
             self.findings.write(oprot)
             oprot.writeFieldEnd()
-        if self.rollout_news is not None:
-            oprot.writeFieldBegin('rollout_news', TType.STRUCT, 21)
-            self.rollout_news.write(oprot)
+        if self.rollout_decisions is not None:
+            oprot.writeFieldBegin('rollout_decisions', TType.STRUCT, 21)
+            self.rollout_decisions.write(oprot)
             oprot.writeFieldEnd()
         if self.rollout_counts is not None:
             oprot.writeFieldBegin('rollout_counts', TType.STRUCT, 22)
@@ -8421,8 +8421,8 @@
     (3, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 3
     (4, TType.LIST, 'requests', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 4
 )
-all_structs.append(RolloutNews)
-RolloutNews.thrift_spec = (
+all_structs.append(RolloutDecisions)
+RolloutDecisions.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'identity', 'UTF8', None, ),  # 2
@@ -8483,7 +8483,7 @@
     (18, TType.STRUCT, 'changes', [Changes, None], None, ),  # 18
     (19, TType.STRUCT, 'usage_counts', [UsageCounts, None], None, ),  # 19
     (20, TType.STRUCT, 'findings', [Findings, None], None, ),  # 20
-    (21, TType.STRUCT, 'rollout_news', [RolloutNews, None], None, ),  # 21
+    (21, TType.STRUCT, 'rollout_decisions', [RolloutDecisions, None], None, ),  # 21
     (22, TType.STRUCT, 'rollout_counts', [RolloutCounts, None], None, ),  # 22
 )
 fix_spec(all_structs)
--- a/tests/rolloutload.py
+++ b/tests/rolloutload.py
@@ -194,7 +194,7 @@
         if tick % PLAN_STEP:
             continue
         sums = known.sum(axis=1).tolist()
-        news_age_s = float(tick - known_tick.min()) * TICK_S
+        counts_age_s = float(tick - known_tick.min()) * TICK_S
         for one, plan in enumerate(plans):
             if plan.stage in ENDED:
                 continue
@@ -225,7 +225,7 @@
             decision = plan.step(
                 now,
                 tallies,
-                news_age_s=news_age_s,
+                counts_age_s=counts_age_s,
                 hosts_in_force=in_force,
                 target_engines=5,
                 old_engines=5,
--- a/tests/test_rollout_duty.py
+++ b/tests/test_rollout_duty.py
@@ -20,18 +20,18 @@
 from magnoliaflow.common.messages import EngineEntry
 from magnoliaflow.common.messages import RolloutCount
 from magnoliaflow.common.messages import RolloutCounts
-from magnoliaflow.common.messages import RolloutNews
+from magnoliaflow.common.messages import RolloutDecisions
 from magnoliaflow.common.records import Record
 from magnoliaflow.common.records import RolloutStep
 from magnoliaflow.entry import duties
 from magnoliaflow.entry.duties import DutyLog
 from magnoliaflow.entry import rolloutentries
 from magnoliaflow.entry.rolloutentries import take_order_entry
-from magnoliaflow.entry import rolloutnews
-from magnoliaflow.entry.rolloutnews import handle_rollout_counts
-from magnoliaflow.entry.rolloutnews import handle_rollout_news
-from magnoliaflow.entry.rolloutnews import make_steps
-from magnoliaflow.entry.rolloutnews import RolloutSender
+from magnoliaflow.entry import rolloutmessages
+from magnoliaflow.entry.rolloutmessages import handle_rollout_counts
+from magnoliaflow.entry.rolloutmessages import handle_rollout_decisions
+from magnoliaflow.entry.rolloutmessages import make_steps
+from magnoliaflow.entry.rolloutmessages import RolloutSender
 from magnoliaflow.entry import rollouts
 from magnoliaflow.entry.rollouts import RolloutDuty
 from magnoliaflow.entry import rolloutstatus
@@ -158,7 +158,7 @@
         duties,
         rollouts,
         rolloutentries,
-        rolloutnews,
+        rolloutmessages,
         rolloutstatus,
     ):
         monkeypatch.setattr(module, "boot_time", clock)
@@ -337,8 +337,8 @@
     other.state.rollout_counts_sent.append((4, clock.now - 1.0))
     book = other.state.rollouts
     for heard, age_s in ((-1, float("inf")), (4, 1.5)):
-        handle_rollout_news(
-            other.state, RolloutNews("e-1", "e-1-a", steps, (0.5,), heard)
+        handle_rollout_decisions(
+            other.state, RolloutDecisions("e-1", "e-1-a", steps, (0.5,), heard)
         )
         assert book.decisions["app"].decision == host.decision
         assert book.age_s("app", clock.now) == pytest.approx(age_s)
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -18,9 +18,9 @@
 from magnoliaflow.entry import reports
 from magnoliaflow.entry.reports import ReportSender
 from magnoliaflow.entry import rolloutentries
-from magnoliaflow.entry import rolloutnews
-from magnoliaflow.entry.rolloutnews import rollout_details
-from magnoliaflow.entry.rolloutnews import RolloutSender
+from magnoliaflow.entry import rolloutmessages
+from magnoliaflow.entry.rolloutmessages import rollout_details
+from magnoliaflow.entry.rolloutmessages import RolloutSender
 from magnoliaflow.entry import rollouts
 from magnoliaflow.policy.rollouts import latency_class
 from magnoliaflow.policy.rollouts import RolloutStage
@@ -160,7 +160,7 @@
         duties,
         rollouts,
         rolloutentries,
-        rolloutnews,
+        rolloutmessages,
         reports,
         heartbeats,
     ):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -14,7 +14,7 @@
 
 from magnoliaflow.policy.likelihoods import tail
 from magnoliaflow.policy.rolloutdecisions import HOLD_S
-from magnoliaflow.policy.rollouts import NEWS_LIMIT_S
+from magnoliaflow.policy.rollouts import MAX_COUNTS_AGE_S
 from magnoliaflow.policy.rollouts import RolloutDecision
 from magnoliaflow.policy.rollouts import RolloutOrder
 from magnoliaflow.policy.rollouts import RolloutPlan
@@ -128,7 +128,7 @@
 
 def step(plan, elapsed_s, tallies=None, **changes):
     state = {
-        "news_age_s": 0.5,
+        "counts_age_s": 0.5,
         "hosts_in_force": True,
         "target_engines": 3,
         "old_engines": 3,
@@ -189,19 +189,19 @@
     assert plan.withdraw(2.0) is None
 
 
-def test_nothing_goes_to_the_target_on_old_news():
+def test_nothing_goes_to_the_target_by_old_counts():
     plan = make_plan(make_decision(RolloutStage.RAMP, (("a", 1.0),)))
-    decision = step(plan, 5.0, news_age_s=NEWS_LIMIT_S + 0.1)
+    decision = step(plan, 5.0, counts_age_s=MAX_COUNTS_AGE_S + 0.1)
     assert (decision.stage, decision.shares) == (RolloutStage.RAMP, ())
     plan = make_plan(make_decision(RolloutStage.FULL))
-    assert step(plan, 12.0, news_age_s=NEWS_LIMIT_S + 0.1) is None
+    assert step(plan, 12.0, counts_age_s=MAX_COUNTS_AGE_S + 0.1) is None
 
 
 def test_a_silent_host_ends_an_order_at_last():
     plan = make_plan(make_decision(RolloutStage.RAMP, (("a", 1.0),)))
-    assert step(plan, 5.0, news_age_s=NEWS_LIMIT_S + 0.1).shares == ()
-    assert step(plan, 17.9, news_age_s=NEWS_LIMIT_S + 0.1) is None
-    decision = step(plan, 18.0, news_age_s=NEWS_LIMIT_S + 0.1)
+    assert step(plan, 5.0, counts_age_s=MAX_COUNTS_AGE_S + 0.1).shares == ()
+    assert step(plan, 17.9, counts_age_s=MAX_COUNTS_AGE_S + 0.1) is None
+    decision = step(plan, 18.0, counts_age_s=MAX_COUNTS_AGE_S + 0.1)
     assert decision.stage == RolloutStage.ROLLED_BACK
 
 
@@ -316,7 +316,7 @@
         elapsed_s=0.0,
         previous=None,
     )
-    # Of the target and of all, by time, for news that come late.
+    # Of the target and of all, by time, for counts that come late.
     history = [(0.0, dict.fromkeys(names, 0.0))]
     now = 0.0
     number = 0
@@ -336,9 +336,9 @@
             assert sum(sent.values()) <= (
                 bound + LIMITS.exposure_tolerance + slack
             )
-        news_age_s = ages_s[index % len(ages_s)]
+        counts_age_s = ages_s[index % len(ages_s)]
         seen_s, seen = max(
-            (item for item in history if item[0] <= now - news_age_s),
+            (item for item in history if item[0] <= now - counts_age_s),
             key=lambda item: item[0],
             default=history[0],
         )
@@ -348,7 +348,7 @@
             old = max(0, int(rate * seen_s) - target)
             tallies[name, True] = make_tally(target, seconds=answer_s)
             tallies[name, False] = make_tally(old, seconds=answer_s)
-        decision = step(plan, now, tallies, news_age_s=news_age_s)
+        decision = step(plan, now, tallies, counts_age_s=counts_age_s)
         if decision is not None:
             assert decision.number == number + 1
             number = decision.number
