Let only streams become repeatable by streamResumption

Cause: Route.repeatable was true for any route that allows resumption, so that a request that may run once was sent again after a broken answer if its route carried the flag (read in the review of second sends; not seen in a play). Change: the flag counts for streams. One docstring is broken at 79 columns. Test: test_only_streams_become_repeatable_by_resumption failed before for a non-idempotent route.

--- a/src/magnoliaflow/policy/rollouts.py
+++ b/src/magnoliaflow/policy/rollouts.py
@@ -2,8 +2,8 @@
 
 It answers an order to move a service's traffic to a version that may be bad:
 at once, later, under load or on one route only, with counts of its answers
-that are seconds old.  The holder of the duty runs one RolloutPlan an order; hosts
-apply its decisions by share_in_force and sends_to_target.
+that are seconds old.  The holder of the duty runs one RolloutPlan an order;
+hosts apply its decisions by share_in_force and sends_to_target.
 
 A bad version may get a part of the service's requests, the exposure budget.
 The plan spends it on a canary share of each route, about as many requests on
--- a/src/magnoliaflow/policy/routes.py
+++ b/src/magnoliaflow/policy/routes.py
@@ -48,7 +48,9 @@
     @property
     def repeatable(self) -> bool:
         """Return whether a request may be executed more than once."""
-        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAM and self.resumable
+        )
 
     def service_for(self, request_id: str) -> str:
         """Return the service of a request, drawn by weight from its id."""
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -11,6 +11,8 @@
 import pytest
 from twisted.internet.defer import succeed
 
+from entrysite import make_config
+from entrysite import make_route
 from magnoliaflow.cli import main
 from magnoliaflow.common.codec import decode_value
 from magnoliaflow.common.codec import encode_value
@@ -328,3 +330,21 @@
     line = f"callers.memoryShare={value}\n"
     with pytest.raises(SettingsError, match="use 0 < share <= 1"):
         decode_host_settings(BOOT_FILE + line)
+
+
+@pytest.mark.parametrize(
+    "kind, resumes, repeatable",
+    [
+        ("idempotent", False, True),
+        ("non_idempotent", True, False),
+        ("streaming", False, False),
+        ("streaming", True, True),
+    ],
+)
+def test_only_streams_become_repeatable_by_resumption(
+    kind, resumes, repeatable
+):
+    """Guards against bookings that run twice because of a stray flag."""
+    route = make_route("r", kind, streamResumption=resumes)
+    document = make_config(1, routes=[route])
+    assert decode_document(document).routes[0].repeatable is repeatable
