--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -79,6 +79,7 @@
         handler.serves_model.return_value = model
         handler.open_attempt = self.open
         handler.state.hedging = hedging
+        handler.state.host_settings.judges_rollouts = False
         handler.state.phase = Phase.SERVING
         handler.state.retry_budgets = {"s": self.budget}
         handler.state.routing.engines = {"e-2": engine}
@@ -93,7 +94,7 @@
             name=name,
             local_running=0,
             peer_running=0,
-            cfg=SimpleNamespace(slots=4),
+            cfg=SimpleNamespace(slots=4, version="v1"),
             slowness=1.0,
             record_slowness=lambda slowness: None,
         )
@@ -150,6 +151,14 @@
 KINDS = [RouteKind.IDEMPOTENT, RouteKind.STREAM]
 
 
+def test_an_engine_of_another_version_is_not_asked(begin):
+    """A roll-out moves no request that began on the other version."""
+    req = begin(RouteKind.STREAM)
+    req.handler.state.routing.engines["e-2"].cfg.version = "v2"
+    assert req.fire("_on_overdue") == 1
+    assert req.opened == []
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_request_that_waits_for_an_engine_is_not_sent_by_the_timer(
     begin, kind
@@ -410,6 +419,7 @@
     req = begin(RouteKind.STREAM)
     handler = req.handler
     handler.state.local_loads = defaultdict(lambda: SimpleNamespace(running=1))
+    handler.usage_counted = False
     handler.forward_events = lambda *args: CallHandler.forward_events(
         handler, *args
     )
@@ -424,7 +434,7 @@
     loser = both["second" if winner == "first" else "first"]
     assert both[winner].on_data(event) == 1
     assert loser.ended and loser.on_data(event) == 0
-    assert handler.count_usage.call_count == 1
+    assert handler.state.usage.add.call_count == 1
 
 
 MAY, NOT_RUN, UNSENT = Failure.MAY_HAVE_RUN, Failure.NOT_RUN, Failure.UNSENT
