--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -20,6 +20,11 @@
 KEY = "key-north-1"
 TENANT = "north"
 NUMBERS = count(1)
+MODEL_ENGINE = {
+    "slots": 64,
+    "kvCapacityTokens": 368854,
+    "models": [{"name": "m"}],
+}
 SETTINGS = """\
 nodeName={name}
 role=entry
@@ -37,7 +42,7 @@
 isBootstrap={bootstrap}
 limits.cpuShare=0.817
 limits.cpuCores=2
-limits.memoryMb=430
+limits.memoryMb={memory_mb}
 limits.fileDescriptors=6150
 heartbeatIntervalMs=1200
 contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota,\
@@ -106,8 +111,10 @@
     return {**fields, **overrides}
 
 
-def config(version, routes, services):
-    """Return an encoded configuration with one tenant."""
+def config(version, routes, services, *, models=(), tenants=None):
+    """Return an encoded configuration; ``models`` are model engines."""
+    if tenants is None:
+        tenants = [{"name": TENANT, "apiKeys": [KEY]}]
     return dumps(
         {
             "version": version,
@@ -116,7 +123,8 @@
                 {
                     "name": name,
                     "healthPath": "/health",
-                    "connectionLimit": 96,
+                    "connectionLimit": 360 if name in models else 96,
+                    **({"engineId": MODEL_ENGINE} if name in models else {}),
                 }
                 for name in services
             ],
@@ -126,7 +134,7 @@
                 "headerTimeoutMs": 3000,
                 "idleTimeoutMs": 15000,
             },
-            "tenants": [{"name": TENANT, "apiKeys": [KEY]}],
+            "tenants": tenants,
         }
     ).encode()
 
@@ -150,7 +158,9 @@
 class Entry:
     """One entry process, which can be started again."""
 
-    def __init__(self, folder, name, *, store, cloud, keep_s=300):
+    def __init__(
+        self, folder, name, *, store, cloud, keep_s=300, memory_mb=430
+    ):
         self.name = name
         self.ports = dict(
             zip(
@@ -163,7 +173,9 @@
             "store": store,
             "cloud": cloud,
             "keep_s": keep_s,
+            "memory_mb": memory_mb,
         }
+        self.memory_mb = memory_mb
         self.path = folder / f"{name}.conf"
         self.log = open(folder / f"{name}.log", "ab")
         self.process = None
@@ -215,6 +227,19 @@
         finally:
             conn.close()
 
+    def resident_mb(self):
+        """Return the resident memory of the process, 0 if it has ended."""
+        try:
+            text = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        sizes = [
+            int(line.split()[1]) / 1024
+            for line in text.splitlines()
+            if line.startswith("VmRSS:")
+        ]
+        return sizes[0] if sizes else 0.0
+
     def kill(self):
         self.process.send_signal(SIGKILL)
         self.process.wait()
@@ -275,7 +300,17 @@
         sleep(0.05)
 
 
-def send(record, entry, method, path, *, body=b"", deadline_ms=3000):
+def send(
+    record,
+    entry,
+    method,
+    path,
+    *,
+    body=b"",
+    deadline_ms=3000,
+    key=KEY,
+    headers=None,
+):
     """Send one request on a new connection; return (id, status, body).
 
     The status is 0 if the connection ended without an answer.
@@ -294,7 +329,8 @@
                 "Host": HOST,
                 "X-Attempt-Id": request,
                 "X-Deadline-Ms": str(deadline_ms),
-                "X-Credential": KEY,
+                "X-Credential": key,
+                **(headers or {}),
             },
         )
         reply = conn.getresponse()
