--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,9 @@
-"""The process that reports usage is killed and starts again.
+"""An engine leaves right after another writer has left large entries.
 
-Two hosts; the store keeps records for 20 s.  The process that holds the duty
-is killed so that it reads the log again in the last second of a usage window.
-The counts of a window that it reported before have expired on the log by
-then, but the window is not too old yet to be reported.
+Two hosts, three engines of one service.  The entry of engine-3 is removed;
+it goes on to serve for the drain timeout and a little longer, then it ends.
+With the disruption, another writer has put unreadable entries of the largest
+size into the list of engines just before.
 """
 
 from os import environ
@@ -13,7 +13,6 @@
 from threading import Thread
 from time import monotonic
 from time import sleep
-from time import time
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -25,76 +24,45 @@
 from standins.deployment import Record  # noqa: E402
 from standins.deployment import route  # noqa: E402
 from standins.deployment import send  # noqa: E402
+from standins.servers import answer_plainly  # noqa: E402
 from standins.servers import Cloud  # noqa: E402
 from standins.servers import Engine  # noqa: E402
+from standins.store import MAX_RECORD_BYTES  # noqa: E402
 from standins.store import Store  # noqa: E402
 
-KEEP_S = 20.0
-WINDOW_S = 5.0
-FIRST_KILL_S = 38.0
-LENGTH_S = 104.0
-# Kills are this far apart at least.
-KILL_GAP_S = 12.0
-# Moment within a window at which the new process shall read the log.
-AIM_S = 4.5
-
-
-class WatchedStore(Store):
-    """Notes when the log of the duties is first read from its beginning."""
-
-    def __init__(self, keep_s):
-        super().__init__(keep_s)
-        self.first_reads = []
-
-    def read(self, name, source, wait_s, limit):
-        if name == "duty" and source == 0:
-            self.first_reads.append(monotonic())
-        return super().read(name, source, wait_s, limit)
-
-
-def conflicting_reports(cloud):
-    """Return the windows with two accepted reports of different counts."""
-    reports = {}
-    for _, path, holder, fence, body in list(cloud.calls):
-        if path != "/usage":
-            continue
-        counts = {k: v for k, v in body["counts"].items() if v}
-        found = reports.setdefault(body["windowNumber"], [])
-        if not any(counts == other for _, _, other in found):
-            found.append((holder, fence, counts))
-    return {
-        window: found for window, found in reports.items() if len(found) > 1
-    }
-
-
-def kill_holder(site, seeds, store, cloud, record, start_s):
-    """Kill the process that reports usage; return its start-up time."""
-    sleep((AIM_S - start_s - time()) % WINDOW_S)
-    calls = [call for call in list(cloud.calls) if call[1] == "/usage"]
-    if not calls:
-        raise CannotRunError("no usage was reported")
-    holder = calls[-1][2]
-    entry = next(entry for entry in site.entries if entry.name == holder)
-    reads = len(store.first_reads)
-    killed_at = monotonic()
-    record("kill", host=holder)
-    entry.kill()
-    entry.start(seeds, bootstrap=False)
-    while len(store.first_reads) == reads:
-        if monotonic() > killed_at + 10.0:
-            raise CannotRunError("the process did not start again")
-        sleep(0.01)
-    at = store.first_reads[reads] - killed_at
-    record("log read again", after_s=round(at, 2), phase=time() % WINDOW_S)
-    return at
+DRAIN_S = 2.0
+# The engine serves for the drain timeout "and a little longer".
+LONGER_S = 1.0
+WORK_S = 0.3
+CLIENTS = 4
+FOREIGN_ENTRIES = 5
+
+
+def work(handler, body):
+    """Work for a while, then answer unless the engine has ended."""
+    sleep(WORK_S)
+    if not handler.server.owner.ended:
+        answer_plainly(handler, body)
+
+
+def write_foreign_entries(store):
+    """Write unreadable entries of the largest size, as one call."""
+    records = []
+    for number in range(FOREIGN_ENTRIES):
+        key = f"other-{number}".encode()
+        value = b"\xff" * (MAX_RECORD_BYTES - 1 - len(key))
+        records.append(bytes((len(key),)) + key + value)
+    store.append("keyed.servers", records)
 
 
 def run(record, trouble):
     """Return whether the rule held."""
-    store = WatchedStore(KEEP_S)
+    store = Store()
     cloud = Cloud(record)
-    for number in (1, 2, 3):
-        Engine(store, f"engine-{number}", "app", record)
+    engines = [
+        Engine(store, f"engine-{number}", "app", record, work=work)
+        for number in (1, 2, 3)
+    ]
     store.put(
         "keyed.op",
         "config",
@@ -102,52 +70,54 @@
     )
     with deployment() as site:
         for name in ("edge-z1-1", "edge-z1-2"):
-            site.add(
-                name,
-                store=store.address,
-                cloud=cloud.address,
-                keep_s=int(KEEP_S),
-            )
-        spawned_at = monotonic()
-        seeds = site.start()
-        start_s = store.first_reads[0] - spawned_at
+            site.add(name, store=store.address, cloud=cloud.address)
+        site.start()
         stop = Event()
-        statuses = []
+        answers = {}
 
         def client(entry):
             while not stop.is_set():
-                statuses.append(send(record, entry, "POST", "/book/x")[1])
-                sleep(0.2)
+                request, status, _ = send(record, entry, "POST", "/book/x")
+                answers[request] = status
+                sleep(0.05)
 
         threads = [
             Thread(target=client, args=(entry,), daemon=True)
             for entry in site.entries
-            for _ in range(2)
+            for _ in range(CLIENTS)
         ]
         for thread in threads:
             thread.start()
-        began = monotonic()
-        sleep(FIRST_KILL_S)
-        kills = 0
-        while (
-            monotonic() < began + LENGTH_S - KILL_GAP_S - WINDOW_S
-            and not conflicting_reports(cloud)
-        ):
-            if trouble:
-                start_s = kill_holder(
-                    site, seeds, store, cloud, record, start_s
-                )
-                kills += 1
-            sleep(KILL_GAP_S)
+        sleep(6.0)
+        leaving = engines[-1]
+        if not leaving.runs:
+            raise CannotRunError("the engine that leaves got no request")
+        if trouble:
+            write_foreign_entries(store)
+            record("foreign entries written", count=FOREIGN_ENTRIES)
+        removed_at = leaving.remove()
+        record("entry removed", engine=leaving.name)
+        sleep(DRAIN_S + LONGER_S)
+        leaving.end()
+        record("engine ended", engine=leaving.name)
+        sleep(2.0)
         stop.set()
-        found = conflicting_reports(cloud)
-        record("result", kills=kills, conflicting=found)
-        windows = {c[4]["windowNumber"] for c in cloud.calls}
-        print(f"{len(statuses)} requests, {statuses.count(200)} served")
-        print(f"{kills} kills, {len(windows)} windows; twice: {found}")
-        if statuses.count(200) < 100 or len(windows) < 8:
+        for thread in threads:
+            thread.join(6.0)
+        late = [
+            (round(at - removed_at, 3), request)
+            for at, request, _, _ in leaving.runs
+            if at > removed_at + DRAIN_S
+        ]
+        cut = [
+            (request, answers.get(request)) for request in set(leaving.cut)
+        ]
+        record("result", late=late, cut_with_status=cut)
+        print(f"{len(answers)} requests; {len(late)} later than {DRAIN_S} s")
+        print(f"cut by the engine's end: {cut}")
+        if len(answers) < 100 or 200 not in answers.values():
             raise CannotRunError("the deployment did not serve")
-        return not found
+        return not late
 
 
 def main():
