--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -5,8 +5,12 @@
 from json import dumps
 from json import loads
 from socket import SHUT_RDWR
+from socket import SO_LINGER
+from socket import SOL_SOCKET
+from struct import pack
 from threading import Event
 from threading import Thread
+from threading import Timer
 from time import monotonic
 from time import sleep
 from time import time
@@ -50,12 +54,14 @@
         self.open.discard(request)
         super().shutdown_request(request)
 
-    def end(self):
+    def end(self, *, reset=False):
         """Stop listening and close every open connection."""
         self.shutdown()
         self.server_close()
         for sock in list(self.open):
             try:
+                if reset:
+                    sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
                 sock.shutdown(SHUT_RDWR)
             except OSError:
                 continue
@@ -105,7 +111,8 @@
         self.store.put("keyed.servers", self.name, dumps(entry).encode())
 
     def _beat(self):
-        while not self.silent.wait(HEARTBEAT_S):
+        silent = self.silent
+        while not silent.wait(HEARTBEAT_S):
             self.write()
 
     def remove(self):
@@ -114,6 +121,26 @@
         self.store.put("keyed.servers", self.name)
         return monotonic()
 
+    def crash(self, back_s):
+        """Exit with all that runs; start again under the same id."""
+        if self.ended:
+            return
+        self.ended = True
+        self.silent.set()
+        self.server.end(reset=True)
+        Timer(back_s, self._restart).start()
+
+    def _restart(self):
+        self.server = _Server(_EngineHandler, self)
+        self.address = self.server.address
+        self.born = int(time() * 1000)
+        self.sequence = 0
+        self.running = 0
+        self.ended = False
+        self.silent = Event()
+        self.write()
+        Thread(target=self._beat, daemon=True).start()
+
     def end(self):
         """Exit: what runs is cut."""
         self.ended = True
