Let the review's scripts end with 2 on a signal or an error

An error in a script counted as a broken rule, and a script that was ended by its time limit left entry processes behind.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -2,24 +2,35 @@
 
 from contextlib import contextmanager
 from http.client import HTTPConnection
+from http.client import HTTPException
 from itertools import count
 from json import dumps
 from os import environ
 from pathlib import Path
+from signal import alarm
+from signal import SIG_IGN
+from signal import SIGALRM
+from signal import SIGHUP
+from signal import SIGINT
 from signal import SIGKILL
+from signal import signal
+from signal import SIGTERM
 from socket import socket
-from subprocess import DEVNULL
 from subprocess import Popen
 from tempfile import TemporaryDirectory
 from threading import Lock
 from time import monotonic
 from time import sleep
+from traceback import format_exc
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "desk.example"
 KEY = "key-north-1"
 TENANT = "north"
 NUMBERS = count(1)
+# A script that has not ended by itself is given up after this time.
+LIMIT_S = 110
+SIGNALS = (SIGALRM, SIGHUP, SIGINT, SIGTERM)
 MODEL_ENGINE = {
     "slots": 64,
     "kvCapacityTokens": 368854,
@@ -291,6 +302,41 @@
     """The case could not run."""
 
 
+def _give_up(signum, frame):
+    """End the case once; what it has started is ended on the way out."""
+    for other in SIGNALS:
+        signal(other, SIG_IGN)
+    raise CannotRunError(f"ended by signal {signum}")
+
+
+def pause(seconds):
+    """Sleep in short steps, between which a signal is handled."""
+    end = monotonic() + seconds
+    while (left := end - monotonic()) > 0:
+        sleep(min(0.2, left))
+
+
+def run_case(run, folder):
+    """Run a case; return its exit status: 0 held, 1 broken, 2 not run.
+
+    ``run`` is called with the record and whether to play the disruption, and
+    returns whether the rule held.
+    """
+    for signum in SIGNALS:
+        signal(signum, _give_up)
+    alarm(LIMIT_S)
+    record = Record(folder / "record.txt")
+    began = monotonic()
+    try:
+        held = run(record, environ.get("TROUBLE", "1") != "0")
+    except Exception as exc:
+        record("cannot run", reason=repr(exc), trace=format_exc())
+        print(f"cannot run: {exc!r}")
+        return 2
+    print(f"rule {'held' if held else 'broken'}, {monotonic() - began:.0f} s")
+    return 0 if held else 1
+
+
 def wait_for(condition, limit_s, reason):
     """Wait for a true value; raise CannotRunError after a time."""
     end = monotonic() + limit_s
@@ -313,7 +359,7 @@
 ):
     """Send one request on a new connection; return (id, status, body).
 
-    The status is 0 if the connection ended without an answer.
+    The status is 0 if the connection ended without a whole answer.
     """
     request = f"r{next(NUMBERS):06d}"
     conn = HTTPConnection(
@@ -335,7 +381,7 @@
         )
         reply = conn.getresponse()
         status, data = reply.status, reply.read()
-    except OSError as exc:
+    except (HTTPException, OSError) as exc:
         status, data = 0, repr(exc).encode()
     finally:
         conn.close()
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -128,7 +128,9 @@
         self.ended = True
         self.silent.set()
         self.server.end(reset=True)
-        Timer(back_s, self._restart).start()
+        timer = Timer(back_s, self._restart)
+        timer.daemon = True
+        timer.start()
 
     def _restart(self):
         self.server = _Server(_EngineHandler, self)
