--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,12 +6,10 @@
 size into the list of engines just before.
 """
 
-from os import environ
 from pathlib import Path
 import sys
 from threading import Event
 from threading import Thread
-from time import monotonic
 from time import sleep
 
 FOLDER = Path(__file__).resolve().parent
@@ -21,8 +19,9 @@
 from standins.deployment import CannotRunError  # noqa: E402
 from standins.deployment import config  # noqa: E402
 from standins.deployment import deployment  # noqa: E402
-from standins.deployment import Record  # noqa: E402
+from standins.deployment import pause  # noqa: E402
 from standins.deployment import route  # noqa: E402
+from standins.deployment import run_case  # noqa: E402
 from standins.deployment import send  # noqa: E402
 from standins.servers import answer_plainly  # noqa: E402
 from standins.servers import Cloud  # noqa: E402
@@ -88,7 +87,7 @@
         ]
         for thread in threads:
             thread.start()
-        sleep(6.0)
+        pause(6.0)
         leaving = engines[-1]
         if not leaving.runs:
             raise CannotRunError("the engine that leaves got no request")
@@ -97,10 +96,10 @@
             record("foreign entries written", count=FOREIGN_ENTRIES)
         removed_at = leaving.remove()
         record("entry removed", engine=leaving.name)
-        sleep(DRAIN_S + LONGER_S)
+        pause(DRAIN_S + LONGER_S)
         leaving.end()
         record("engine ended", engine=leaving.name)
-        sleep(2.0)
+        pause(2.0)
         stop.set()
         for thread in threads:
             thread.join(6.0)
@@ -120,19 +119,5 @@
         return not late
 
 
-def main():
-    trouble = environ.get("TROUBLE", "1") != "0"
-    record = Record(FOLDER / "record.txt")
-    began = monotonic()
-    try:
-        held = run(record, trouble)
-    except (CannotRunError, OSError) as exc:
-        record("cannot run", reason=str(exc))
-        print(f"cannot run: {exc}")
-        return 2
-    print(f"rule {'held' if held else 'broken'}, {monotonic() - began:.0f} s")
-    return 0 if held else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(run, FOLDER))
