--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,8 +23,9 @@
 from standins.deployment import CannotRunError  # noqa: E402
 from standins.deployment import config  # noqa: E402
 from standins.deployment import deployment  # noqa: E402
-from standins.deployment import Record  # noqa: E402
+from standins.deployment import pause  # noqa: E402
 from standins.deployment import route  # noqa: E402
+from standins.deployment import run_case  # noqa: E402
 from standins.deployment import send  # noqa: E402
 from standins.servers import Cloud  # noqa: E402
 from standins.servers import Engine  # noqa: E402
@@ -171,13 +172,13 @@
         ]
         for thread in threads:
             thread.start()
-        sleep(6.0)
+        pause(6.0)
         if trouble:
             for entry in site.entries:
                 Thread(
                     target=deadly_client, args=(entry,), daemon=True
                 ).start()
-        sleep(LENGTH_S - 6.0)
+        pause(LENGTH_S - 6.0)
         stop.set()
         for thread in threads:
             thread.join(8.0)
@@ -201,19 +202,5 @@
         return len(late) <= MOST_SENT
 
 
-def main():
-    trouble = environ.get("TROUBLE", "1") != "0"
-    record = Record(FOLDER / "record.txt")
-    began = monotonic()
-    try:
-        held = run(record, trouble)
-    except (CannotRunError, OSError) as exc:
-        record("cannot run", reason=str(exc))
-        print(f"cannot run: {exc}")
-        return 2
-    print(f"rule {'held' if held else 'broken'}, {monotonic() - began:.0f} s")
-    return 0 if held else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(run, FOLDER))
