Log engines' word that they leave, and the source of configurations

An answer's Server-Leaving is decoded and recorded for the run of the engine that sent it (event 627, magnoliaflow_entry_engines_leaving); nothing acts on it yet. PROFILE_IN_FORCE names the version before, the host it came from and the age of the last confirmation, ENGINE_CHANGED the age of the list of engines.

--- a/src/magnoliaflow/common/eventlog.py
+++ b/src/magnoliaflow/common/eventlog.py
@@ -54,6 +54,7 @@
     ENGINE_ENDED = 624
     USAGE_LEFT_OUT = 625
     CLOCK_CORRECTED = 626
+    ENGINE_LEAVING = 627
     CALL_PLACED = 630
     CALL_ENDED = 631
     CALL_REJECTED = 632
@@ -117,6 +118,7 @@
     LogEvent.ENGINE_ENDED: "Answers broke off; the engine has ended.",
     LogEvent.USAGE_LEFT_OUT: "A window is left out: perhaps it was reported.",
     LogEvent.CLOCK_CORRECTED: "Most clocks showed another time than the own.",
+    LogEvent.ENGINE_LEAVING: "An answer of an engine said that it leaves.",
     LogEvent.CALL_PLACED: "A request was sent to an engine.",
     LogEvent.CALL_ENDED: "A request got its answer or lost its caller.",
     LogEvent.CALL_REJECTED: "Bytes that are no request were refused.",
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -10,6 +10,7 @@
 from magnoliaflow.entry.admission import STALE_CONFIG_RETRY_AFTER_S
 from magnoliaflow.entry.brokenanswers import record_broken_answer
 from magnoliaflow.entry.brokenanswers import record_sound_answer
+from magnoliaflow.entry.departures import record_departure
 from magnoliaflow.entry.enginespeeds import record_first_token
 from magnoliaflow.entry.limits import record_limit
 from magnoliaflow.entry.versions import drop_watch
@@ -171,6 +172,8 @@
             return
         head = decode_engine_head(status, headers)
         record_limit(self.handler.state, self.engine, head.rate_limit)
+        if head.leaving:
+            record_departure(self.handler.state, self.engine, status)
         if head.not_run:
             self._fail(
                 Failure.NOT_RUN,
--- a/src/magnoliaflow/entry/calllog.py
+++ b/src/magnoliaflow/entry/calllog.py
@@ -7,11 +7,9 @@
 from magnoliaflow.common.eventlog import LogEvent
 from magnoliaflow.entry.admission import Refusal
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.updates import MAX_LOGGED_AGE_S
 from magnoliaflow.work.calls import Call
 
-# Upper bound of logged ages: the age is infinite until a first read.
-MAX_LOGGED_AGE_S = 1e6
-
 
 def log_refusal(state: EntryState, call: Call, refusal: Refusal) -> None:
     """Log a request that was not admitted."""
--- a/src/magnoliaflow/entry/entrymetrics.py
+++ b/src/magnoliaflow/entry/entrymetrics.py
@@ -21,6 +21,7 @@
         "config_age",
         "engines",
         "engines_ended",
+        "engines_leaving",
         "engines_limited",
         "faults",
         "first_byte",
@@ -96,6 +97,11 @@
             "Engines that took no connection after an answer had broken off.",
             registry=registry,
         )
+        self.engines_leaving = Counter(
+            "magnoliaflow_entry_engines_leaving",
+            "Runs of engines whose answers said that they leave.",
+            registry=registry,
+        )
         self.parts_held = Gauge(
             "magnoliaflow_entry_parts_held",
             "Parts of prompts that are held back.",
--- a/src/magnoliaflow/entry/heartbeats.py
+++ b/src/magnoliaflow/entry/heartbeats.py
@@ -393,7 +393,9 @@
         except PortError as exc:
             state.log(LogEvent.RECORD_UNREADABLE, reason=str(exc))
             return
-        apply_config(state, route_table, heartbeat.document)
+        apply_config(
+            state, route_table, heartbeat.document, source=heartbeat.host
+        )
         version = route_table.version
     if heartbeat.version == version:
         confirmed = made_after - heartbeat.config_age
--- a/src/magnoliaflow/entry/reports.py
+++ b/src/magnoliaflow/entry/reports.py
@@ -340,7 +340,7 @@
     except PortError as exc:
         state.log(LogEvent.RECORD_UNREADABLE, reason=str(exc))
         return
-    apply_config(state, route_table, changes.document)
+    apply_config(state, route_table, changes.document, source=changes.host)
 
 
 def apply_view(state: EntryState, now: float) -> None:
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -38,6 +38,7 @@
 from magnoliaflow.policy.clockbounds import OffsetBounds
 from magnoliaflow.policy.crashes import CrashJudge
 from magnoliaflow.policy.crashes import Hold
+from magnoliaflow.policy.departures import Departures
 from magnoliaflow.policy.drains import DrainWindow
 from magnoliaflow.policy.drains import LongestDuration
 from magnoliaflow.policy.enginelimits import EngineLimits
@@ -158,6 +159,7 @@
         "config_document",
         "crash_judge",
         "engine_limits",
+        "departures",
         "drain_window",
         "durations",
         "faults",
@@ -284,6 +286,7 @@
         )
         self.probed_engines: set[str] = set()
         self.crash_judge = CrashJudge()
+        self.departures = Departures()
         self.engine_limits = EngineLimits()
         self.limited_engines: set[str] = set()
         self.known_holds: list[Hold] = []
--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -23,12 +23,21 @@
 # Assumed prompt tokens a second of an engine; predictions are corrected by
 # the slowness that its answers show.
 DEFAULT_PREFILL_RATE = 30_000.0
+# Upper bound of logged ages: the age is infinite until a first read.
+MAX_LOGGED_AGE_S = 1e6
 
 
 def apply_config(
-    state: EntryState, route_table: RouteTable, data: bytes
+    state: EntryState,
+    route_table: RouteTable,
+    data: bytes,
+    *,
+    source: str = "store",
 ) -> bool:
-    """Apply a configuration; return False unless it is newer."""
+    """Apply a configuration; return False unless it is newer.
+
+    ``source`` names the host that passed it on.
+    """
     if (
         state.route_table is not None
         and route_table.version <= state.route_table.version
@@ -38,6 +47,7 @@
     is_restart = (
         state.route_table is None and not state.host_settings.first_start
     )
+    previous = state.route_table
     state.route_table = route_table
     state.config_document = data
     state.config_applied_at = now
@@ -52,6 +62,9 @@
     state.log(
         LogEvent.PROFILE_IN_FORCE,
         version=route_table.version,
+        previous=-1 if previous is None else previous.version,
+        confirmed_s=round(min(MAX_LOGGED_AGE_S, state.config_age(now)), 3),
+        source=source,
         routes=len(route_table.routes),
         accounts=len(route_table.accounts),
     )
@@ -115,6 +128,10 @@
         spot=changed.spot,
         era=era_of(offset),
         offset=offset_of(offset),
+        list_age_s=round(
+            min(MAX_LOGGED_AGE_S, boot_time() - state.registry_confirmed_at),
+            3,
+        ),
     )
     restarted = previous is not None and previous.born != changed.born
     engine = state.routing.engines.get(name)
@@ -132,7 +149,9 @@
         return
     if engine is None or engine.leaving_at < inf:
         state.routing.remove(name)
-        state.routing.add(new_engine(_backend_server(state, changed)))
+        state.routing.add(
+            new_engine(_backend_server(state, changed), state.engine_run(name))
+        )
 
 
 def _moved(previous: EngineEntry | None, entry: EngineEntry) -> bool:
--- a/src/magnoliaflow/platform/headers.py
+++ b/src/magnoliaflow/platform/headers.py
@@ -144,6 +144,7 @@
             if header[0] not in DROPPED_RESPONSE_HEADERS
         ],
         rate_limit=_parse_rate(first_values.get(b"server-limit", b"")),
+        leaving=first_values.get(b"server-leaving", b"").strip() == b"1",
     )
 
 
--- a/src/magnoliaflow/policy/engines.py
+++ b/src/magnoliaflow/policy/engines.py
@@ -56,7 +56,8 @@
     between local sends that a limit of the engine allows, 0 without a limit;
     the next send may be at ``next_send_at``.  ``learned_rate`` is the
     learned prefill rate, 0 while none is; ``speed`` is what local answers
-    show of it, ``known_weight`` the weight of all hosts' samples.
+    show of it, ``known_weight`` the weight of all hosts' samples.  ``run``
+    names the run of the engine that these values are of.
     """
 
     cfg: BackendServer
@@ -84,6 +85,7 @@
     learned_rate: float = 0.0
     speed: Evidence = field(default_factory=Evidence)
     known_weight: float = 0.0
+    run: str = ""
 
     @property
     def prefill_rate(self) -> float:
@@ -225,6 +227,6 @@
     return exp(-max(0.0, age_s) / PEER_LOAD_DECAY_S)
 
 
-def new_engine(cfg: BackendServer) -> Engine:
-    """Return the initial state of a backend server."""
-    return Engine(cfg=cfg, limit=float(cfg.slots))
+def new_engine(cfg: BackendServer, run: str = "") -> Engine:
+    """Return the initial state of a run of a backend server."""
+    return Engine(cfg=cfg, limit=float(cfg.slots), run=run or cfg.name)
--- a/src/magnoliaflow/work/calls.py
+++ b/src/magnoliaflow/work/calls.py
@@ -52,7 +52,8 @@
     ``signed`` tells whether the response carries a signature as proof of
     execution, ``not_run`` whether the engine states that it did not
     execute the request.  ``rate_limit`` is the requests a second that the
-    engine takes from all hosts, None for any number.
+    engine takes from all hosts, None for any number.  ``leaving`` tells
+    whether the engine states that it leaves.
     """
 
     status: int
@@ -62,6 +63,7 @@
     is_event_stream: bool
     headers: Headers
     rate_limit: float | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
