--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -55,6 +55,8 @@
     ``framed``, answers have neither a length nor chunks and end with their
     connection.
 
+    Once ``leaving``, all answers say so.
+
     ``weakness`` is what a bad version does to a part of its requests.
     ``received`` holds the time, path and end ("good", "bad") of each request
     that it ran.
@@ -74,6 +76,7 @@
         self.crashing_accounts: frozenset[str] = frozenset()
         self.restart_s = 2.0
         self.rate_limit: float | None = None
+        self.leaving = False
         self.framed = True
         self.arrivals: list[float] = []
         self.weakness = Weakness()
@@ -295,6 +298,8 @@
             self.send_header(name, value)
         if self.engine.rate_limit is not None:
             self.send_header("Server-Limit", f"{self.engine.rate_limit:g}")
+        if self.engine.leaving:
+            self.send_header("Server-Leaving", "1")
         if content_length is not None:
             self.send_header("Content-Length", str(content_length))
         self.end_headers()
--- a/tests/test_entry_followers.py
+++ b/tests/test_entry_followers.py
@@ -1,4 +1,4 @@
-"""Removals that are read after a store outage."""
+"""Readers of the engines' registrations: what is read, and when."""
 
 from dataclasses import replace
 from logging import getLogger
@@ -105,3 +105,53 @@
     apply_registration(state, "m2", entry, 5)
     clock.advance(LAPSED_REMOVAL_DELAY_S)
     assert not state.registry.entries["m2"].gone
+
+
+class EndingStore:
+    """Answers each read with the first record alone, though more follow."""
+
+    def __init__(self, entries):
+        self.entries = entries
+
+    def read(self, topic, offset, *, era):
+        """Return a page that ends before the log does."""
+        return Page(
+            tuple(self.entries[offset : offset + 1]), len(self.entries)
+        )
+
+
+def test_a_removal_behind_an_answer_that_ends_early_is_applied(read_removals):
+    state, _ = read_removals()
+    entries = [Entry(number, f"x{number}", b"?") for number in range(5)]
+    entries += [Entry(5, "m0", None)]
+    follower = RegistrationFollower(state, EndingStore(entries))
+    follower.listings.is_due = False
+    for _ in range(len(entries)):
+        follower._read_once(10.0)
+    assert state.registry.entries["m0"].gone
+
+
+def test_an_answer_that_ends_early_does_not_confirm_the_list(read_removals):
+    state, _ = read_removals()
+    entries = [Entry(number, f"x{number}", b"?") for number in range(6)]
+    follower = RegistrationFollower(state, EndingStore(entries))
+    follower.listings.is_due = False
+    confirmed_at = state.registry_confirmed_at
+    follower._read_once(20.0)
+    assert state.registry_confirmed_at == confirmed_at
+
+
+@pytest.mark.parametrize("drain_s", [1.0, 2.0, 3.0, 4.0])
+@pytest.mark.parametrize("hosts", [4, 26])
+def test_a_list_is_read_before_it_is_as_old_as_the_drain_bound(
+    read_removals, monkeypatch, hosts, drain_s
+):
+    state, _ = read_removals()
+    state.host_settings = replace(state.host_settings, drain_s=drain_s)
+    monkeypatch.setattr(EntryState, "host_count", lambda _: hosts)
+    monkeypatch.setattr(state.view.__class__, "rank", lambda _: hosts - 1)
+    now = 100.0
+    monkeypatch.setattr("magnoliaflow.entry.followers.boot_time", lambda: now)
+    # A read takes up to a quarter of the bound on a slow host.
+    state.registry_confirmed_at = now - 0.75 * drain_s
+    assert RegistrationFollower(state, None)._is_due()
