Send nothing more to engines that have said that they leave

The cause: Server-Leaving was read nowhere, so a host learnt of it from the store's list alone, which some engines never tell and which may be away.

An answer's word is now taken from its head whatever its status or id (a stream's, 500, 503 that did not run, 421 also for other engines at the address), holds for the run of the engine that gave it, and is passed on with the findings. An entry that is written as ready again does not bring the run back; a new start does.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -191,7 +191,7 @@
 struct NamedLimit { 1: string engine, 2: double rate, 3: double age }
 struct Findings {
   1: string host, 2: list<SuspectPart> parts, 3: list<NamedLimit> limits,
-  4: optional list<SuspectPart> requests
+  4: optional list<SuspectPart> requests, 5: optional list<string> departures
 }
 struct RolloutDecisions {
   1: string host, 2: string identity, 3: list<RolloutStep> steps,
--- a/src/magnoliaflow/cluster/registry.py
+++ b/src/magnoliaflow/cluster/registry.py
@@ -98,6 +98,12 @@
         )
         return known.offset if is_copy else max(known.offset, entry.offset)
 
+    def mark_leaving(self, engine_id: str) -> None:
+        """Note that an engine has said itself that it leaves."""
+        self.entries[engine_id] = replace(
+            self.entries[engine_id], leaving=True
+        )
+
     def record_listing(self, end: int) -> None:
         """Record that a full listing up to ``end`` was applied.
 
--- a/src/magnoliaflow/common/messages.py
+++ b/src/magnoliaflow/common/messages.py
@@ -518,12 +518,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Findings:
-    """What a host has found out about prompts and engines, for all hosts."""
+    """What a host has found out about prompts and engines, for all hosts.
+
+    ``departures`` are the runs of engines that have said that they leave.
+    """
 
     host: str
     parts: tuple[SuspectPart, ...]
     limits: tuple[NamedLimit, ...] = ()
     requests: tuple[SuspectPart, ...] = ()
+    departures: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -173,7 +173,12 @@
         head = decode_engine_head(status, headers)
         record_limit(self.handler.state, self.engine, head.rate_limit)
         if head.leaving:
-            record_departure(self.handler.state, self.engine, status)
+            record_departure(
+                self.handler.state,
+                self.engine,
+                status,
+                misdirected=head.misdirected,
+            )
         if head.not_run:
             self._fail(
                 Failure.NOT_RUN,
--- a/src/magnoliaflow/entry/findings.py
+++ b/src/magnoliaflow/entry/findings.py
@@ -12,6 +12,7 @@
 from magnoliaflow.common.messages import NamedLimit
 from magnoliaflow.common.messages import SoundAnswer
 from magnoliaflow.common.messages import SuspectPart
+from magnoliaflow.entry.departures import handle_departures
 from magnoliaflow.entry.limits import apply_limits
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.policy.crashes import EngineEnd
@@ -41,10 +42,18 @@
         state = self.state
         judge, limits = state.crash_judge, state.engine_limits
         known = limits or state.limited_engines
-        if not (judge.knows_any() or known or state.known_holds):
+        departures = state.departures
+        if not (
+            judge.knows_any()
+            or known
+            or state.known_holds
+            or departures.recent(now)
+        ):
             return
         log_changed_holds(state, now)
-        changed_at = max(judge.changed_at, limits.changed_at)
+        changed_at = max(
+            judge.changed_at, limits.changed_at, departures.changed_at
+        )
         count = self.spread.take_round(changed_at, now)
         if not count:
             return
@@ -54,7 +63,12 @@
             apply_limits(state, now)
         findings = make_findings(state, now)
         hosts = state.live_hosts(now)
-        if findings.parts or findings.limits or findings.requests:
+        if (
+            findings.parts
+            or findings.limits
+            or findings.requests
+            or findings.departures
+        ):
             for fact in state.rng.sample(hosts, min(count, len(hosts))):
                 self.links.send(fact.peer_address, findings)
 
@@ -85,6 +99,7 @@
         tuple(item for item in suspects if not is_request(item.part)),
         limits,
         tuple(item for item in suspects if is_request(item.part)),
+        state.departures.recent(now),
     )
 
 
@@ -113,6 +128,7 @@
     ]
     if state.engine_limits.merge(limits, now):
         apply_limits(state, now)
+    handle_departures(state, findings.host, findings.departures)
 
 
 def find_hold(
--- a/src/magnoliaflow/entry/followers.py
+++ b/src/magnoliaflow/entry/followers.py
@@ -54,11 +54,11 @@
 # getting work.
 REGISTRY_READ_INTERVAL_S = 0.35
 # A host reads registrations itself when those from its peers are older than
-# this.  In a large deployment confirmations pass several hosts, first the
-# aggregators.
-MAX_REGISTRY_AGE_S = 1.0
-MAX_AGGREGATOR_REGISTRY_AGE_S = 2.0
-MAX_MEMBER_REGISTRY_AGE_S = 3.0
+# these shares of the time within which a leaving engine must stop getting
+# work.  The rest is for the read, on a slow host.  In a large deployment
+# confirmations pass several hosts, first the aggregators.
+REGISTRY_AGE_SHARE = 0.5
+MEMBER_REGISTRY_AGE_SHARE = 0.7
 # Delay of removals that are read after a store outage: a registration that
 # expired in the outage is renewed at once.
 LAPSED_REMOVAL_DELAY_S = 1.5
@@ -248,7 +248,7 @@
                 continue
             began = boot_time()
             try:
-                yield self._read_once(began)
+                is_complete = yield self._read_once(began)
             except TrimmedError as exc:
                 log_trimmed(self.state, "engines", exc)
                 self.listings.is_due = True
@@ -267,7 +267,8 @@
                 continue
             retry_delay_s = MIN_RETRY_DELAY_S
             record_store_success(self.state)
-            yield _pause(self.state, REGISTRY_READ_INTERVAL_S)
+            if is_complete:
+                yield _pause(self.state, REGISTRY_READ_INTERVAL_S)
 
     def _observe_era(self, now: float) -> None:
         spread_s = self.state.host_count() / LISTINGS_PER_S
@@ -279,18 +280,17 @@
         now = boot_time()
         if self.state.lease_manager.holds(now):
             return True
-        stale_s = MAX_REGISTRY_AGE_S
-        if self.state.uses_groups():
-            stale_s = (
-                MAX_AGGREGATOR_REGISTRY_AGE_S
-                if self.state.view.is_aggregator()
-                else MAX_MEMBER_REGISTRY_AGE_S
-            )
+        share = REGISTRY_AGE_SHARE
+        if self.state.uses_groups() and not self.state.view.is_aggregator():
+            share = MEMBER_REGISTRY_AGE_SHARE
+        stale_s = share * self.state.host_settings.drain_s
         return now - self.state.registry_confirmed_at > stale_s
 
     @inlineCallbacks
     def _read_once(self, began: float) -> Any:
+        """Read once; return whether the log was read to its end."""
         registry = self.state.registry
+        read_to = -1
         if self.listings.is_due:
             page = yield self.store.read_newest(ENGINES_TOPIC)
             log_read_again(self.state, "engines", page)
@@ -301,10 +301,16 @@
             )
             outage = began - self.state.registry_confirmed_at > MIN_OUTAGE_S
             self._apply_page(page, after_outage=outage)
-        registry.advance(make_position(page.era, page.end))
-        self.state.registry_confirmed_at = max(
-            self.state.registry_confirmed_at, began
-        )
+            if page.entries:
+                read_to = page.entries[-1].offset + 1
+        is_complete = not 0 <= read_to < page.end
+        end = page.end if is_complete else read_to
+        registry.advance(make_position(page.era, end))
+        if is_complete:
+            self.state.registry_confirmed_at = max(
+                self.state.registry_confirmed_at, began
+            )
+        return is_complete
 
     def _apply_listing(self, page: Page, began: float) -> None:
         """Apply a listing of all engines."""
--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -92,6 +92,11 @@
     )
 
 
+def run_name(engine: str, born: int) -> str:
+    """Return a name of a run of an engine, the same at all hosts."""
+    return f"{engine}/{born}"
+
+
 def load_age(state: "EntryState") -> float:
     """Return the usual age in seconds of what is known of other hosts."""
     if state.uses_groups():
@@ -507,7 +512,7 @@
     def engine_run(self, name: str) -> str:
         """Return a name of an engine's current run, the same at all hosts."""
         entry = self.registry.entries.get(name)
-        return f"{name}/{0 if entry is None else entry.born}"
+        return run_name(name, 0 if entry is None else entry.born)
 
     def record_fault(self, place: str, exc: BaseException) -> None:
         """Count and log an error after which the process goes on."""
--- a/src/magnoliaflow/entry/updates.py
+++ b/src/magnoliaflow/entry/updates.py
@@ -12,6 +12,7 @@
 from magnoliaflow.common.settings import BackendServer
 from magnoliaflow.entry.capshares import account_limit
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.state import run_name
 from magnoliaflow.policy.caps import Cap
 from magnoliaflow.policy.caps import INITIAL_FILL
 from magnoliaflow.policy.caps import LARGE_REQUEST_SHARE
@@ -112,6 +113,8 @@
     ``offset`` and ``alive`` are as in EngineRegistry.apply.
     """
     previous = state.registry.entries.get(name)
+    if entry is not None and run_name(name, entry.born) in state.departures:
+        entry = replace(entry, leaving=True)
     if entry is not None and not state.host_settings.judges_rollouts:
         entry = replace(entry, version="")
     changed = state.registry.apply(name, entry, offset, alive=alive)
@@ -140,6 +143,9 @@
         engine = None
     if changed.gone:
         state.routing.remove(name)
+        if not changed.born:
+            # The next run cannot be told from this one.
+            state.departures.forget(run_name(name, changed.born))
         return
     if engine is not None and engine.cfg.version != changed.version:
         set_version(state.routing.versions, engine, changed.version)
--- a/src/magnoliaflow/platform/headers.py
+++ b/src/magnoliaflow/platform/headers.py
@@ -145,6 +145,7 @@
         ],
         rate_limit=_parse_rate(first_values.get(b"server-limit", b"")),
         leaving=first_values.get(b"server-leaving", b"").strip() == b"1",
+        misdirected=status == 421,
     )
 
 
--- a/src/magnoliaflow/wire/Peer.py
+++ b/src/magnoliaflow/wire/Peer.py
@@ -190,11 +190,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype376, _size373) = iprot.readListBegin()
-                    for _i377 in range(_size373):
-                        _elem378 = PeerMessage()
-                        _elem378.read(iprot)
-                        self.messages.append(_elem378)
+                    (_etype383, _size380) = iprot.readListBegin()
+                    for _i384 in range(_size380):
+                        _elem385 = PeerMessage()
+                        _elem385.read(iprot)
+                        self.messages.append(_elem385)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -215,8 +215,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter379 in self.messages:
-                iter379.write(oprot)
+            for iter386 in self.messages:
+                iter386.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/src/magnoliaflow/wire/ttypes.py
+++ b/src/magnoliaflow/wire/ttypes.py
@@ -6900,6 +6900,7 @@
      - parts
      - limits
      - requests
+     - departures
 
     """
 
@@ -6908,14 +6909,16 @@
         'parts',
         'limits',
         'requests',
+        'departures',
     )
 
 
-    def __init__(self, host=None, parts=None, limits=None, requests=None,):
+    def __init__(self, host=None, parts=None, limits=None, requests=None, departures=None,):
         self.host = host
         self.parts = parts
         self.limits = limits
         self.requests = requests
+        self.departures = departures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6964,6 +6967,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.departures = []
+                    (_etype338, _size335) = iprot.readListBegin()
+                    for _i339 in range(_size335):
+                        _elem340 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.departures.append(_elem340)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6981,22 +6994,29 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter335 in self.parts:
-                iter335.write(oprot)
+            for iter341 in self.parts:
+                iter341.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter336 in self.limits:
-                iter336.write(oprot)
+            for iter342 in self.limits:
+                iter342.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter337 in self.requests:
-                iter337.write(oprot)
+            for iter343 in self.requests:
+                iter343.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.departures is not None:
+            oprot.writeFieldBegin('departures', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.departures))
+            for iter344 in self.departures:
+                oprot.writeString(iter344.encode('utf-8') if sys.version_info[0] == 2 else iter344)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7073,21 +7093,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype341, _size338) = iprot.readListBegin()
-                    for _i342 in range(_size338):
-                        _elem343 = RolloutStep()
-                        _elem343.read(iprot)
-                        self.steps.append(_elem343)
+                    (_etype348, _size345) = iprot.readListBegin()
+                    for _i349 in range(_size345):
+                        _elem350 = RolloutStep()
+                        _elem350.read(iprot)
+                        self.steps.append(_elem350)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.ages = []
-                    (_etype347, _size344) = iprot.readListBegin()
-                    for _i348 in range(_size344):
-                        _elem349 = iprot.readDouble()
-                        self.ages.append(_elem349)
+                    (_etype354, _size351) = iprot.readListBegin()
+                    for _i355 in range(_size351):
+                        _elem356 = iprot.readDouble()
+                        self.ages.append(_elem356)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7117,15 +7137,15 @@
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter350 in self.steps:
-                iter350.write(oprot)
+            for iter357 in self.steps:
+                iter357.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages is not None:
             oprot.writeFieldBegin('ages', TType.LIST, 4)
             oprot.writeListBegin(TType.DOUBLE, len(self.ages))
-            for iter351 in self.ages:
-                oprot.writeDouble(iter351)
+            for iter358 in self.ages:
+                oprot.writeDouble(iter358)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heard_number is not None:
@@ -7232,10 +7252,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.latencies = []
-                    (_etype355, _size352) = iprot.readListBegin()
-                    for _i356 in range(_size352):
-                        _elem357 = iprot.readI32()
-                        self.latencies.append(_elem357)
+                    (_etype362, _size359) = iprot.readListBegin()
+                    for _i363 in range(_size359):
+                        _elem364 = iprot.readI32()
+                        self.latencies.append(_elem364)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7276,8 +7296,8 @@
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.latencies))
-            for iter358 in self.latencies:
-                oprot.writeI32(iter358)
+            for iter365 in self.latencies:
+                oprot.writeI32(iter365)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7372,11 +7392,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype362, _size359) = iprot.readListBegin()
-                    for _i363 in range(_size359):
-                        _elem364 = RolloutTally()
-                        _elem364.read(iprot)
-                        self.tallies.append(_elem364)
+                    (_etype369, _size366) = iprot.readListBegin()
+                    for _i370 in range(_size366):
+                        _elem371 = RolloutTally()
+                        _elem371.read(iprot)
+                        self.tallies.append(_elem371)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7413,8 +7433,8 @@
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter365 in self.tallies:
-                iter365.write(oprot)
+            for iter372 in self.tallies:
+                iter372.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7502,11 +7522,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype369, _size366) = iprot.readListBegin()
-                    for _i370 in range(_size366):
-                        _elem371 = RolloutCount()
-                        _elem371.read(iprot)
-                        self.counts.append(_elem371)
+                    (_etype376, _size373) = iprot.readListBegin()
+                    for _i377 in range(_size373):
+                        _elem378 = RolloutCount()
+                        _elem378.read(iprot)
+                        self.counts.append(_elem378)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7539,8 +7559,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter372 in self.counts:
-                iter372.write(oprot)
+            for iter379 in self.counts:
+                iter379.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8420,6 +8440,7 @@
     (2, TType.LIST, 'parts', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 2
     (3, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), None, ),  # 3
     (4, TType.LIST, 'requests', (TType.STRUCT, [SuspectPart, None], False), None, ),  # 4
+    (5, TType.LIST, 'departures', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(RolloutDecisions)
 RolloutDecisions.thrift_spec = (
--- a/src/magnoliaflow/work/calls.py
+++ b/src/magnoliaflow/work/calls.py
@@ -53,7 +53,8 @@
     execution, ``not_run`` whether the engine states that it did not
     execute the request.  ``rate_limit`` is the requests a second that the
     engine takes from all hosts, None for any number.  ``leaving`` tells
-    whether the engine states that it leaves.
+    whether the engine states that it leaves, ``misdirected`` whether it is
+    not the expected one.
     """
 
     status: int
@@ -64,6 +65,7 @@
     headers: Headers
     rate_limit: float | None = None
     leaving: bool = False
+    misdirected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -1,5 +1,7 @@
 """Engines that say in their answers that they leave: real processes."""
 
+from contextlib import suppress
+from http.client import HTTPException
 from json import loads
 from time import monotonic
 from time import sleep
@@ -14,6 +16,7 @@
 
 DRAIN_S = 0.5
 SETTINGS = (f"bounds.drainTimeoutMs={DRAIN_S * 1000:.0f}",)
+SERVICES = {"app": ("a1", "a2", "a3"), "llm": ("m1", "m2")}
 # Requests after the bound; an engine in use gets a third of them.
 LATER_REQUESTS = 24
 
@@ -31,21 +34,36 @@
 
 
 def send(site, path, host=0):
-    """Send a request to a host and return its status."""
+    """Send a request to a host; its answer may break off."""
     port = site.entry_ports[host]["frontend"]
-    return send_request(port, "POST" if path.endswith("/s") else "GET", path)[
-        0
-    ]
+    method = "POST" if path.endswith("/s") else "GET"
+    with suppress(OSError, HTTPException):
+        send_request(port, method, path)
 
 
 def send_until_reached(site, engine, path):
-    """Send requests to the first host until one reaches an engine."""
+    """Send requests to the first host until one reaches an engine.
+
+    The other engines of its service are not registered meanwhile.
+    """
+    service, names = next(
+        item
+        for item in SERVICES.items()
+        if engine in map(site.engines.get, item[1])
+    )
+    others = [name for name in names if site.engines[name] is not engine]
+    for name in others:
+        site.store.put("keyed.servers", name, b"")
+
+    count = len(engine.arrivals)
 
     def reached():
         send(site, path)
-        return engine.arrivals
+        return len(engine.arrivals) > count
 
     wait_until(reached, f"a request reaches {engine.engine_id}")
+    for name in others:
+        site.register(name, service)
 
 
 def arrivals_later(site, engine, path, hosts=(0,)):
