--- a/src/magnoliaflow_standins/metadatastore.py
+++ b/src/magnoliaflow_standins/metadatastore.py
@@ -75,17 +75,21 @@
         with self.changed:
             return {name: list(topic) for name, topic in self.topics.items()}
 
-    def go_back(self, copy: dict[str, list[bytes]]) -> None:
+    def go_back(
+        self,
+        copy: dict[str, list[bytes]],
+        rewritten: tuple[str, ...] = REWRITTEN_TOPICS,
+    ) -> None:
         """Go back to a copy and begin an era.
 
-        What the operator and the engines wrote since is written again, the
-        newest record of each key.
+        What was written since to the topics ``rewritten`` is written again at
+        once, the newest record of each key.
         """
         with self.changed:
             lost = {name: self.newest_records(name) for name in self.topics}
             self.topics = {name: list(topic) for name, topic in copy.items()}
             self.first_offsets.clear()
-            for name in REWRITTEN_TOPICS:
+            for name in rewritten:
                 kept = self.newest_records(name)
                 self.topics.setdefault(name, []).extend(
                     record
