--- a/src/magnoliaflow/entry/state.py
+++ b/src/magnoliaflow/entry/state.py
@@ -544,6 +544,11 @@
         entry = self.registry.entries.get(name)
         return run_name(name, 0 if entry is None else entry.born)
 
+    def engine_version(self, name: str) -> str:
+        """Return the software version of an engine, '' if it is not known."""
+        entry = self.registry.entries.get(name)
+        return "" if entry is None else entry.version
+
     def record_fault(self, place: str, exc: BaseException) -> None:
         """Count and log an error after which the process goes on."""
         self.metrics.faults.labels(place).inc()
--- a/src/magnoliaflow/platform/headers.py
+++ b/src/magnoliaflow/platform/headers.py
@@ -93,6 +93,7 @@
             header for header in inbound.headers if header[0] not in dropped
         ],
         body=inbound.body,
+        resumes=text(b"resumes"),
     )
 
 
--- a/src/magnoliaflow/work/calls.py
+++ b/src/magnoliaflow/work/calls.py
@@ -11,7 +11,9 @@
 
     ``parts`` holds the shared parts of the prompt as (id, tokens).
     ``has_token_counts`` tells whether the caller stated its tokens.
-    ``headers`` holds the headers to forward.
+    ``headers`` holds the headers to forward.  A stream that is taken up goes
+    on after the event ``resume_after``; ``resumes`` is the id of the request
+    that brought its first event.
     """
 
     request_id: str
@@ -28,6 +30,7 @@
     target: bytes
     headers: Headers
     body: bytes
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
