Show streams that are joined of two software versions (ORDER)

Real processes: two hosts, two engines of each of two versions, 32 streams of 30 events that name their version, clients that take a stream up with Resumes and Last-Event-Id until it is whole.

--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -55,7 +55,9 @@
     ``framed``, answers have neither a length nor chunks and end with their
     connection.
 
-    Once ``leaving``, all answers say so.
+    Once ``leaving``, all answers say so.  Events name the ``version`` of the
+    engine's software, if it has one.  ``cut_first`` cuts each stream that does
+    not go on from an earlier one, after two events.
 
     ``weakness`` is what a bad version does to a part of its requests.
     ``received`` holds the time, path and end ("good", "bad") of each request
@@ -77,6 +79,8 @@
         self.restart_s = 2.0
         self.rate_limit: float | None = None
         self.leaving = False
+        self.version = ""
+        self.cut_first = False
         self.framed = True
         self.arrivals: list[float] = []
         self.weakness = Weakness()
@@ -138,6 +142,11 @@
         """Return the seconds before a request's answer or next event."""
         return self.pause_s
 
+    def event(self, number: int) -> bytes:
+        """Return an event of a stream."""
+        text = f"t{number} {self.version}".rstrip()
+        return b"id: %d\ndata: %s\n\n" % (number, text.encode())
+
     def take_fault(self) -> str:
         """Return the fault of the next request, '' for none."""
         if self.fault_count == 0:
@@ -262,11 +271,12 @@
         for number in range(start, self.engine.event_count):
             if self._client_leaves():
                 raise ConnectionResetError
-            if fault == "cut" and number == start + 2:
+            cut = fault == "cut" or (self.engine.cut_first and not start)
+            if cut and number == start + 2:
                 self._chunk(b"id: %d\nda" % number)
                 self.close_connection = True
                 return
-            self._chunk(b"id: %d\ndata: t%d\n\n" % (number, number))
+            self._chunk(self.engine.event(number))
         if self.engine.framed:
             self._chunk(b"")
         else:
