Record streams when they are sent, so that those cut young go on too

A host now records a stream when it sends it to an engine, mostly before its first event, and looks for work in each tick. While a service is mixed, a stream that was recorded is sent again to the same version only, as the record may outlive the host.

--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -13,6 +13,7 @@
 from magnoliaflow.entry.departures import record_departure
 from magnoliaflow.entry.enginespeeds import record_first_token
 from magnoliaflow.entry.limits import record_limit
+from magnoliaflow.entry.streamorigins import record_send
 from magnoliaflow.entry.versions import drop_watch
 from magnoliaflow.entry.versions import end_watch
 from magnoliaflow.entry.versions import may_send_to
@@ -151,6 +152,7 @@
         self.sent = True
         self.opened_at = boot_time()
         send_watch(self)
+        record_send(self.handler, self.engine.cfg.version)
         self.handler.attempts_sent += 1
         self.handler.earn_retry()
 
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -35,8 +35,8 @@
 from magnoliaflow.entry.retries import may_retry
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.entry.streamorigins import choose_service
+from magnoliaflow.entry.streamorigins import hold_stream
 from magnoliaflow.entry.streamorigins import is_taken_up
-from magnoliaflow.entry.streamorigins import record_stream
 from magnoliaflow.entry.versions import find_sides
 from magnoliaflow.platform.headers import decode_call
 from magnoliaflow.platform.headers import json_answer_headers
@@ -490,7 +490,7 @@
             assert attempt.head is not None
             self.response_started = True
             self.first_byte_at = boot_time()
-            record_stream(self, attempt.engine.cfg.version)
+            hold_stream(self, attempt.engine.cfg.version)
             self.inbound.begin(attempt.head.status, attempt.head.headers)
         attempt.throttle_by(self.inbound)
         self.inbound.send(b"".join(blocks))
--- a/src/magnoliaflow/entry/streamorigins.py
+++ b/src/magnoliaflow/entry/streamorigins.py
@@ -72,16 +72,38 @@
     return route.service_for(stream_id(handler))
 
 
-def record_stream(handler: Any, version: str) -> None:
-    """Hold a stream to the version of its first event, and record it."""
+def record_send(handler: Any, version: str) -> None:
+    """Record the engine of a stream that may be taken up.
+
+    The record is in the store before the first event, or soon after it.
+    """
     route = handler.route
-    if route.kind is not RouteKind.STREAM:
-        return
-    handler.origin = Origin(handler.service, version)
-    if route.resumable:
-        handler.state.origins.record(
-            stream_id(handler), handler.origin, boot_time()
-        )
+    if route.kind is RouteKind.STREAM and route.resumable:
+        origin = Origin(handler.service, version)
+        handler.state.origins.record(stream_id(handler), origin, boot_time())
+
+
+def hold_stream(handler: Any, version: str) -> None:
+    """Hold a stream to the version that has written its first event."""
+    if handler.route.kind is RouteKind.STREAM:
+        handler.origin = Origin(handler.service, version)
+
+
+def find_origin(handler: Any) -> Origin | None:
+    """Return where a stream has to go on or to be sent again, if anywhere."""
+    if handler.origin is not None:
+        return handler.origin  # type: ignore[no-any-return]
+    route = handler.route
+    if not (
+        handler.attempts_sent
+        and route.kind is RouteKind.STREAM
+        and route.resumable
+    ):
+        return None
+    origins = handler.state.origins
+    return origins.sent_to(  # type: ignore[no-any-return]
+        stream_id(handler), boot_time()
+    )
 
 
 class OriginLog:
@@ -97,6 +119,7 @@
         "next_observation_at",
         "next_record_at",
         "offset",
+        "retry_at",
         "state",
         "store",
         "waiting",
@@ -112,6 +135,7 @@
         self.next_observation_at = 0.0
         self.next_naming_at = 0.0
         self.next_record_at = 0.0
+        self.retry_at = 0.0
         self.waiting: list[tuple[Any, float]] = []
         self._route_table: Any = None
         self._backends: tuple[str, ...] = ()
@@ -120,16 +144,19 @@
         """Observe the versions and write what is due."""
         if self.state.store_era > self.era:
             self._begin_era()
-        if now < self.next_observation_at:
-            return
-        self.next_observation_at = now + OBSERVE_INTERVAL_S
+        if now >= self.next_observation_at:
+            self.next_observation_at = now + OBSERVE_INTERVAL_S
+            self._observe(now)
+        if not self.is_writing and now >= self.retry_at:
+            self._write_due(now)
+
+    def _observe(self, now: float) -> None:
+        """Note the versions that have engines now."""
         origins = self.state.origins
         for backend in self.backends():
             present = self.state.routing.versions.get(backend, {})
             origins.observe(backend, present, now)
         origins.expire(now)
-        if not self.is_writing:
-            self._write_due(now)
 
     def backends(self) -> tuple[str, ...]:
         """Return the services whose streams may be taken up."""
@@ -180,7 +207,7 @@
         except PortError as exc:
             self.state.metrics.stream_records.labels("failed").inc()
             record_store_failure(self.state, "stream records", exc)
-            self.next_observation_at = boot_time() + RETRY_DELAY_S
+            self.retry_at = boot_time() + RETRY_DELAY_S
         else:
             record_store_success(self.state)
             self.state.metrics.stream_records.labels("written").inc()
--- a/src/magnoliaflow/entry/versions.py
+++ b/src/magnoliaflow/entry/versions.py
@@ -7,6 +7,7 @@
 from magnoliaflow.common.clocks import boot_time
 from magnoliaflow.common.codes import Code
 from magnoliaflow.entry.state import EntryState
+from magnoliaflow.entry.streamorigins import find_origin
 from magnoliaflow.policy.rollouts import latency_class
 from magnoliaflow.policy.routes import RouteKind
 
@@ -17,7 +18,7 @@
     A stream that has begun is held to the version that began it.
     """
     state: EntryState = handler.state
-    origin = handler.origin
+    origin = find_origin(handler)
     if not state.host_settings.judges_rollouts:
         if origin is not None:
             return ((origin.version,),)
--- a/src/magnoliaflow/policy/streamorigins.py
+++ b/src/magnoliaflow/policy/streamorigins.py
@@ -139,9 +139,23 @@
             (safe if is_safe else unsafe).append(version)
         return tuple(filter(None, (tuple(safe), tuple(unsafe))))
 
+    def sent_to(self, stream_id: str, now: float) -> Origin | None:
+        """Return where this host has sent a stream, None if any will do.
+
+        While a service is mixed, a record that names the engine's version may
+        be in the store, and no other may write the first event.
+        """
+        own = self.own.get(stream_digest(stream_id))
+        if own is None or not self.is_mixed(own.origin.backend, now):
+            return None
+        return own.origin
+
     def record(self, stream_id: str, origin: Origin, now: float) -> None:
-        """Record that a stream has begun at this host, or goes on here."""
+        """Record where this host has sent a stream."""
         digest = stream_digest(stream_id)
+        known = self.own.get(digest)
+        if known is not None and known.origin == origin:
+            return
         stream = OwnStream(origin, now)
         for streams in (self.own, self.unsaved):
             streams[digest] = stream
@@ -211,6 +225,8 @@
         names and, ``with_versions``, all that have engines.
         """
         mixed = {name for name in backends if self.is_mixed(name, now)}
+        if not mixed and not with_versions:
+            return ()
         origins = set(
             chain.from_iterable(self.unnamed(name, now) for name in mixed)
         )
--- a/tests/test_entry_attempts.py
+++ b/tests/test_entry_attempts.py
@@ -46,7 +46,7 @@
         self.attempts_sent = 0
         self.usage_counted = False
         self.account = SimpleNamespace(name="a1")
-        self.route = SimpleNamespace(kind=RouteKind.STREAM)
+        self.route = SimpleNamespace(kind=RouteKind.STREAM, resumable=False)
         self.failures = []
 
     def route_stands(self):
--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -225,6 +225,7 @@
     handler = req.handler
     handler.origin = None
     handler.state.origins.sides.return_value = ()
+    handler.state.origins.sent_to.return_value = None
     handler.state.is_config_fresh.return_value = False
     handler.may_send = lambda: CallHandler.may_send(handler)
     monkeypatch.setattr(attempts, "first_token_s", lambda *args: 0.01)
