Show answers that belong to no request being taken for one

An engine that ran a request and then wrote the refusal of another one: the caller of a non-idempotent request was told 503, not run (REFUSED). An engine that answers with something else than the rest of a stream: 204 ended the stream as complete, events without an id of theirs and text that named no request became a part of it (ORDER, MIXED), and 302, 404, 500 and 503 let it hang until its deadline.

--- a/src/magnoliaflow_standins/batchengine.py
+++ b/src/magnoliaflow_standins/batchengine.py
@@ -43,7 +43,12 @@
     ``fault`` applies to the next ``fault_count`` requests: ``shed`` (not
     run), ``lost`` (run, no answer), ``cut`` (run, answer truncated),
     ``failed`` (run, status 500), ``stranger`` (another attempt's id),
-    ``unsigned`` (no signature).
+    ``unsigned`` (no signature), ``old refusal`` (run, then another attempt's
+    refusal).
+
+    ``resumed_answer`` is what is sent in place of the rest of a stream: a
+    status, ``text`` (200, plain), ``unsigned`` or ``unnamed`` (events without
+    a signature or an id of the request), ``half`` (a part of a head).
 
     A request whose prompt has a part of ``crashing_parts``, other than the
     last, ends the engine when it begins to write the answer; it is back after
@@ -81,6 +86,7 @@
         self.leaving = False
         self.version = ""
         self.cut_first = False
+        self.resumed_answer = ""
         self.framed = True
         self.arrivals: list[float] = []
         self.weakness = Weakness()
@@ -206,6 +212,10 @@
         if fault == "lost":
             self.close_connection = True
             return
+        if fault == "old refusal":
+            headers = [("X-Not-Executed", "1"), ("X-Attempt-Id", "other")]
+            self._send_headers(503, headers, 0)
+            return
         account = self.headers.get("X-Tenant", "")
         if engine.crashes_under(account, body):
             sleep(CRASH_DELAY_S)
@@ -256,6 +266,9 @@
 
     def _stream(self, fault: str) -> None:
         start = int(self.headers.get("Last-Event-Id") or -1) + 1
+        if start and self.engine.resumed_answer:
+            self._send_in_place(self.engine.resumed_answer, start)
+            return
         headers = [
             *self._signature_headers(fault),
             ("Content-Type", "text/event-stream"),
@@ -282,6 +295,26 @@
         else:
             self.close_connection = True
 
+    def _send_in_place(self, answer: str, start: int) -> None:
+        """Send something else than the rest of a stream."""
+        self.close_connection = True
+        if answer == "half":
+            self.wfile.write(b"HTTP/1.1 200 OK\r\nX-Foreign: for")
+            return
+        is_stream = answer in ("unsigned", "unnamed")
+        body = b"id: %d\n" % start if is_stream else b""
+        body += b"data: foreign\n\n"
+        kind = "text/event-stream" if is_stream else "text/plain"
+        headers = self._signature_headers(answer)
+        if answer == "unnamed":
+            headers = headers[1:]
+        status = int(answer) if answer.isdigit() else 200
+        if status == 204:
+            body = b""
+        headers.append(("Content-Type", kind))
+        self._send_headers(status, headers, len(body))
+        self.wfile.write(body)
+
     def _chunk(self, data: bytes) -> None:
         if not self.engine.framed:
             self.wfile.write(data)
