Believe a refusal only if it names the request or none

A caller was told 503, not run, for a non-idempotent request that an engine had run, when the engine wrote the refusal of another request (REFUSED); an idempotent one was sent to a second engine without need. on_head looked at X-Not-Executed before it looked at the id. The id comes first now: an answer with another one may have run. A refusal written once more on a kept connection cannot happen here: each exchange has a connection of its own (transport/client.py), nothing is read from it before the request was written, and what follows a complete answer is dropped with it. These are the only places where not run is believed (NOT_RUN in entry/attempts.py, NotSentError in transport/client.py).

--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -182,12 +182,6 @@
                 status,
                 misdirected=head.misdirected,
             )
-        if head.not_run:
-            self._fail(
-                Failure.NOT_RUN,
-                f"engine answered {status} without running the request",
-            )
-            return
         if head.request_id and head.request_id != self.handler.call.request_id:
             self._fail(
                 Failure.MAY_HAVE_RUN,
@@ -195,6 +189,12 @@
                 engine_fault=True,
             )
             return
+        if head.not_run:
+            self._fail(
+                Failure.NOT_RUN,
+                f"engine answered {status} without running the request",
+            )
+            return
         if 200 <= status < 300 and not head.signed:
             self._fail(
                 Failure.MAY_HAVE_RUN,
