Cut a stream whose rest is answered by something else

The cause: an answer's status, kind and id were only looked at for the first answer.

Behind the first event only status 200, an event stream and the request's own id continue a stream; anything else is a failed attempt, after which the stream is cut at once.

--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -202,11 +202,26 @@
                 engine_fault=True,
             )
             return
+        if self.handler.response_started and not self._is_continuation(head):
+            self._fail(
+                Failure.MAY_HAVE_RUN,
+                f"answer of status {status} is not the rest of the stream",
+                engine_fault=True,
+            )
+            return
         self.head = head
         streams = self.handler.route.kind is RouteKind.STREAM
         if streams and 200 <= status < 300:
             self.splitter = EventSplitter()
 
+    def _is_continuation(self, head: EngineResponseHead) -> bool:
+        """Return whether an answer is the rest of a stream."""
+        return (
+            head.status == 200
+            and head.is_event_stream
+            and head.request_id == self.handler.call.request_id
+        )
+
     def on_data(self, data: bytes) -> int:
         """Forward complete events and return their number.
 
