Play leaving engines and two software versions in the soak

Engines say that they leave and start again as a new run, model engines are of two versions, callers take up streams that break off once, engines write the refusal of another request and answer with errors in place of the rest of a stream. Checked: a stream is whole and of one version.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,8 @@
 import pytest
 
 from magnoliaflow_standins.cloudapi import DutyCall
+from soak import Client
+from soak import EVENT_COUNT
 from soak import MAX_ENDS
 from soak import Observations
 from soak import run_seed
@@ -22,6 +24,7 @@
     soak.deployment = SimpleNamespace(
         executed_ids=lambda: soak.log, engines={}
     )
+    soak.returns = Counter()
     soak.log = []
     soak.revoked_at = 100.0
     return soak
@@ -50,6 +53,18 @@
     soak.log.append("a")
 
 
+def joined_stream(soak):
+    client = object.__new__(Client)
+    client.soak = soak
+    client.check_stream(
+        "a",
+        b"".join(
+            b"id: %d\ndata: t%d v%d\n\n" % (number, number, 1 + number // 2)
+            for number in range(EVENT_COUNT)
+        ),
+    )
+
+
 def duty_call(fence, window, count):
     body = {"windowNumber": window, "counts": {"north": count}}
     return DutyCall(0.0, "/usage", "h", fence, body)
@@ -76,6 +91,7 @@
         older_fence,
         two_reports,
         many_ends,
+        joined_stream,
     ],
     ids=lambda function: function.__name__,
 )
--- a/tools/entrysite.py
+++ b/tools/entrysite.py
@@ -132,7 +132,7 @@
             self.engines[name].close()
         engine = BatchEngine(name)
         engine.on_restart = lambda: self.register(
-            name, service, born=FIRST_BORN + engine.ends
+            name, service, **overrides | {"born": FIRST_BORN + engine.ends}
         )
         self.engines[name] = engine
         self.register(name, service, **overrides)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,9 +3,11 @@
 Each seed draws overlapping faults: processes that are stopped, killed,
 paused and restarted; links to the store that delay, reset, drop all bytes
 or carry one direction only; a store that is down, loses replies or goes back
-to a copy; an API that is down; faulty engines, and engines that end under a
-part of a prompt or under a request that comes again.  The observations of
-callers and engines are checked against the delivery guarantees.
+to a copy; an API that is down; faulty engines, engines that say that they
+leave and start again, and engines that end under a part of a prompt or under a
+request that comes again.  Model engines are of two software versions, and
+callers take up streams that break off.  The observations of callers and
+engines are checked against the delivery guarantees.
 """
 
 from argparse import ArgumentParser
@@ -13,6 +15,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from http.client import HTTPConnection
 from http.client import HTTPException
+from http.client import IncompleteRead
 from json import dumps
 from pathlib import Path
 from random import Random
@@ -29,6 +32,7 @@
 from time import sleep
 
 from entrysite import Deployment
+from entrysite import FIRST_BORN
 from entrysite import HOST
 from entrysite import make_config
 from magnoliaflow_standins.cloudapi import CloudApi
@@ -46,6 +50,8 @@
 CRASHING_PART = "c0de"
 CRASHING_BODY = b"crash"
 CRASHING_PATH = "/look/again"
+VERSIONS = {"m1": "v1", "m2": "v1", "m3": "v2", "m4": "v2"}
+EVENT_COUNT = 4
 PATHS = (
     ("POST", "/book/x", False),
     ("GET", "/look/x", True),
@@ -117,6 +123,12 @@
             self.conn.request(method, path, body=body, headers=request_headers)
             reply = self.conn.getresponse()
             data = reply.read()
+        except IncompleteRead as exc:
+            self.conn = None
+            observed.status[request_id] = 0
+            if path.startswith("/draft"):
+                self.take_up(request_id, exc.partial, request_headers)
+            return
         except (OSError, HTTPException):
             self.conn = None
             observed.status[request_id] = 0
@@ -125,6 +137,41 @@
         if reply.status == 200:
             self.check(request_id, path, reply, data)
 
+    def take_up(self, first_id, partial, request_headers):
+        """Take up a stream that broke off, once."""
+        begun = partial[: partial.rfind(b"\n\n") + 2]
+        if not begun:
+            return
+        request_headers["X-Attempt-Id"] = f"{first_id}-rest"
+        request_headers["Resumes"] = first_id
+        request_headers["Last-Event-Id"] = str(begun.count(b"id: ") - 1)
+        ports = self.rng.choice(self.soak.deployment.entry_ports)
+        conn = HTTPConnection("127.0.0.1", ports["frontend"], timeout=4)
+        try:
+            conn.request("POST", "/draft/s", b"", request_headers)
+            reply = conn.getresponse()
+            data = reply.read()
+        except (OSError, HTTPException):
+            return
+        finally:
+            conn.close()
+        if reply.status == 200:
+            self.check_stream(first_id, begun + data)
+
+    def check_stream(self, request_id, data):
+        """Check that a stream is whole and of one software version."""
+        expected = [
+            b"".join(
+                b"id: %d\ndata: t%d %s\n\n" % (number, number, version)
+                for number in range(EVENT_COUNT)
+            )
+            for version in (b"v1", b"v2")
+        ]
+        if data not in expected:
+            self.soak.observed.bad_answers.append(
+                f"{request_id}: stream is not whole or joined: {data!r}"
+            )
+
     def check(self, request_id, path, reply, data):
         """Check that a success is the complete answer to this request."""
         if reply.headers["X-Attempt-Id"] != request_id:
@@ -137,11 +184,8 @@
         if path == CRASHING_PATH:
             expected = b"answer to " + CRASHING_BODY
         if path.endswith("/s"):
-            expected = b"".join(
-                b"id: %d\ndata: t%d\n\n" % (offset, offset)
-                for offset in range(4)
-            )
-        if data != expected:
+            self.check_stream(request_id, data)
+        elif data != expected:
             self.soak.observed.bad_answers.append(
                 f"{request_id}: incomplete answer: {data!r}"
             )
@@ -161,6 +205,10 @@
         self.cloud = CloudApi()
         self.deployment = Deployment(folder)
         self.revoked_at = None
+        self.returns = Counter()
+        for name, version in VERSIONS.items():
+            self.deployment.add_engine(name, "llm", version=version)
+            self.deployment.engines[name].version = version
         self.proxies = [
             FaultProxy(self.deployment.store.address) for _ in range(hosts)
         ]
@@ -214,6 +262,7 @@
             (self.store_goes_back, ()),
             (self.api_down, ()),
             (self.inject_engine_fault, ()),
+            (self.leave_and_return, ()),
             (self.crash_on_part, ()),
             (self.crash_on_request, ()),
             (self.limit_engine, ()),
@@ -285,10 +334,31 @@
         """Make an engine fail its next five requests."""
         engine = self.rng.choice(list(self.deployment.engines.values()))
         engine.fault = self.rng.choice(
-            ("shed", "lost", "cut", "failed", "stranger", "unsigned")
+            (
+                *("shed", "lost", "cut", "failed", "stranger", "unsigned"),
+                "old refusal",
+            )
         )
+        engine.resumed_answer = self.rng.choice(("", "204", "500", "text"))
         engine.fault_count = 5
 
+    def leave_and_return(self, duration_s):
+        """Let an engine say that it leaves, and start again as a new run."""
+        name = self.rng.choice(list(self.deployment.engines))
+        engine = self.deployment.engines[name]
+        engine.leaving = True
+        sleep(duration_s)
+        engine.leaving = False
+        engine.ends += 1
+        self.returns[name] += 1
+        service = "llm" if name in VERSIONS else "app"
+        self.deployment.register(
+            name,
+            service,
+            born=FIRST_BORN + engine.ends,
+            version=engine.version,
+        )
+
     def crash_on_part(self, duration_s):
         """Let all engines end under one part of a prompt for a time."""
         engines = self.deployment.engines.values()
@@ -351,7 +421,7 @@
         violations += [
             f"{name}: engine ended {engine.ends} times"
             for name, engine in self.deployment.engines.items()
-            if engine.ends > MAX_ENDS
+            if engine.ends - self.returns[name] > MAX_ENDS
         ]
         return violations + self.duty_violations()
 
