--- a/src/magnoliaflow/entry/streamorigins.py
+++ b/src/magnoliaflow/entry/streamorigins.py
@@ -304,7 +304,7 @@
             is_read
             and not found
             and len(versions) == 1
-            and origins.is_named(backend, now)
+            and origins.knows_versions(backend, now)
         ):
             self._go_on(
                 handler,
--- a/src/magnoliaflow/policy/streamorigins.py
+++ b/src/magnoliaflow/policy/streamorigins.py
@@ -61,12 +61,14 @@
     ``own`` are this host's streams by digest, ``unsaved`` those of them that
     no record holds.  ``seen`` tells when this host last saw an engine of a
     version, ``named`` when it last read or wrote a record that names it.
-    ``first`` is the version that had a service for itself.
+    ``first`` is the version that had a service for itself, ``alone_since``
+    when this host began to see no other.
     """
 
     __slots__ = (
         "_logged",
         "_logged_bytes",
+        "alone_since",
         "first",
         "named",
         "own",
@@ -80,6 +82,7 @@
         self.seen: dict[str, dict[str, float]] = defaultdict(dict)
         self.named: dict[Origin, float] = {}
         self.first: dict[str, str] = {}
+        self.alone_since: dict[str, float] = {}
         self._logged: deque[tuple[float, StreamGroup]] = deque()
         self._logged_bytes = 0
 
@@ -95,6 +98,9 @@
             del seen[version]
         if len(seen) == 1:
             (self.first[backend],) = seen
+            self.alone_since.setdefault(backend, now)
+        else:
+            self.alone_since.pop(backend, None)
 
     def versions(self, backend: str, now: float) -> set[str]:
         """Return the versions that may have begun a stream that lives."""
@@ -112,9 +118,13 @@
         """Return whether streams of several versions may be taken up."""
         return len(self.versions(backend, now)) > 1
 
-    def is_named(self, backend: str, now: float) -> bool:
-        """Return whether a record names a version of a service."""
-        return any(
+    def knows_versions(self, backend: str, now: float) -> bool:
+        """Return whether no version can have begun streams unknown to here.
+
+        A record names the versions, or this host has seen one alone for as
+        long as a stream lives.
+        """
+        return now - self.alone_since.get(backend, now) > STREAM_LIFE_S or any(
             origin.backend == backend and now - at <= STREAM_LIFE_S
             for origin, at in self.named.items()
         )
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -129,6 +129,25 @@
     assert origins.sides("llm", ["v2"], at) == ()
 
 
+def test_versions_are_known_without_records_after_the_life_of_a_stream(
+    origins,
+):
+    """Hosts of a build that writes no records may hold the duties."""
+    assert not origins.knows_versions("llm", STREAM_LIFE_S / 2)
+    at = STREAM_LIFE_S + 0.1
+    origins.observe("llm", ["v1"], at)
+    assert origins.knows_versions("llm", at)
+    origins.observe("llm", ["v1", "v2"], at)
+    assert not origins.knows_versions("llm", at)
+
+
+def test_a_host_that_starts_knows_the_versions_by_a_record_alone(origins):
+    log = []
+    write(origins, log, 1.0, with_versions=True)
+    assert read(log, 5.0).knows_versions("llm", 5.0)
+    assert not StreamOrigins().knows_versions("llm", 5.0)
+
+
 def test_memory_and_records_are_bounded_at_410_hosts(origins):
     origins.observe("llm", ["v1", "v2"], 0.0)
     rate = STREAMS_PER_S / HOSTS
