--- a/src/magnoliaflow/entry/attempts.py
+++ b/src/magnoliaflow/entry/attempts.py
@@ -13,6 +13,7 @@
 from magnoliaflow.entry.departures import record_departure
 from magnoliaflow.entry.enginespeeds import record_first_token
 from magnoliaflow.entry.limits import record_limit
+from magnoliaflow.entry.streamorigins import is_placed_anew
 from magnoliaflow.entry.streamorigins import record_send
 from magnoliaflow.entry.versions import drop_watch
 from magnoliaflow.entry.versions import end_watch
@@ -140,7 +141,7 @@
             or self.engine.leaving_at < inf
             or state.routing.engines.get(self.engine.name) is not self.engine
             or not may_send_to(self.handler, self.engine.cfg.version)
-            or not self.handler.route_stands()
+            or is_placed_anew(self.handler)
         )
         if outdated:
             self._fail(Failure.UNSENT, "outdated before it was sent")
@@ -202,7 +203,9 @@
                 engine_fault=True,
             )
             return
-        if self.handler.response_started and not self._is_continuation(head):
+        if self.handler.response_started and not head.continues_stream(
+            self.handler.call.request_id
+        ):
             self._fail(
                 Failure.MAY_HAVE_RUN,
                 f"answer of status {status} is not the rest of the stream",
@@ -214,14 +217,6 @@
         if streams and 200 <= status < 300:
             self.splitter = EventSplitter()
 
-    def _is_continuation(self, head: EngineResponseHead) -> bool:
-        """Return whether an answer is the rest of a stream."""
-        return (
-            head.status == 200
-            and head.is_event_stream
-            and head.request_id == self.handler.call.request_id
-        )
-
     def on_data(self, data: bytes) -> int:
         """Forward complete events and return their number.
 
--- a/src/magnoliaflow/entry/calls.py
+++ b/src/magnoliaflow/entry/calls.py
@@ -402,16 +402,6 @@
         fresh = self.state.is_config_fresh(boot_time())
         return key_known and fresh and not self.done
 
-    def route_stands(self) -> bool:
-        """Return whether the configuration in force places the request so."""
-        route_table = self.state.route_table
-        if route_table is self.route_table or route_table is None:
-            return True
-        route = route_table.find(self.call.host, self.call.path)
-        return (
-            route is not None and choose_service(self, route) == self.service
-        )
-
     def earn_retry(self) -> None:
         """Count a send; add to the retry budget after the first one."""
         self.hedge.record_sent()
--- a/src/magnoliaflow/entry/streamorigins.py
+++ b/src/magnoliaflow/entry/streamorigins.py
@@ -72,6 +72,18 @@
     return route.service_for(stream_id(handler))
 
 
+def is_placed_anew(handler: Any) -> bool:
+    """Return whether the configuration in force places a request elsewhere.
+
+    It may have changed since the engine was selected.
+    """
+    route_table = handler.state.route_table
+    if route_table is handler.route_table or route_table is None:
+        return False
+    route = route_table.find(handler.call.host, handler.call.path)
+    return route is None or choose_service(handler, route) != handler.service
+
+
 def record_send(handler: Any, version: str) -> None:
     """Record the engine of a stream that may be taken up.
 
--- a/src/magnoliaflow/work/calls.py
+++ b/src/magnoliaflow/work/calls.py
@@ -70,6 +70,14 @@
     leaving: bool = False
     misdirected: bool = False
 
+    def continues_stream(self, request_id: str) -> bool:
+        """Return whether the answer is the rest of a request's stream."""
+        return (
+            self.status == 200
+            and self.is_event_stream
+            and self.request_id == request_id
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class AddressLookup:
--- a/tests/test_entry_attempts.py
+++ b/tests/test_entry_attempts.py
@@ -14,7 +14,10 @@
 from magnoliaflow.entry.state import EntryState
 from magnoliaflow.platform.nodefile import decode_host_settings
 from magnoliaflow.policy.engines import new_engine
+from magnoliaflow.policy.routes import Route
 from magnoliaflow.policy.routes import RouteKind
+from magnoliaflow.policy.routes import RouteTable
+from magnoliaflow.policy.routes import TrafficShare
 
 BOOT_FILE = """nodeName=e-1
 zone=a
@@ -42,6 +45,7 @@
     def __init__(self, state):
         self.state = state
         self.origin = None
+        self.route_table = state.route_table
         self.service = "desk"
         self.attempts_sent = 0
         self.usage_counted = False
@@ -49,10 +53,6 @@
         self.route = SimpleNamespace(kind=RouteKind.STREAM, resumable=False)
         self.failures = []
 
-    def route_stands(self):
-        """Keep the route."""
-        return True
-
     def may_send(self):
         """Allow the send."""
         return True
@@ -79,6 +79,26 @@
     return Attempt(StubHandler(state), engine, 10)
 
 
+@pytest.mark.parametrize("service", [None, "desk", "other"])
+def test_a_request_whose_route_moved_while_it_connected_is_not_sent(
+    attempt, service
+):
+    handler = attempt.handler
+    handler.call = SimpleNamespace(
+        host="h", path="/a/x", request_id="r1", resumes=""
+    )
+    shares = (TrafficShare(service, 1.0),)
+    route = Route(
+        *("r", "h", "/a/", RouteKind.IDEMPOTENT, shares, 1, 1, 0, 1),
+        anonymous=True,
+        resumable=False,
+    )
+    handler.state.route_table = RouteTable(2, (route,) if service else ())
+    attempt.on_open()
+    assert attempt.sent == (service == "desk")
+    assert handler.failures == ([] if service == "desk" else [Failure.UNSENT])
+
+
 def test_a_request_is_sent_once_its_connection_is_open(attempt):
     attempt.on_open()
     assert attempt.sent and attempt.handler.attempts_sent == 1
--- a/tests/test_hedge_races.py
+++ b/tests/test_hedge_races.py
@@ -224,6 +224,7 @@
     req.fire("_on_overdue")
     handler = req.handler
     handler.origin = None
+    handler.route_table = handler.state.route_table
     handler.state.origins.sides.return_value = ()
     handler.state.origins.sent_to.return_value = None
     handler.state.is_config_fresh.return_value = False
