End both threads of a broken link in the stand-in, bound a host's records

A host writes at most one record in 0.1 s, as docs/CAPACITY.md says; four hosts wrote up to 80 a second.

--- a/src/magnoliaflow/entry/streamorigins.py
+++ b/src/magnoliaflow/entry/streamorigins.py
@@ -32,8 +32,9 @@
 
 # Interval of looks at the versions that have engines.
 OBSERVE_INTERVAL_S = 0.1
-# Records a second of all hosts together.
+# Records a second of all hosts together, and a host's shortest interval.
 RECORDS_PER_S = 100.0
+MIN_RECORD_INTERVAL_S = 0.1
 # The holder of the duties names all versions this often.
 NAMING_INTERVAL_S = 5.0
 RETRY_DELAY_S = 0.3
@@ -205,7 +206,9 @@
         )
         if not groups:
             return
-        self.next_record_at = now + self.state.host_count() / RECORDS_PER_S
+        self.next_record_at = now + max(
+            MIN_RECORD_INTERVAL_S, self.state.host_count() / RECORDS_PER_S
+        )
         self.is_writing = True
         self._write(groups, names_all).addErrback(self._on_fault)
 
--- a/src/magnoliaflow_standins/faultproxy.py
+++ b/src/magnoliaflow_standins/faultproxy.py
@@ -1,7 +1,9 @@
 """TCP proxy on loopback that injects network faults."""
 
+from contextlib import suppress
 from enum import Enum
 from socket import create_connection
+from socket import SHUT_RDWR
 from socket import SHUT_WR
 from socket import SO_LINGER
 from socket import socket
@@ -100,8 +102,11 @@
                     return
                 sink.sendall(data)
             except OSError:
-                _reset(source)
-                _reset(sink)
+                # A close does not wake the other direction's thread.
+                for sock in (source, sink):
+                    with suppress(OSError):
+                        sock.shutdown(SHUT_RDWR)
+                    _reset(sock)
                 return
 
 
