--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -18,6 +18,7 @@
 from select import POLLIN
 import signal
 from socket import MSG_PEEK
+from socket import SHUT_RDWR
 from socket import socket
 from struct import pack
 from struct import unpack_from
@@ -115,10 +116,12 @@
         """Return the body of the request."""
         return self.rfile.read(int(self.headers.get("Content-Length") or 0))
 
+    headers_of_all = ()
+
     def reply(self, status, body=b"", headers=()):
         """Send a complete answer."""
         self.send_response(status)
-        for name, value in headers:
+        for name, value in (*self.headers_of_all, *headers):
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -128,11 +131,14 @@
 class Store:
     """The platform's store; records expire after ``keep_s`` seconds.
 
-    The newest record of each key of a keyed topic stays listed.
+    The newest record of each key of a keyed topic stays listed.  ``bases``
+    holds the offsets of the first records of topics, 0 if they have none: what
+    was written before has expired.
     """
 
     def __init__(self, keep_s):
         self.keep_s = keep_s
+        self.bases = {}
         self.changed = Condition()
         self.topics = {}
         self.first = {}
@@ -149,14 +155,18 @@
             first += 1
         self.first[topic] = first
 
+    def end(self, topic):
+        """Return the offset at which a topic ends."""
+        return self.bases.get(topic, 0) + len(self.topics.get(topic, []))
+
     def append(self, topic, records, at=None):
         """Append records; return their offset, None at another end."""
         sleep(APPEND_S)
         with self.changed:
             stored = self.topics.setdefault(topic, [])
-            if at is not None and at != len(stored):
+            offset = self.end(topic)
+            if at is not None and at != offset:
                 return None
-            offset = len(stored)
             times = self.written_at.setdefault(topic, [])
             for number, record in enumerate(records):
                 stored.append(record)
@@ -178,10 +188,15 @@
 
 
 class _StoreHandler(_Handler):
+    # The page on stores that come back from a copy has it in all answers.
+    headers_of_all = (("Store-Era", "1"),)
+
     def do_POST(self):
         """Append records."""
         url = urlsplit(self.path)
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        query = {
+            name: values[0] for name, values in parse_qs(url.query).items()
+        }
         data, records, position = self.body(), [], 0
         while position < len(data):
             (length,) = unpack_from(">I", data, position)
@@ -189,7 +204,7 @@
             position += 4 + length
         at = int(query["at"]) if "at" in query else None
         offset = self.owner.append(query["topic"], records, at)
-        end = len(self.owner.topics[query["topic"]])
+        end = self.owner.end(query["topic"])
         if offset is None:
             self.reply(412, dumps({"endOffset": end}).encode())
             return
@@ -199,7 +214,9 @@
     def do_GET(self):
         """Read a topic, or list the newest records of its keys."""
         url = urlsplit(self.path)
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        query = {
+            name: values[0] for name, values in parse_qs(url.query).items()
+        }
         store, topic = self.owner, query["topic"]
         if url.path.endswith("log-newest"):
             with store.changed:
@@ -213,20 +230,18 @@
                         topic, {}
                     ).items()
                 ]
-                end = len(store.topics.get(topic, []))
+                end = store.end(topic)
             values = {"items": items, "hasMore": False, "endOffset": end}
             self.reply(200, dumps(values).encode())
             return
         start = int(query["source"])
         wait_s = int(query.get("waitTimeoutMs", "0")) / 1000
         with store.changed:
-            store.changed.wait_for(
-                lambda: len(store.topics.get(topic, [])) > start, wait_s
-            )
+            store.changed.wait_for(lambda: store.end(topic) > start, wait_s)
             store.expire(topic)
-            records = store.topics.get(topic, [])
-            end, first = len(records), store.first.get(topic, 0)
-            records = records[start:]
+            base, end = store.bases.get(topic, 0), store.end(topic)
+            first = base + store.first.get(topic, 0)
+            records = store.topics.get(topic, [])[max(0, start - base) :]
         if start < first:
             self.reply(410, dumps({"firstOffset": first}).encode())
             return
@@ -277,6 +292,11 @@
         self.work_s = work_s
         self.slots = slots
         self.mute = 0.0
+        self.state = "ready"
+        self.ended = False
+        self.born = int(time() * 1000)
+        self.sequence = 0
+        self.connections = set()
         self.runs = []
         self.lock = Lock()
         self.count = 0
@@ -285,23 +305,44 @@
 
     def keep_registered(self, store, stopped):
         """Write heartbeats to the store until the run ends."""
-        born, sequence = int(time() * 1000), 0
-        while True:
-            sequence += 1
+        while not self.ended:
+            self.register(store)
+            if stopped.wait(HEARTBEAT_S):
+                return
+
+    def register(self, store):
+        """Write the engine's entry to the store."""
+        with self.lock:
+            self.sequence += 1
             entry = {
                 "service": self.service,
                 "address": self.address,
                 "zone": "gp-north",
                 "version": "1",
                 "slots": self.slots,
-                "state": "ready",
+                "state": self.state,
                 "coldRemainingMs": 0,
-                "sequence": sequence,
-                "born": born,
+                "sequence": self.sequence,
+                "born": self.born,
             }
-            store.put("keyed.servers", self.name, dumps(entry).encode())
-            if stopped.wait(HEARTBEAT_S):
-                return
+        store.put("keyed.servers", self.name, dumps(entry).encode())
+
+    def leave(self, store):
+        """Report that the engine is draining; it goes on to serve."""
+        self.state = "draining"
+        self.register(store)
+
+    def end(self, store):
+        """Remove the entry and end with all connections."""
+        self.ended = True
+        store.put("keyed.servers", self.name, b"")
+        self.server.shutdown()
+        self.server.server_close()
+        for sock in list(self.connections):
+            try:
+                sock.shutdown(SHUT_RDWR)
+            except OSError:
+                continue
 
     def is_mute(self):
         """Return whether the next request gets no answer."""
@@ -332,6 +373,16 @@
                     return True
         return False
 
+    def setup(self):
+        """Keep the connection in mind until it ends."""
+        super().setup()
+        self.owner.connections.add(self.connection)
+
+    def finish(self):
+        """Forget the connection."""
+        self.owner.connections.discard(self.connection)
+        super().finish()
+
     def _serve(self):
         engine = self.owner
         body = self.body()
@@ -342,7 +393,10 @@
         if self.path == "/health":
             self.reply(200, b"", [("X-Instance-Id", engine.name)])
             return
-        request, tenant = self.headers["X-Attempt-Id"], self.headers["X-Tenant"]
+        request, tenant = (
+            self.headers["X-Attempt-Id"],
+            self.headers["X-Tenant"],
+        )
         usage = (self.headers["X-Token-Usage"] or "0,200").split(",")
         tokens = sum(int(part) for part in usage)
         engine.runs.append((time(), tenant, tokens, request))
