--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -12,6 +12,7 @@
 from json import loads
 import os
 from pathlib import Path
+from random import randrange
 from resource import RLIMIT_NOFILE
 from resource import setrlimit
 from select import poll
@@ -24,6 +25,8 @@
 from struct import unpack_from
 from subprocess import DEVNULL
 from subprocess import Popen
+import sys
+from tempfile import TemporaryDirectory
 from threading import Condition
 from threading import Event
 from threading import Lock
@@ -40,6 +43,8 @@
 HEARTBEAT_S = 1.2
 APPEND_S = 0.004
 START_WAIT_S = 20.0
+FIRST_PORT = 12000
+LAST_PORT = 32000
 # Bounds of the sheet of the repair office.
 BOUNDS = (
     "bounds.seedLagS=3",
@@ -416,11 +421,36 @@
         self.reply(200, b"answer to " + body, answer)
 
 
+def run_case(play, folder):
+    """Play a case; return its exit code, 2 if it could not run.
+
+    ``play`` gets a temporary folder and the record, which is written to the
+    folder of the case.
+    """
+    signal.signal(signal.SIGTERM, lambda signum, frame: sys.exit(2))
+    record = Record(folder / "record.txt")
+    try:
+        with TemporaryDirectory() as temporary:
+            return play(Path(temporary), record)
+    except Exception as exc:
+        record.add(f"the case could not run: {exc!r}")
+        return 2
+
+
 def free_ports(number):
-    """Return a number of distinct free ports of the loopback interface."""
-    socks = [socket() for _ in range(number)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
+    """Return a number of distinct free ports of the loopback interface.
+
+    They are below those that kernels give to outgoing connections.
+    """
+    socks = []
+    while len(socks) < number:
+        sock = socket()
+        try:
+            sock.bind(("127.0.0.1", randrange(FIRST_PORT, LAST_PORT)))
+        except OSError:
+            sock.close()
+            continue
+        socks.append(sock)
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
--- a/review/standins-3/streams3.py
+++ b/review/standins-3/streams3.py
@@ -94,7 +94,11 @@
             self.cut += len(broken)
         for sock in broken:
             # A reset, as from a process that ended.
-            sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+            try:
+                sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+            except OSError:
+                # Its answer has just ended.
+                continue
             sock.close()
         self.record.add(
             f"engine {self.name} ({self.version}) ends with {len(broken)}"
