--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -421,14 +421,14 @@
         self.reply(200, b"answer to " + body, answer)
 
 
-def run_case(play, folder):
+def run_case(play, path):
     """Play a case; return its exit code, 2 if it could not run.
 
-    ``play`` gets a temporary folder and the record, which is written to the
-    folder of the case.
+    ``play`` gets a temporary folder and the record, which is written to a
+    file in the folder of the case.
     """
     signal.signal(signal.SIGTERM, lambda signum, frame: sys.exit(2))
-    record = Record(folder / "record.txt")
+    record = Record(path)
     try:
         with TemporaryDirectory() as temporary:
             return play(Path(temporary), record)
